--- /dev/null
+++ b/blueprint/test/blueprint_test.cpp
@@ -0,0 +1,80 @@
+#include <catch2/catch.hpp>
+
+#include <corkward/blueprint/blueprint.h>
+#include <corkward/core/json.h>
+
+namespace core = corkward::core;
+namespace blueprint = corkward::blueprint;
+
+namespace {
+
+QJsonObject family(char const* spec, char const* instances) {
+  return QJsonObject{{"template", QJsonObject{{"spec", core::parseJson(spec)}, {"stamp", 1}}},
+                     {"instances", core::parseJson(instances)}};
+}
+
+bool known(std::string const& pool) { return pool == "model" || pool == "gateway"; }
+
+constexpr char const* good = R"({"parameters":{"farm":{"type":"string"},"aim":{"type":"integer","default":500,"min":50,"max":900}},
+  "paths":[{"path":"narrate/${farm}","pool":"model","class":"long"},
+           {"path":"pitch","pool":"model","class":"short","aimMs":"${aim}"},
+           {"path":"ack","pool":"gateway","class":"urgent"}]})";
+
+}  // namespace
+
+TEST_CASE("a template and its instances render to paths") {
+  QJsonObject const f = family(good, R"({"nord":{"spec":{"parameters":{"farm":"nord-7"}},"stamp":2},
+                                         "sued":{"spec":{"parameters":{"farm":"sued","aim":60}},"stamp":3}})");
+  blueprint::checkFamily(f, known);
+  std::vector<blueprint::Path> const paths = blueprint::render("fault", f);
+  REQUIRE(paths.size() == 6);
+  CHECK(paths[0].instance == "fault.nord");
+  CHECK(paths[0].path == "narrate/nord-7");
+  CHECK(paths[1].aim == 500);
+  CHECK(paths[4].aim == 60);
+  CHECK(paths[2].cls == blueprint::Class::urgent);
+}
+
+TEST_CASE("what is not a valid blueprint is denied with its place") {
+  struct Row {
+    char const* spec;
+    char const* instances;
+    char const* pointer;
+  };
+  constexpr char const* one = R"({"paths":[{"path":"a","pool":"model","class":"short"}]})";
+  constexpr Row rows[] = {
+      {R"({"paths":[],"x":1})", "{}", "/template/x"},
+      {R"({"paths":[]})", "{}", "/template/paths"},
+      {R"({"paths":[{"path":"a","pool":"model","class":"short","y":1}]})", "{}", "/template/paths/0/y"},
+      {R"({"paths":[{"path":"a","pool":"model"}]})", "{}", "/template/paths/0/class"},
+      {R"({"parameters":{"p":{"type":"float"}},"paths":[{"path":"a","pool":"model","class":"short"}]})", "{}", "/template/parameters/p/type"},
+      {one, R"({"i":{"spec":{"parameters":{"extra":1}}}})", "/instances/i/parameters/extra"},
+      {one, R"({"i":{"spec":{"surprise":1}}})", "/instances/i/surprise"},
+      {good, R"({"i":{"spec":{}}})", "/instances/i/parameters/farm"},
+      {good, R"({"i":{"spec":{"parameters":{"farm":7}}}})", "/instances/i/parameters/farm"},
+      {good, R"({"i":{"spec":{"parameters":{"farm":"f","aim":901}}}})", "/instances/i/parameters/aim"},
+      {good, R"({"i":{"spec":{"parameters":{"farm":"../x"}}}})", "/template/paths/0/path"},
+      {R"({"paths":[{"path":"a","pool":"model","class":"short"},{"path":"a","pool":"model","class":"long"}]})", R"({"i":{"spec":{}}})", "/template/paths/1/path"},
+      {R"({"paths":[{"path":"a","pool":"nowhere","class":"short"}]})", R"({"i":{"spec":{}}})", "/instances/i"},
+      {R"({"paths":[{"path":"a","pool":"model","class":"${c}"}]})", R"({"i":{"spec":{}}})", "/template/paths/0/class"}};
+  for (Row const& r : rows) {
+    try {
+      blueprint::checkFamily(family(r.spec, r.instances), known);
+      FAIL("accepted: " << r.spec << r.instances);
+    } catch (blueprint::Error const& e) {
+      CHECK(e.pointer() == r.pointer);
+    }
+  }
+}
+
+TEST_CASE("a platform list is checked whole") {
+  blueprint::Pool const p = blueprint::readPool(
+      core::parseJson(R"({"generation":3,"coldRate":1.5,"replicas":[{"address":"127.0.0.1:80","zone":"z1","state":"cold"}]})").toObject());
+  CHECK(p.replicas.at(0).state == blueprint::ReplicaState::cold);
+  for (char const* bad :
+       {R"({"generation":0,"replicas":[]})", R"({"generation":1})", R"({"generation":1,"replicas":[{"address":"x","zone":"z","state":"cold"}]})",
+        R"({"generation":1,"replicas":[{"address":"127.0.0.1:80","zone":"z","state":"warm"}]})",
+        R"({"generation":1,"replicas":[{"address":"127.0.0.1:99999","zone":"z","state":"cold"}]})",
+        R"({"generation":1,"coldRate":-1,"replicas":[]})"})
+    CHECK_THROWS_AS(blueprint::readPool(core::parseJson(bad).toObject()), blueprint::Error);
+}
--- /dev/null
+++ b/core/include/corkward/core/types.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace corkward::core {
+
+/// Milliseconds on a monotonic clock that goes on counting while the machine is suspended.
+using Tick = std::int64_t;
+
+/// A number that only compares with its own kind.
+template <class Tag>
+struct Strong {
+  std::uint64_t n = 0;
+  auto operator<=>(Strong const&) const = default;
+};
+
+/// Version of one key's value; rises by one with each accepted change.
+using Stamp = Strong<struct StampTag>;
+
+/// Dense index of a name, given out at the door.
+using Index = std::uint32_t;
+
+/// Maps names to dense indices; an index is never reused.
+class Names {
+ public:
+  /// Index of the name, made if it is new.
+  Index index(std::string const& name);
+  /// Name of an index that was given out.
+  std::string const& name(Index ix) const;
+  std::size_t size() const { return names_.size(); }
+
+ private:
+  std::unordered_map<std::string, Index> byName_;
+  std::vector<std::string> names_;
+};
+
+/// Small seeded generator; the seed comes in with an event, so reducers stay pure.
+class Rng {
+ public:
+  explicit Rng(std::uint64_t seed = 1) : s_(seed * 0x9E3779B97F4A7C15ULL + 0x1234567ULL) {}
+  std::uint64_t next();
+  /// Uniform in [0, bound); 0 when bound is 0.
+  std::uint64_t below(std::uint64_t bound) { return bound == 0 ? 0 : next() % bound; }
+  /// True with the given probability.
+  bool chance(double p) { return static_cast<double>(next() >> 11) * 0x1.0p-53 < p; }
+
+ private:
+  std::uint64_t s_;
+};
+
+/// Stable hash of a text, equal on every machine.
+std::uint64_t stableHash(std::string const& text);
+
+/// One line of a log: an event and its key=value pairs.
+struct Note {
+  std::string event;
+  std::map<std::string, std::string> fields;
+};
+
+/// An error of the core layer.
+class Error;
+
+/// Thrown by a broken invariant.
+[[noreturn]] void broken(char const* what, char const* file, int line);
+
+}  // namespace corkward::core
+
+/// Checks an invariant inside the code; a broken one stops the process.
+#define CORKWARD_INVARIANT(cond)                                      \
+  do {                                                                \
+    if (!(cond)) ::corkward::core::broken(#cond, __FILE__, __LINE__); \
+  } while (false)
--- /dev/null
+++ b/core/src/core.cpp
@@ -0,0 +1,81 @@
+#include <corkward/core/error.h>
+#include <corkward/core/journal.h>
+#include <corkward/core/types.h>
+#include <corkward/core/workers.h>
+
+namespace corkward::core {
+
+Index Names::index(std::string const& name) {
+  std::unordered_map<std::string, Index>::const_iterator const it = byName_.find(name);
+  if (it != byName_.end()) return it->second;
+  Index const ix = static_cast<Index>(names_.size());
+  names_.push_back(name);
+  byName_.emplace(name, ix);
+  return ix;
+}
+
+std::string const& Names::name(Index ix) const {
+  CORKWARD_INVARIANT(ix < names_.size());
+  return names_[ix];
+}
+
+std::uint64_t Rng::next() {
+  s_ += 0x9E3779B97F4A7C15ULL;
+  std::uint64_t z = s_;
+  z = (z ^ (z >> 30)) * 0xBF58476D1CE4E5B9ULL;
+  z = (z ^ (z >> 27)) * 0x94D049BB133111EBULL;
+  return z ^ (z >> 31);
+}
+
+std::uint64_t stableHash(std::string const& text) {
+  std::uint64_t h = 1469598103934665603ULL;
+  for (char const c : text) h = (h ^ static_cast<unsigned char>(c)) * 1099511628211ULL;
+  h ^= h >> 32;
+  return Rng(h).next();
+}
+
+void broken(char const* what, char const* file, int line) {
+  throw InvariantError(std::string("broken invariant: ") + what + " at " + file + ":" + std::to_string(line));
+}
+
+void Journal::append(Tick at, std::string what, std::string about) {
+  entries_.push_back(Entry{++next_, at, std::move(what), std::move(about)});
+  if (entries_.size() > bound_) entries_.pop_front();
+}
+
+Workers::Workers(unsigned count) {
+  for (unsigned i = 0; i < count; ++i) threads_.emplace_back([this] { loop(); });
+}
+
+Workers::~Workers() {
+  {
+    std::lock_guard<std::mutex> const hold(lock_);
+    stopping_ = true;
+  }
+  more_.notify_all();
+  for (std::thread& t : threads_) t.join();
+}
+
+void Workers::run(std::function<void()> job) {
+  {
+    std::lock_guard<std::mutex> const hold(lock_);
+    jobs_.push_back(std::move(job));
+  }
+  more_.notify_one();
+}
+
+void Workers::loop() {
+  for (;;) {
+    std::function<void()> job;
+    {
+      std::unique_lock<std::mutex> hold(lock_);
+      more_.wait(hold, [this] { return stopping_ || !jobs_.empty(); });
+      if (jobs_.empty()) return;
+      job = std::move(jobs_.front());
+      jobs_.pop_front();
+    }
+    job();
+  }
+}
+
+}  // namespace corkward::core
--- /dev/null
+++ b/core/src/log.cpp
@@ -0,0 +1,63 @@
+#include <corkward/core/error.h>
+#include <corkward/core/log.h>
+
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/fileappender.h>
+#include <log4cxx/level.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/logmanager.h>
+#include <log4cxx/patternlayout.h>
+
+#include <array>
+#include <string_view>
+
+namespace corkward::core {
+
+namespace {
+
+constexpr std::array<std::string_view, 5> levels{"trace", "debug", "info", "warn", "error"};
+
+log4cxx::LoggerPtr& logger() {
+  static log4cxx::LoggerPtr it = log4cxx::Logger::getLogger("corkward");
+  return it;
+}
+
+std::string quoted(std::string const& text) {
+  bool plain = !text.empty();
+  for (char const c : text) plain = plain && c > ' ' && c != '"' && c != '=' && c != 0x7f;
+  if (plain) return text;
+  std::string out = "\"";
+  for (char const c : text) {
+    if (c == '"' || c == '\\') out += '\\';
+    out += (static_cast<unsigned char>(c) < 0x20 || c == 0x7f) ? ' ' : c;
+  }
+  return out + "\"";
+}
+
+}  // namespace
+
+void startLog(std::string const& node, std::string const& file, std::string const& level) {
+  bool known = false;
+  for (std::string_view const l : levels) known = known || l == level;
+  if (!known) throw Error("log-level: unknown level " + level);
+  log4cxx::LayoutPtr const layout(
+      new log4cxx::PatternLayout("time=%d{yyyy-MM-ddTHH:mm:ss.SSSZ} level=%p node=" + node + " %m%n"));
+  log4cxx::AppenderPtr appender;
+  if (file.empty())
+    appender = log4cxx::AppenderPtr(new log4cxx::ConsoleAppender(layout, log4cxx::ConsoleAppender::getSystemErr()));
+  else
+    appender = log4cxx::AppenderPtr(new log4cxx::FileAppender(layout, file, true));
+  logger()->removeAllAppenders();
+  logger()->setAdditivity(false);
+  logger()->addAppender(appender);
+  logger()->setLevel(log4cxx::Level::toLevel(level));
+}
+
+void writeLog(Note const& note) {
+  std::string line = "event=" + quoted(note.event);
+  for (std::map<std::string, std::string>::value_type const& f : note.fields)
+    line += " " + f.first + "=" + quoted(f.second);
+  LOG4CXX_INFO(logger(), line);
+}
+
+}  // namespace corkward::core
--- /dev/null
+++ b/core/test/core_test.cpp
@@ -0,0 +1,45 @@
+#include <catch2/catch.hpp>
+
+#include <corkward/core/error.h>
+#include <corkward/core/journal.h>
+#include <corkward/core/json.h>
+#include <corkward/core/types.h>
+
+namespace core = corkward::core;
+
+TEST_CASE("merge patch follows RFC 7396") {
+  struct Row {
+    char const* target;
+    char const* patch;
+    char const* want;
+  };
+  constexpr Row rows[] = {{R"({"a":"b"})", R"({"a":"c"})", R"({"a":"c"})"},
+                          {R"({"a":"b"})", R"({"a":null})", R"({})"},
+                          {R"({"a":{"b":"c"}})", R"({"a":{"b":"d","c":null}})", R"({"a":{"b":"d"}})"},
+                          {R"({"a":[{"b":"c"}]})", R"({"a":[1]})", R"({"a":[1]})"},
+                          {R"({"e":null})", R"({"a":1})", R"({"a":1,"e":null})"},
+                          {R"([1,2])", R"({"a":"b","c":null})", R"({"a":"b"})"},
+                          {R"({})", R"({"a":{"bb":{"ccc":null}}})", R"({"a":{"bb":{}}})"}};
+  for (Row const& r : rows)
+    CHECK(core::jsonText(core::mergePatch(core::parseJson(r.target), core::parseJson(r.patch))) == r.want);
+}
+
+TEST_CASE("bad JSON is denied, never guessed at") {
+  for (char const* text : {"", "{", "{\"a\":1,\"a\":2}", "[1,]", "nul", "{\"a\":18446744073709551615}", "\"\xff\""})
+    CHECK_THROWS_AS(core::parseJson(text), core::JsonError);
+  std::string deep(40, '[');
+  deep += std::string(40, ']');
+  CHECK_THROWS_AS(core::parseJson(deep), core::JsonError);
+}
+
+TEST_CASE("names get dense indices and the journal stays bounded") {
+  core::Names names;
+  CHECK(names.index("a") == 0);
+  CHECK(names.index("b") == 1);
+  CHECK(names.index("a") == 0);
+  CHECK_THROWS_AS(names.name(2), core::InvariantError);
+  core::Journal j(8);
+  for (int i = 0; i < 100; ++i) j.append(i, "x", "y");
+  CHECK(j.size() == 8);
+  CHECK(j.fold(std::uint64_t{0}, [](std::uint64_t, core::Entry const& e) { return e.number; }) == 100);
+}
--- /dev/null
+++ b/ledger/include/corkward/ledger/ledger.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <corkward/core/error.h>
+
+namespace corkward::ledger {
+
+/// An error of the disk; after one the ledger's file is not written again.
+class Error : public core::Error {
+ public:
+  using core::Error::Error;
+};
+
+/// The folder a ledger lives in. The real one does POSIX files; the simulator's forgets what was not synced.
+class Folder {
+ public:
+  virtual ~Folder() = default;
+  virtual std::vector<std::string> list() = 0;
+  virtual std::string read(std::string const& name) = 0;
+  /// Appends to a file, making it if it is new.
+  virtual void append(std::string const& name, std::string const& bytes) = 0;
+  virtual void sync(std::string const& name) = 0;
+  virtual void rename(std::string const& from, std::string const& to) = 0;
+  virtual void remove(std::string const& name) = 0;
+  virtual void truncate(std::string const& name, std::uint64_t size) = 0;
+  virtual void syncFolder() = 0;
+};
+
+/// A folder on the machine's own disk, made if it is missing. Throws ledger::Error.
+std::unique_ptr<Folder> openFolder(std::string const& path);
+
+/// Key and payload of one record; a later record of a key replaces an earlier one.
+struct Record {
+  std::string key;
+  std::string payload;
+};
+
+/// What came back from the disk at the start.
+struct Recovered {
+  std::map<std::string, std::string> slots;
+  /// Damage other than a torn last record: the member must not vote before it was repaired.
+  bool damaged = false;
+  bool tornTail = false;
+  std::string damage;
+};
+
+/// Frames one record: length, CRC-32C, key, payload.
+std::string frame(Record const& record);
+
+/// A log in segments with images beside it.
+class Ledger {
+ public:
+  /// Segments roll at this size.
+  Ledger(Folder& folder, std::uint64_t segmentBytes = 4U << 20);
+  /// Reads the newest image and the segments after it; cuts a torn tail.
+  Recovered recover();
+  /// Appends and syncs all records as one write. Throws ledger::Error and is unusable afterwards.
+  void write(std::vector<Record> const& records);
+  bool failed() const { return failed_; }
+
+ private:
+  void image();
+  Folder& folder_;
+  std::uint64_t segmentBytes_;
+  std::map<std::string, std::string> slots_;
+  std::uint64_t segment_ = 1;
+  std::uint64_t size_ = 0;
+  bool failed_ = false;
+};
+
+}  // namespace corkward::ledger
--- /dev/null
+++ b/ledger/src/ledger.cpp
@@ -0,0 +1,182 @@
+#include <corkward/ledger/ledger.h>
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <cstring>
+
+namespace corkward::ledger {
+
+namespace {
+
+constexpr std::size_t headBytes = 8;
+constexpr std::uint32_t maxRecord = 32U << 20;
+
+constexpr std::array<std::uint32_t, 256> crcTable = [] {
+  std::array<std::uint32_t, 256> t{};
+  for (std::uint32_t i = 0; i < 256; ++i) {
+    std::uint32_t c = i;
+    for (int k = 0; k < 8; ++k) c = (c & 1) != 0 ? 0x82F63B78U ^ (c >> 1) : c >> 1;
+    t[i] = c;
+  }
+  return t;
+}();
+
+std::uint32_t crc(char const* data, std::size_t size) {
+  std::uint32_t c = 0xFFFFFFFFU;
+  for (std::size_t i = 0; i < size; ++i) c = crcTable[(c ^ static_cast<unsigned char>(data[i])) & 0xFFU] ^ (c >> 8);
+  return ~c;
+}
+
+void putNumber(std::string& out, std::uint32_t n) {
+  for (int i = 0; i < 4; ++i) out += static_cast<char>((n >> (8 * i)) & 0xFFU);
+}
+
+std::uint32_t getNumber(char const* p) {
+  std::uint32_t n = 0;
+  for (int i = 0; i < 4; ++i) n |= static_cast<std::uint32_t>(static_cast<unsigned char>(p[i])) << (8 * i);
+  return n;
+}
+
+/// Reads framed records; returns how many bytes were whole and sound.
+std::size_t readAll(std::string const& bytes, std::map<std::string, std::string>& slots) {
+  std::size_t at = 0;
+  while (bytes.size() - at >= headBytes) {
+    std::uint32_t const size = getNumber(bytes.data() + at);
+    if (size < 4 || size > maxRecord || bytes.size() - at - headBytes < size) break;
+    char const* body = bytes.data() + at + headBytes;
+    if (crc(body, size) != getNumber(bytes.data() + at + 4)) break;
+    std::uint32_t const keyBytes = getNumber(body);
+    if (keyBytes > size - 4) break;
+    slots[std::string(body + 4, keyBytes)] = std::string(body + 4 + keyBytes, size - 4 - keyBytes);
+    at += headBytes + size;
+  }
+  return at;
+}
+
+std::string numbered(char const* kind, std::uint64_t n) {
+  std::array<char, 40> name{};
+  std::snprintf(name.data(), name.size(), "%s-%012llu", kind, static_cast<unsigned long long>(n));
+  return name.data();
+}
+
+bool numberOf(std::string const& name, std::string const& kind, std::uint64_t& n) {
+  if (name.size() != kind.size() + 13 || name.compare(0, kind.size() + 1, kind + "-") != 0) return false;
+  n = 0;
+  for (std::size_t i = kind.size() + 1; i < name.size(); ++i) {
+    if (name[i] < '0' || name[i] > '9') return false;
+    n = n * 10 + static_cast<std::uint64_t>(name[i] - '0');
+  }
+  return true;
+}
+
+constexpr char const* imageEnd = "\x01image-end";
+
+}  // namespace
+
+std::string frame(Record const& record) {
+  std::string body;
+  putNumber(body, static_cast<std::uint32_t>(record.key.size()));
+  body += record.key;
+  body += record.payload;
+  std::string out;
+  putNumber(out, static_cast<std::uint32_t>(body.size()));
+  putNumber(out, crc(body.data(), body.size()));
+  return out + body;
+}
+
+Ledger::Ledger(Folder& folder, std::uint64_t segmentBytes) : folder_(folder), segmentBytes_(segmentBytes) {}
+
+Recovered Ledger::recover() {
+  Recovered out;
+  std::uint64_t imageNo = 0;
+  std::vector<std::uint64_t> segments;
+  for (std::string const& name : folder_.list()) {
+    std::uint64_t n = 0;
+    if (numberOf(name, "image", n)) imageNo = std::max(imageNo, n);
+    if (numberOf(name, "segment", n)) segments.push_back(n);
+  }
+  std::sort(segments.begin(), segments.end());
+  if (imageNo > 0) {
+    std::string const bytes = folder_.read(numbered("image", imageNo));
+    std::size_t const good = readAll(bytes, slots_);
+    if (good != bytes.size() || slots_.erase(imageEnd) == 0) {
+      out.damaged = true;
+      out.damage = numbered("image", imageNo);
+    }
+  }
+  segment_ = std::max<std::uint64_t>(imageNo, 1);
+  std::uint64_t expect = segment_;
+  for (std::uint64_t const n : segments) {
+    if (n < segment_) continue;
+    if (n != expect) {
+      out.damaged = true;
+      out.damage = numbered("segment", expect) + " missing";
+    }
+    expect = n + 1;
+    std::string const name = numbered("segment", n);
+    std::string const bytes = folder_.read(name);
+    std::size_t const good = readAll(bytes, slots_);
+    if (good != bytes.size()) {
+      // A torn record can only be the last write of the last segment; whatever was whole behind the bad place
+      // shows that the damage is not a tear.
+      std::map<std::string, std::string> behind;
+      bool whole = n != segments.back();
+      for (std::size_t at = good + 1; !whole && at + headBytes < bytes.size(); ++at)
+        whole = readAll(bytes.substr(at), behind) > 0;
+      if (whole) {
+        out.damaged = true;
+        out.damage = name + " at byte " + std::to_string(good);
+      } else {
+        out.tornTail = true;
+        folder_.truncate(name, good);
+      }
+    }
+    if (n == segments.back()) size_ = good;
+  }
+  if (!segments.empty()) segment_ = std::max(segment_, segments.back());
+  out.slots = slots_;
+  failed_ = out.damaged;
+  return out;
+}
+
+void Ledger::write(std::vector<Record> const& records) {
+  if (failed_) throw Error("the ledger has failed before");
+  std::string bytes;
+  for (Record const& r : records) bytes += frame(r);
+  try {
+    std::string const name = numbered("segment", segment_);
+    bool const fresh = size_ == 0;
+    folder_.append(name, bytes);
+    folder_.sync(name);
+    if (fresh) folder_.syncFolder();
+    size_ += bytes.size();
+    for (Record const& r : records) slots_[r.key] = r.payload;
+    if (size_ >= segmentBytes_) image();
+  } catch (Error const&) {
+    failed_ = true;
+    throw;
+  }
+}
+
+void Ledger::image() {
+  std::uint64_t const next = segment_ + 1;
+  std::string bytes;
+  for (std::map<std::string, std::string>::value_type const& s : slots_) bytes += frame(Record{s.first, s.second});
+  bytes += frame(Record{imageEnd, ""});
+  std::string const fresh = "image.new";
+  for (std::string const& name : folder_.list())
+    if (name == fresh) folder_.remove(fresh);
+  folder_.append(fresh, bytes);
+  folder_.sync(fresh);
+  folder_.rename(fresh, numbered("image", next));
+  folder_.syncFolder();
+  segment_ = next;
+  size_ = 0;
+  for (std::string const& name : folder_.list()) {
+    std::uint64_t n = 0;
+    if ((numberOf(name, "segment", n) || numberOf(name, "image", n)) && n < next) folder_.remove(name);
+  }
+}
+
+}  // namespace corkward::ledger
--- /dev/null
+++ b/ledger/test/ledger_test.cpp
@@ -0,0 +1,116 @@
+#include <catch2/catch.hpp>
+
+#include <corkward/core/types.h>
+#include <corkward/ledger/ledger.h>
+#include <cstdlib>
+#include <filesystem>
+
+namespace core = corkward::core;
+namespace ledger = corkward::ledger;
+
+namespace {
+
+/// A folder whose disk keeps only what was synced when the power goes, and a random part of the rest.
+class LossyFolder : public ledger::Folder {
+ public:
+  struct File {
+    std::string bytes;
+    std::size_t synced = 0;
+  };
+  std::map<std::string, File> files;
+  bool failSync = false;
+
+  std::vector<std::string> list() override {
+    std::vector<std::string> out;
+    for (std::map<std::string, File>::value_type const& f : files) out.push_back(f.first);
+    return out;
+  }
+  std::string read(std::string const& name) override { return files.at(name).bytes; }
+  void append(std::string const& name, std::string const& bytes) override { files[name].bytes += bytes; }
+  void sync(std::string const& name) override {
+    if (failSync) throw ledger::Error("sync failed");
+    files[name].synced = files[name].bytes.size();
+  }
+  void rename(std::string const& from, std::string const& to) override {
+    files[to] = files[from];
+    files.erase(from);
+  }
+  void remove(std::string const& name) override { files.erase(name); }
+  void truncate(std::string const& name, std::uint64_t size) override {
+    files[name].bytes.resize(size);
+    files[name].synced = size;
+  }
+  void syncFolder() override {}
+  void powerLoss(core::Rng& rng) {
+    for (std::map<std::string, File>::value_type& f : files) {
+      std::size_t const loose = f.second.bytes.size() - f.second.synced;
+      f.second.bytes.resize(f.second.synced + rng.below(loose + 1));
+      f.second.synced = f.second.bytes.size();
+    }
+  }
+};
+
+}  // namespace
+
+TEST_CASE("what was synced comes back after power loss, through rolls, images and torn tails") {
+  for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+    core::Rng rng(seed);
+    LossyFolder folder;
+    std::map<std::string, std::string> sure;
+    for (int life = 0; life < 5; ++life) {
+      ledger::Ledger log(folder, 600);
+      ledger::Recovered const got = log.recover();
+      REQUIRE_FALSE(got.damaged);
+      for (std::map<std::string, std::string>::value_type const& s : sure) REQUIRE(got.slots.at(s.first) == s.second);
+      sure = got.slots;
+      for (int i = 0; i < 40; ++i) {
+        ledger::Record const r{"k" + std::to_string(rng.below(6)), std::string(rng.below(80), 'x') + std::to_string(i)};
+        if (rng.chance(0.02)) {
+          folder.failSync = true;
+          CHECK_THROWS_AS(log.write({r}), ledger::Error);
+          folder.failSync = false;
+          CHECK_THROWS_AS(log.write({r}), ledger::Error);
+          // It may or may not be there after the restart: drop it from what is sure.
+          sure.erase(r.key);
+          break;
+        }
+        log.write({r});
+        sure[r.key] = r.payload;
+      }
+      folder.powerLoss(rng);
+    }
+  }
+}
+
+TEST_CASE("damage inside the log is told apart from a torn tail") {
+  LossyFolder folder;
+  ledger::Ledger log(folder);
+  log.recover();
+  for (int i = 0; i < 5; ++i) log.write({{"k", "value " + std::to_string(i)}});
+  std::string& bytes = folder.files.begin()->second.bytes;
+  SECTION("a flipped bit in the middle") {
+    bytes[bytes.size() / 2] ^= 1;
+    CHECK(ledger::Ledger(folder).recover().damaged);
+  }
+  SECTION("a cut last record") {
+    bytes.resize(bytes.size() - 3);
+    ledger::Recovered const got = ledger::Ledger(folder).recover();
+    CHECK_FALSE(got.damaged);
+    CHECK(got.tornTail);
+    CHECK(got.slots.at("k") == "value 3");
+  }
+}
+
+TEST_CASE("a ledger on the real disk survives reopening") {
+  std::string path = std::filesystem::temp_directory_path().string() + "/corkward-ledger-XXXXXX";
+  REQUIRE(::mkdtemp(path.data()) != nullptr);
+  {
+    std::unique_ptr<ledger::Folder> const folder = ledger::openFolder(path);
+    ledger::Ledger log(*folder, 200);
+    log.recover();
+    for (int i = 0; i < 50; ++i) log.write({{"k" + std::to_string(i % 4), std::to_string(i)}});
+  }
+  std::unique_ptr<ledger::Folder> const folder = ledger::openFolder(path);
+  CHECK(ledger::Ledger(*folder, 200).recover().slots.at("k1") == "49");
+  std::filesystem::remove_all(path);
+}
--- /dev/null
+++ b/mooring/include/corkward/mooring/mooring.h
@@ -0,0 +1,246 @@
+#pragma once
+
+#include <QJsonObject>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <corkward/core/types.h>
+#include <corkward/signal/message.h>
+
+namespace corkward::mooring {
+
+using core::Tick;
+using signal::Epoch;
+
+/// An error of the control state.
+class Error : public core::Error {
+ public:
+  using core::Error::Error;
+};
+
+/// Key under which the cohort of disks itself is kept.
+inline constexpr char const* cohortKey = "cohort";
+
+/// Starting values; the daemon's settings may change them.
+struct Tuning {
+  Tick beatEvery = 150;
+  Tick ownerSilence = 1000;
+  Tick campaignSpread = 500;
+  Tick resendEvery = 200;
+  Tick callLimit = 4000;
+  Tick replaceDarkAfter = 20000;
+  Tick stallAfter = 800;
+};
+
+/// One machine of the cohort.
+struct Member {
+  std::string id;
+  std::string link;
+};
+
+/// What a judge says of a call against the current value.
+struct Verdict {
+  bool change = false;
+  QJsonObject value;
+  int status = 200;
+  QJsonObject body;
+};
+
+/// Decides on a call, given the key's current value (stamp 0: none yet). Pure.
+using Judge = std::function<Verdict(std::string const& key, std::uint64_t stamp, QJsonObject const& value,
+                                    signal::Call const& call)>;
+
+/// Command: write the record and sync it, then report the ticket.
+struct Persist {
+  std::uint64_t ticket = 0;
+  std::string key;
+  std::string payload;
+};
+
+/// A value is on a majority of the disks.
+struct Committed {
+  std::string key;
+  std::uint64_t stamp = 0;
+  QJsonObject value;
+};
+
+/// What became of a call that this member's queue held.
+struct Decided {
+  std::uint64_t token = 0;
+  std::string key;
+  /// Stamp that the call's change was committed under; 0 when it changed nothing.
+  std::uint64_t stamp = 0;
+  int status = 0;
+  QJsonObject body;
+};
+
+/// Commands that one event brought about.
+struct Commands {
+  std::vector<signal::Send> sends;
+  std::vector<Persist> persists;
+  std::vector<Committed> commits;
+  std::vector<Decided> decided;
+  /// Calls that were never proposed here and belong to the key's new owner.
+  std::vector<std::pair<std::string, signal::Call>> reroute;
+  std::vector<core::Note> notes;
+};
+
+/// One member of the cohort: per-key registers with an owner each, synced on a majority before an answer.
+class Mooring {
+ public:
+  /// Founders are link addresses, this member's own among them when it may found.
+  Mooring(Member self, std::vector<std::string> founders, Judge judge, std::uint64_t seed, Tuning tuning = {});
+
+  /// Takes what the ledger gave back. Damaged: nothing of it counts until it was copied from the others.
+  Commands restore(std::map<std::string, std::string> const& slots, bool damaged, Tick now);
+
+  Commands arrived(Tick now, std::string const& from, signal::Message const& message);
+  Commands clockEvent(Tick now);
+  /// A write and its sync are done; not ok: this member's disk is out of use from now on.
+  Commands written(Tick now, std::uint64_t ticket, bool ok);
+  /// Queues a call on a key; the outcome comes as Decided. Denied at once when no majority can be had.
+  Commands call(Tick now, std::string const& key, signal::Call const& call);
+  /// Hands every owned key to a named successor.
+  Commands handOver(Tick now);
+
+  /// Link of the member that owns the key, empty when none is known to be alive.
+  std::string ownerLink(std::string const& key, Tick now) const;
+  bool owns(std::string const& key) const;
+  /// Keys with a committed value and their values.
+  std::map<std::string, Committed> const& committed() const { return committed_; }
+  /// Age of the last contact with a majority whose accepted changes this member knows; -1: none yet.
+  Tick majorityAge(Tick now) const;
+  bool voting() const { return voting_ && !diskFailed_; }
+  bool diskOk() const { return !diskFailed_ && !stalled_; }
+  bool empty() const { return empty_; }
+  std::vector<Member> const& cohort() const { return cohort_; }
+  Member const& self() const { return self_; }
+  std::size_t ownedCount() const;
+
+ private:
+  struct Pending {
+    signal::Call call;
+    Tick since = 0;
+  };
+  struct Read {
+    std::uint64_t token = 0;
+    Tick since = 0;
+    int status = 0;
+    QJsonObject body;
+    std::set<std::string> seen;
+  };
+  struct Proposal {
+    std::uint64_t token = 0;
+    std::uint64_t stamp = 0;
+    QJsonObject value;
+    QJsonObject body;
+    int status = 200;
+    Tick since = 0;
+    Tick sentAt = 0;
+    std::set<std::string> yes;
+  };
+  enum class Role { idle, preparing, owner };
+  struct Reg {
+    Epoch promised;
+    Epoch acceptedEpoch;
+    std::uint64_t stamp = 0;
+    QJsonObject value;
+    std::uint64_t ticket = 0;
+    Role role = Role::idle;
+    Epoch mine;
+    Tick sentAt = 0;
+    Tick roleSince = 0;
+    std::map<std::string, signal::Promise> promises;
+    std::optional<Proposal> proposal;
+    std::deque<Pending> queue;
+    std::vector<Read> reads;
+    std::uint64_t highest = 0;
+    std::string owner;
+    Tick ownerHeard = 0;
+    Tick campaignAt = 0;
+    Tick fetchedAt = 0;
+  };
+  struct Other {
+    Tick heard = 0;
+    Tick echoTick = -1;
+    signal::Stamps echoStamps;
+    Tick goodTick = -1;
+    bool voting = false;
+    std::string link;
+  };
+
+  Reg& reg(std::string const& key);
+  void send(Commands& out, Tick now, std::string const& to, signal::Message message);
+  void persist(Commands& out, Tick now, std::string const& key, Reg& r);
+  void sendWhenSynced(Commands& out, Tick now, Reg const& r, std::string const& to, signal::Message message);
+  void campaign(Commands& out, Tick now, std::string const& key, Reg& r);
+  void stepDown(Commands& out, Tick now, std::string const& key, Reg& r, char const* why);
+  void becomeOwner(Commands& out, Tick now, std::string const& key, Reg& r);
+  void propose(Commands& out, Tick now, std::string const& key, Reg& r, Proposal proposal);
+  void sendProposal(Commands& out, Tick now, std::string const& key, Reg& r);
+  void work(Commands& out, Tick now, std::string const& key, Reg& r);
+  void chosen(Commands& out, Tick now, std::string const& key, Reg& r);
+  void commit(Commands& out, Tick now, signal::Item const& item);
+  void adoptCohort(Commands& out, std::uint64_t stamp, QJsonObject const& value, Tick now);
+  void persistMeta(Commands& out, bool voting);
+  void watchDisk(Commands& out, Tick now);
+  void beat(Commands& out, Tick now);
+  void readsAnswered(Commands& out, Tick now, std::string const& member, Tick tick, signal::Stamps const& higher);
+  void refreshContact(Other& o);
+  void considerCohort(Commands& out, Tick now);
+  void found(Commands& out, Tick now);
+  void copied(Commands& out, Tick now, signal::Copy const& copy);
+  bool majority(std::set<std::string> const& yes, std::vector<Member> const& of) const;
+  bool isMember(std::string const& id) const;
+  void on(Commands& out, Tick now, std::string const& from, signal::Prepare const& m);
+  void on(Commands& out, Tick now, std::string const& from, signal::Promise const& m);
+  void on(Commands& out, Tick now, std::string const& from, signal::Accept const& m);
+  void on(Commands& out, Tick now, std::string const& from, signal::Accepted const& m);
+  void on(Commands& out, Tick now, std::string const& from, signal::Commit const& m);
+  void on(Commands& out, Tick now, std::string const& from, signal::Handover const& m);
+  void on(Commands& out, Tick now, std::string const& from, signal::Beat const& m);
+  void on(Commands& out, Tick now, std::string const& from, signal::BeatEcho const& m);
+  void on(Commands& out, Tick now, std::string const& from, signal::Found const& m);
+  void on(Commands& out, Tick now, std::string const& from, signal::Fetch const& m);
+  void on(Commands& out, Tick now, std::string const& from, signal::Copy const& m);
+
+  Member self_;
+  std::vector<std::string> founders_;
+  Judge judge_;
+  Tuning tuning_;
+  core::Rng rng_;
+  bool empty_ = true;
+  bool voting_ = false;
+  bool diskFailed_ = false;
+  bool stalled_ = false;
+  Tick started_ = -1;
+  Tick beatAt_ = 0;
+  Tick copyAskedAt_ = 0;
+  Tick lastClock_ = 0;
+  std::uint64_t nextTicket_ = 1;
+  std::uint64_t cohortStamp_ = 0;
+  std::vector<Member> cohort_;
+  std::map<std::string, Reg> regs_;
+  std::map<std::string, Committed> committed_;
+  std::map<std::string, Other> others_;
+  std::map<std::uint64_t, std::vector<signal::Send>> deferred_;
+  std::map<std::uint64_t, Tick> writing_;
+  std::uint64_t voteTicket_ = 0;
+  struct Newcomer {
+    std::string link;
+    Tick heard = 0;
+    bool empty = false;
+  };
+  std::map<std::string, Newcomer> newcomers_;
+  std::map<std::string, std::vector<signal::Slot>> copies_;
+};
+
+/// Members named in a cohort value.
+std::vector<Member> membersOf(QJsonObject const& cohortValue);
+
+}  // namespace corkward::mooring
--- /dev/null
+++ b/mooring/src/mooring.cpp
@@ -0,0 +1,728 @@
+#include <corkward/mooring/mooring.h>
+
+#include <QJsonArray>
+#include <algorithm>
+
+#include <corkward/core/json.h>
+
+namespace corkward::mooring {
+
+namespace {
+
+constexpr char const* metaRecord = "meta";
+constexpr char const* configRecord = "config";
+constexpr char const* slotPrefix = "slot:";
+
+QJsonObject epochJson(Epoch const& e) {
+  return QJsonObject{{"n", static_cast<qint64>(e.n)}, {"m", core::qstr(e.member)}};
+}
+
+Epoch epochOf(QJsonValue const& v) {
+  QJsonObject const o = v.toObject();
+  return Epoch{static_cast<std::uint64_t>(o.value("n").toInteger()), core::str(o.value("m").toString())};
+}
+
+QJsonObject cohortJson(std::vector<Member> const& members) {
+  QJsonArray list;
+  for (Member const& m : members)
+    list.append(QJsonObject{{"id", core::qstr(m.id)}, {"link", core::qstr(m.link)}});
+  return QJsonObject{{"members", list}};
+}
+
+}  // namespace
+
+std::vector<Member> membersOf(QJsonObject const& cohortValue) {
+  std::vector<Member> out;
+  for (QJsonValue const v : cohortValue.value("members").toArray()) {
+    QJsonObject const o = v.toObject();
+    out.push_back(Member{core::str(o.value("id").toString()), core::str(o.value("link").toString())});
+  }
+  return out;
+}
+
+Mooring::Mooring(Member self, std::vector<std::string> founders, Judge judge, std::uint64_t seed, Tuning tuning)
+    : self_(std::move(self)), founders_(std::move(founders)), judge_(std::move(judge)), tuning_(tuning), rng_(seed) {}
+
+Commands Mooring::restore(std::map<std::string, std::string> const& slots, bool damaged, Tick now) {
+  Commands out;
+  lastClock_ = now;
+  std::map<std::string, std::string>::const_iterator const meta = slots.find(metaRecord);
+  if (meta != slots.end()) {
+    QJsonObject const o = core::parseJson(meta->second).toObject();
+    self_.id = core::str(o.value("id").toString());
+    voting_ = o.value("voting").toBool() && !damaged;
+  }
+  std::map<std::string, std::string>::const_iterator const config = slots.find(configRecord);
+  if (config != slots.end()) {
+    QJsonObject const o = core::parseJson(config->second).toObject();
+    adoptCohort(out, static_cast<std::uint64_t>(o.value("s").toInteger()), o.value("v").toObject(), now);
+  }
+  if (meta == slots.end() || damaged) persistMeta(out, false);
+  if (damaged) return out;
+  for (std::map<std::string, std::string>::value_type const& s : slots) {
+    if (s.first.rfind(slotPrefix, 0) != 0) continue;
+    QJsonObject const o = core::parseJson(s.second).toObject();
+    Reg& r = reg(s.first.substr(std::string(slotPrefix).size()));
+    r.promised = epochOf(o.value("p"));
+    r.acceptedEpoch = epochOf(o.value("a"));
+    r.stamp = static_cast<std::uint64_t>(o.value("s").toInteger());
+    r.value = o.value("v").toObject();
+    r.highest = r.promised.n;
+    r.ownerHeard = now;
+  }
+  return out;
+}
+
+Mooring::Reg& Mooring::reg(std::string const& key) { return regs_[key]; }
+
+bool Mooring::isMember(std::string const& id) const {
+  return std::any_of(cohort_.begin(), cohort_.end(), [&](Member const& m) { return m.id == id; });
+}
+
+bool Mooring::majority(std::set<std::string> const& yes, std::vector<Member> const& of) const {
+  std::size_t const n = static_cast<std::size_t>(
+      std::count_if(of.begin(), of.end(), [&](Member const& m) { return yes.count(m.id) > 0; }));
+  return !of.empty() && n >= of.size() / 2 + 1;
+}
+
+bool Mooring::owns(std::string const& key) const {
+  std::map<std::string, Reg>::const_iterator const it = regs_.find(key);
+  return it != regs_.end() && it->second.role == Role::owner;
+}
+
+std::size_t Mooring::ownedCount() const {
+  return static_cast<std::size_t>(std::count_if(regs_.begin(), regs_.end(), [](auto const& r) {
+    return r.second.role == Role::owner;
+  }));
+}
+
+std::string Mooring::ownerLink(std::string const& key, Tick now) const {
+  std::map<std::string, Reg>::const_iterator const it = regs_.find(key);
+  if (it == regs_.end()) return "";
+  if (it->second.role == Role::owner) return self_.link;
+  if (it->second.owner.empty() || it->second.owner == self_.id || now - it->second.ownerHeard > tuning_.ownerSilence) return "";
+  for (Member const& m : cohort_)
+    if (m.id == it->second.owner) return m.link;
+  return "";
+}
+
+Tick Mooring::majorityAge(Tick now) const {
+  if (!voting() || stalled_ || cohort_.empty() || !isMember(self_.id)) return -1;
+  std::vector<Tick> ticks{now};
+  for (Member const& m : cohort_) {
+    if (m.id == self_.id) continue;
+    std::map<std::string, Other>::const_iterator const it = others_.find(m.id);
+    ticks.push_back(it == others_.end() ? -1 : it->second.goodTick);
+  }
+  std::sort(ticks.rbegin(), ticks.rend());
+  Tick const t = ticks[cohort_.size() / 2];
+  return t < 0 ? -1 : now - t;
+}
+
+void Mooring::send(Commands& out, Tick now, std::string const& to, signal::Message message) {
+  if (to != self_.link) {
+    out.sends.push_back(signal::Send{to, std::move(message)});
+    return;
+  }
+  Commands inner = arrived(now, self_.link, message);
+  std::move(inner.sends.begin(), inner.sends.end(), std::back_inserter(out.sends));
+  std::move(inner.persists.begin(), inner.persists.end(), std::back_inserter(out.persists));
+  std::move(inner.commits.begin(), inner.commits.end(), std::back_inserter(out.commits));
+  std::move(inner.decided.begin(), inner.decided.end(), std::back_inserter(out.decided));
+  std::move(inner.reroute.begin(), inner.reroute.end(), std::back_inserter(out.reroute));
+  std::move(inner.notes.begin(), inner.notes.end(), std::back_inserter(out.notes));
+}
+
+void Mooring::persist(Commands& out, Tick now, std::string const& key, Reg& r) {
+  r.ticket = nextTicket_++;
+  QJsonObject const o{{"p", epochJson(r.promised)},
+                      {"a", epochJson(r.acceptedEpoch)},
+                      {"s", static_cast<qint64>(r.stamp)},
+                      {"v", r.value}};
+  out.persists.push_back(Persist{r.ticket, slotPrefix + key, core::jsonText(o)});
+  deferred_[r.ticket];
+  writing_[r.ticket] = now;
+}
+
+void Mooring::persistMeta(Commands& out, bool voting) {
+  std::uint64_t const ticket = nextTicket_++;
+  if (voting) voteTicket_ = ticket;
+  out.persists.push_back(
+      Persist{ticket, metaRecord, core::jsonText(QJsonObject{{"id", core::qstr(self_.id)}, {"voting", voting}})});
+  writing_[ticket] = lastClock_;
+}
+
+void Mooring::watchDisk(Commands& out, Tick now) {
+  bool const stalled = !writing_.empty() && now - writing_.begin()->second > tuning_.stallAfter;
+  if (stalled == stalled_) return;
+  stalled_ = stalled;
+  out.notes.push_back(core::Note{"disk-stalled", {{"stalled", stalled ? "yes" : "no"}}});
+  if (stalled)
+    for (std::map<std::string, Reg>::value_type& r : regs_) stepDown(out, now, r.first, r.second, "disk stalled");
+}
+
+void Mooring::sendWhenSynced(Commands& out, Tick now, Reg const& r, std::string const& to, signal::Message message) {
+  std::map<std::uint64_t, std::vector<signal::Send>>::iterator const it = deferred_.find(r.ticket);
+  if (it != deferred_.end())
+    it->second.push_back(signal::Send{to, std::move(message)});
+  else
+    send(out, now, to, std::move(message));
+}
+
+Commands Mooring::written(Tick now, std::uint64_t ticket, bool ok) {
+  Commands out;
+  if (!ok && !diskFailed_) {
+    diskFailed_ = true;
+    out.notes.push_back(core::Note{"disk-failed", {}});
+    for (std::map<std::string, Reg>::value_type& r : regs_) stepDown(out, now, r.first, r.second, "disk failed");
+  }
+  if (diskFailed_) {
+    deferred_.clear();
+    writing_.clear();
+    return out;
+  }
+  writing_.erase(ticket);
+  if (ticket == voteTicket_) {
+    voting_ = true;
+    out.notes.push_back(core::Note{"member-votes", {{"member", self_.id}}});
+  }
+  watchDisk(out, now);
+  std::map<std::uint64_t, std::vector<signal::Send>>::iterator const it = deferred_.find(ticket);
+  if (it == deferred_.end()) return out;
+  std::vector<signal::Send> const sends = std::move(it->second);
+  deferred_.erase(it);
+  for (signal::Send const& s : sends) send(out, now, s.to, s.message);
+  return out;
+}
+
+Commands Mooring::arrived(Tick now, std::string const& from, signal::Message const& message) {
+  Commands out;
+  std::visit(
+      [&](auto const& m) {
+        if constexpr (requires { this->on(out, now, from, m); }) this->on(out, now, from, m);
+      },
+      message);
+  return out;
+}
+
+void Mooring::campaign(Commands& out, Tick now, std::string const& key, Reg& r) {
+  if (!voting() || stalled_ || !isMember(self_.id)) return;
+  r.role = Role::preparing;
+  r.roleSince = now;
+  r.sentAt = now;
+  r.campaignAt = 0;
+  r.promises.clear();
+  r.mine = Epoch{std::max({r.highest, r.promised.n, r.mine.n}) + 1, self_.id};
+  r.highest = r.mine.n;
+  out.notes.push_back(core::Note{"campaign", {{"key", key}, {"epoch", std::to_string(r.mine.n)}}});
+  std::vector<Member> const members = cohort_;
+  for (Member const& m : members)
+    send(out, now, m.link, signal::Prepare{key, r.mine, self_.id, cohortStamp_});
+}
+
+void Mooring::stepDown(Commands& out, Tick now, std::string const& key, Reg& r, char const* why) {
+  if (r.role == Role::idle) return;
+  out.notes.push_back(core::Note{"step-down", {{"key", key}, {"why", why}}});
+  r.role = Role::idle;
+  r.ownerHeard = now;
+  r.campaignAt = 0;
+  r.promises.clear();
+  if (r.proposal && r.proposal->token != 0)
+    out.decided.push_back(Decided{r.proposal->token, key, 0, 504,
+                                  {{"error", "unknown"}, {"reason", "ownership was lost while the change was being written; ask by its change id"}}});
+  r.proposal.reset();
+  for (Read const& read : r.reads)
+    out.decided.push_back(Decided{read.token, key, 0, 503, {{"error", "not confirmed"}}});
+  r.reads.clear();
+}
+
+void Mooring::on(Commands& out, Tick now, std::string const& from, signal::Prepare const& m) {
+  if (!voting() || stalled_ || !isMember(m.member)) return;
+  std::uint64_t const guard = m.key == cohortKey ? cohortStamp_ : std::max(cohortStamp_, reg(cohortKey).stamp);
+  Reg& r = reg(m.key);
+  r.highest = std::max(r.highest, m.epoch.n);
+  if (guard > m.cohort || m.epoch < r.promised) {
+    send(out, now, from, signal::Promise{m.key, m.epoch, self_.id, false, r.promised, {}, 0, {}});
+    return;
+  }
+  if (r.promised < m.epoch) {
+    if (r.role != Role::idle && m.member != self_.id) stepDown(out, now, m.key, r, "a higher epoch was promised");
+    r.promised = m.epoch;
+    r.ownerHeard = now;
+    persist(out, now, m.key, r);
+  }
+  sendWhenSynced(out, now, r, from,
+                 signal::Promise{m.key, m.epoch, self_.id, true, r.promised, r.acceptedEpoch, r.stamp, r.value});
+}
+
+void Mooring::on(Commands& out, Tick now, std::string const&, signal::Promise const& m) {
+  Reg& r = reg(m.key);
+  r.highest = std::max(r.highest, m.promised.n);
+  if (r.role != Role::preparing || !(m.epoch == r.mine) || !isMember(m.member)) return;
+  if (!m.ok) {
+    if (r.mine < m.promised) stepDown(out, now, m.key, r, "a member has promised a higher epoch");
+    return;
+  }
+  r.promises[m.member] = m;
+  std::set<std::string> yes;
+  for (std::map<std::string, signal::Promise>::value_type const& p : r.promises) yes.insert(p.first);
+  if (yes.count(self_.id) > 0 && majority(yes, cohort_)) becomeOwner(out, now, m.key, r);
+}
+
+void Mooring::becomeOwner(Commands& out, Tick now, std::string const& key, Reg& r) {
+  r.role = Role::owner;
+  r.roleSince = now;
+  r.owner = self_.id;
+  out.notes.push_back(core::Note{"owner", {{"key", key}, {"epoch", std::to_string(r.mine.n)}}});
+  signal::Promise const* best = nullptr;
+  for (std::map<std::string, signal::Promise>::value_type const& p : r.promises)
+    if (p.second.stamp > 0 && (best == nullptr || best->acceptedEpoch < p.second.acceptedEpoch)) best = &p.second;
+  if (best != nullptr) {
+    Proposal p;
+    p.stamp = best->stamp;
+    p.value = best->value;
+    propose(out, now, key, r, std::move(p));
+  } else {
+    work(out, now, key, r);
+  }
+}
+
+void Mooring::propose(Commands& out, Tick now, std::string const& key, Reg& r, Proposal proposal) {
+  CORKWARD_INVARIANT(!r.proposal);
+  proposal.since = now;
+  r.proposal = std::move(proposal);
+  sendProposal(out, now, key, r);
+}
+
+void Mooring::sendProposal(Commands& out, Tick now, std::string const& key, Reg& r) {
+  r.proposal->sentAt = now;
+  signal::Accept const accept{key, r.mine, self_.id, cohortStamp_, r.proposal->stamp, r.proposal->value};
+  std::vector<Member> targets = cohort_;
+  if (key == cohortKey)
+    for (Member const& m : membersOf(r.proposal->value))
+      if (std::none_of(targets.begin(), targets.end(), [&](Member const& t) { return t.id == m.id; })) targets.push_back(m);
+  std::set<std::string> const yes = r.proposal->yes;
+  for (Member const& m : targets)
+    if (yes.count(m.id) == 0) send(out, now, m.link, accept);
+}
+
+void Mooring::on(Commands& out, Tick now, std::string const& from, signal::Accept const& m) {
+  bool const joining = m.key == cohortKey && !voting_ && !diskFailed_ && empty_;
+  if (stalled_ || (!voting() && !joining)) return;
+  if (!joining && !isMember(m.member)) return;
+  std::uint64_t const guard = m.key == cohortKey ? cohortStamp_ : std::max(cohortStamp_, reg(cohortKey).stamp);
+  Reg& r = reg(m.key);
+  if (guard > m.cohort || m.epoch < r.promised) {
+    send(out, now, from, signal::Accepted{m.key, m.epoch, self_.id, m.stamp, false, r.promised});
+    return;
+  }
+  if (r.acceptedEpoch == m.epoch && m.stamp < r.stamp) return;
+  bool const same = r.acceptedEpoch == m.epoch && r.stamp == m.stamp;
+  CORKWARD_INVARIANT(!same || r.value == m.value);
+  if (!same) {
+    if (r.role != Role::idle && m.member != self_.id) stepDown(out, now, m.key, r, "another owner's change arrived");
+    r.promised = m.epoch;
+    r.acceptedEpoch = m.epoch;
+    r.stamp = m.stamp;
+    r.value = m.value;
+    persist(out, now, m.key, r);
+  }
+  r.highest = std::max(r.highest, m.epoch.n);
+  r.ownerHeard = now;
+  r.owner = m.member;
+  sendWhenSynced(out, now, r, from, signal::Accepted{m.key, m.epoch, self_.id, m.stamp, true, m.epoch});
+}
+
+void Mooring::on(Commands& out, Tick now, std::string const&, signal::Accepted const& m) {
+  Reg& r = reg(m.key);
+  r.highest = std::max(r.highest, m.promised.n);
+  if (r.role != Role::owner || !r.proposal || !(m.epoch == r.mine) || m.stamp != r.proposal->stamp) return;
+  if (!m.ok) {
+    if (r.mine < m.promised) stepDown(out, now, m.key, r, "a member has promised a higher epoch");
+    return;
+  }
+  r.proposal->yes.insert(m.member);
+  bool done = majority(r.proposal->yes, cohort_);
+  if (m.key == cohortKey) done = done && majority(r.proposal->yes, membersOf(r.proposal->value));
+  if (done) chosen(out, now, m.key, r);
+}
+
+void Mooring::chosen(Commands& out, Tick now, std::string const& key, Reg& r) {
+  Proposal const p = std::move(*r.proposal);
+  r.proposal.reset();
+  signal::Commit const news{r.mine, signal::Item{key, p.stamp, p.value}};
+  std::vector<Member> targets = cohort_;
+  if (key == cohortKey)
+    for (Member const& m : membersOf(p.value)) targets.push_back(m);
+  for (Member const& m : targets)
+    if (m.id != self_.id) out.sends.push_back(signal::Send{m.link, news});
+  commit(out, now, news.item);
+  if (p.token != 0) out.decided.push_back(Decided{p.token, key, p.stamp, p.status, p.body});
+  work(out, now, key, r);
+}
+
+void Mooring::work(Commands& out, Tick now, std::string const& key, Reg& r) {
+  while (r.role == Role::owner && !r.proposal && !r.queue.empty()) {
+    Pending const next = std::move(r.queue.front());
+    r.queue.pop_front();
+    std::map<std::string, Committed>::const_iterator const it = committed_.find(key);
+    std::uint64_t const stamp = it == committed_.end() ? 0 : it->second.stamp;
+    QJsonObject const value = it == committed_.end() ? QJsonObject() : it->second.value;
+    Verdict const v = judge_(key, stamp, value, next.call);
+    if (!v.change) {
+      r.reads.push_back(Read{next.call.token, now, v.status, v.body, {self_.id}});
+      beatAt_ = 0;
+      continue;
+    }
+    Proposal p;
+    p.token = next.call.token;
+    p.stamp = stamp + 1;
+    p.value = v.value;
+    p.status = v.status;
+    p.body = v.body;
+    propose(out, now, key, r, std::move(p));
+  }
+}
+
+void Mooring::commit(Commands& out, Tick now, signal::Item const& item) {
+  std::map<std::string, Committed>::const_iterator const it = committed_.find(item.key);
+  if (it != committed_.end() && it->second.stamp >= item.stamp) {
+    CORKWARD_INVARIANT(it->second.stamp > item.stamp || it->second.value == item.value);
+    return;
+  }
+  Committed const c{item.key, item.stamp, item.value};
+  committed_[item.key] = c;
+  out.commits.push_back(c);
+  if (item.key == cohortKey) adoptCohort(out, item.stamp, item.value, now);
+  for (std::map<std::string, Other>::value_type& o : others_) refreshContact(o.second);
+}
+
+void Mooring::adoptCohort(Commands& out, std::uint64_t stamp, QJsonObject const& value, Tick now) {
+  if (stamp <= cohortStamp_) return;
+  cohortStamp_ = stamp;
+  cohort_ = membersOf(value);
+  for (Member const& m : cohort_) {
+    Other& o = others_[m.id];
+    o.link = m.link;
+    if (o.heard == 0) o.heard = now;
+  }
+  if (!isMember(self_.id)) return;
+  empty_ = false;
+  std::uint64_t const ticket = nextTicket_++;
+  out.persists.push_back(Persist{ticket, configRecord,
+                                 core::jsonText(QJsonObject{{"s", static_cast<qint64>(stamp)}, {"v", value}})});
+  writing_[ticket] = now;
+}
+
+void Mooring::on(Commands& out, Tick now, std::string const&, signal::Commit const& m) {
+  Reg& r = reg(m.item.key);
+  r.highest = std::max(r.highest, m.epoch.n);
+  commit(out, now, m.item);
+}
+
+void Mooring::on(Commands& out, Tick now, std::string const&, signal::Handover const& m) {
+  Reg& r = reg(m.key);
+  r.highest = std::max(r.highest, m.epoch.n);
+  if (r.role == Role::idle) campaign(out, now, m.key, r);
+}
+
+Commands Mooring::handOver(Tick now) {
+  Commands out;
+  std::vector<std::string> live;
+  for (Member const& m : cohort_) {
+    std::map<std::string, Other>::const_iterator const it = others_.find(m.id);
+    if (m.id != self_.id && it != others_.end() && it->second.voting && now - it->second.heard < tuning_.ownerSilence)
+      live.push_back(m.link);
+  }
+  std::size_t turn = 0;
+  for (std::map<std::string, Reg>::value_type& r : regs_) {
+    if (r.second.role != Role::owner || r.second.proposal || live.empty()) continue;
+    out.sends.push_back(signal::Send{live[turn++ % live.size()], signal::Handover{r.first, r.second.mine}});
+    stepDown(out, now, r.first, r.second, "handed over");
+  }
+  return out;
+}
+
+void Mooring::beat(Commands& out, Tick now) {
+  beatAt_ = now + tuning_.beatEvery;
+  signal::Beat b;
+  b.tick = now;
+  b.member = self_.id;
+  b.empty = empty_;
+  b.voting = voting() && !stalled_;
+  b.cohort = cohortStamp_;
+  b.cohortValue = cohortJson(cohort_);
+  for (std::map<std::string, Reg>::value_type const& r : regs_)
+    if (r.second.role == Role::owner) b.owned[r.first] = r.second.mine.n;
+  std::set<std::string> to(founders_.begin(), founders_.end());
+  for (Member const& m : cohort_) to.insert(m.link);
+  to.erase(self_.link);
+  for (std::string const& link : to) out.sends.push_back(signal::Send{link, b});
+}
+
+void Mooring::on(Commands& out, Tick now, std::string const& from, signal::Beat const& m) {
+  if (m.cohort > cohortStamp_) adoptCohort(out, m.cohort, m.cohortValue, now);
+  if (!isMember(m.member)) {
+    newcomers_[m.member] = Newcomer{from, now, m.empty};
+    if (!empty_) {
+      signal::Beat b;
+      b.tick = now;
+      b.member = self_.id;
+      b.voting = voting();
+      b.cohort = cohortStamp_;
+      b.cohortValue = cohortJson(cohort_);
+      out.sends.push_back(signal::Send{from, b});
+    }
+    return;
+  }
+  Other& o = others_[m.member];
+  o.heard = now;
+  o.link = from;
+  o.voting = m.voting;
+  signal::BeatEcho echo;
+  echo.tick = m.tick;
+  echo.member = self_.id;
+  echo.voting = voting() && !stalled_;
+  for (std::map<std::string, Reg>::value_type const& r : regs_)
+    if (r.second.stamp > 0) echo.accepted[r.first] = r.second.stamp;
+  for (std::map<std::string, std::uint64_t>::value_type const& owned : m.owned) {
+    Reg& r = reg(owned.first);
+    r.highest = std::max(r.highest, owned.second);
+    Epoch const claimed{owned.second, m.member};
+    if (claimed < r.promised) {
+      echo.higher[owned.first] = r.promised.n;
+    } else {
+      r.owner = m.member;
+      r.ownerHeard = now;
+      r.campaignAt = 0;
+    }
+  }
+  out.sends.push_back(signal::Send{from, echo});
+}
+
+void Mooring::on(Commands& out, Tick now, std::string const&, signal::BeatEcho const& m) {
+  if (!isMember(m.member)) return;
+  Other& o = others_[m.member];
+  o.heard = now;
+  if (!m.voting) return;
+  if (m.tick > o.echoTick) {
+    o.echoTick = m.tick;
+    o.echoStamps = m.accepted;
+    refreshContact(o);
+  }
+  for (signal::Stamps::value_type const& h : m.higher) {
+    Reg& r = reg(h.first);
+    r.highest = std::max(r.highest, h.second);
+    if (r.role == Role::owner) stepDown(out, now, h.first, r, "a member has promised a higher epoch");
+  }
+  readsAnswered(out, now, m.member, m.tick, m.higher);
+}
+
+void Mooring::readsAnswered(Commands& out, Tick now, std::string const& member, Tick tick, signal::Stamps const& higher) {
+  for (std::map<std::string, Reg>::value_type& r : regs_) {
+    if (r.second.role != Role::owner || higher.count(r.first) > 0) continue;
+    std::vector<Read> waiting;
+    for (Read& read : r.second.reads) {
+      if (tick >= read.since) read.seen.insert(member);
+      if (majority(read.seen, cohort_))
+        out.decided.push_back(Decided{read.token, r.first, 0, read.status, read.body});
+      else if (now - read.since > tuning_.callLimit)
+        out.decided.push_back(Decided{read.token, r.first, 0, 503, {{"error", "not confirmed"}}});
+      else
+        waiting.push_back(std::move(read));
+    }
+    r.second.reads = std::move(waiting);
+  }
+}
+
+void Mooring::refreshContact(Other& o) {
+  for (signal::Stamps::value_type const& s : o.echoStamps) {
+    std::map<std::string, Committed>::const_iterator const it = committed_.find(s.first);
+    if (it == committed_.end() || it->second.stamp < s.second) return;
+  }
+  o.goodTick = o.echoTick;
+}
+
+Commands Mooring::call(Tick now, std::string const& key, signal::Call const& call) {
+  Commands out;
+  if (!voting() || stalled_) {
+    out.decided.push_back(Decided{call.token, key, 0, 503, {{"error", "not accepted"}, {"reason", "this member cannot vote"}}});
+    return out;
+  }
+  Reg& r = reg(key);
+  r.queue.push_back(Pending{call, now});
+  if (r.role == Role::owner)
+    work(out, now, key, r);
+  else if (r.role == Role::idle)
+    campaign(out, now, key, r);
+  return out;
+}
+
+Commands Mooring::clockEvent(Tick now) {
+  Commands out;
+  lastClock_ = now;
+  watchDisk(out, now);
+  if (now >= beatAt_) beat(out, now);
+  if (empty_) found(out, now);
+  if (!voting_ && !diskFailed_ && isMember(self_.id) && now - copyAskedAt_ > tuning_.resendEvery) {
+    copyAskedAt_ = now;
+    for (Member const& m : cohort_)
+      if (m.id != self_.id) out.sends.push_back(signal::Send{m.link, signal::Fetch{"", true, self_.id, cohortStamp_}});
+  }
+  std::vector<std::string> keys;
+  for (std::map<std::string, Reg>::value_type const& r : regs_) keys.push_back(r.first);
+  for (std::string const& key : keys) {
+    Reg& r = reg(key);
+    while (!r.queue.empty() && now - r.queue.front().since > tuning_.callLimit) {
+      out.decided.push_back(Decided{r.queue.front().call.token, key, 0, 503,
+                                    {{"error", "not accepted"}, {"reason", "no majority of the disks could be had"}}});
+      r.queue.pop_front();
+    }
+    std::string const owner = ownerLink(key, now);
+    if (!r.queue.empty() && r.role == Role::idle && !owner.empty()) {
+      for (Pending const& p : r.queue) out.reroute.emplace_back(key, p.call);
+      r.queue.clear();
+    }
+    if (r.proposal && r.proposal->token != 0 && now - r.proposal->since > tuning_.callLimit) {
+      out.decided.push_back(Decided{r.proposal->token, key, 0, 504,
+                                    {{"error", "unknown"}, {"reason", "a majority did not answer in time; ask by the change id"}}});
+      r.proposal->token = 0;
+    }
+    if (r.role == Role::owner && r.proposal && now - r.proposal->sentAt >= tuning_.resendEvery) sendProposal(out, now, key, r);
+    if (r.role == Role::preparing && now - r.roleSince > tuning_.ownerSilence) {
+      stepDown(out, now, key, r, "no majority promised");
+      r.campaignAt = now + static_cast<Tick>(rng_.below(static_cast<std::uint64_t>(tuning_.campaignSpread)));
+    } else if (r.role == Role::preparing && now - r.sentAt >= tuning_.resendEvery) {
+      r.sentAt = now;
+      std::vector<Member> const members = cohort_;
+      for (Member const& m : members)
+        if (r.role == Role::preparing && r.promises.count(m.id) == 0)
+          send(out, now, m.link, signal::Prepare{key, r.mine, self_.id, cohortStamp_});
+    }
+    if (r.role == Role::owner && !r.reads.empty()) readsAnswered(out, now, self_.id, now, {});
+    bool const wanted = !r.queue.empty() || r.stamp > 0 || committed_.count(key) > 0;
+    if (r.role == Role::idle && wanted && voting() && !stalled_ && now - r.ownerHeard > tuning_.ownerSilence) {
+      if (r.campaignAt == 0)
+        r.campaignAt = now + static_cast<Tick>(rng_.below(static_cast<std::uint64_t>(tuning_.campaignSpread)));
+      else if (now >= r.campaignAt)
+        campaign(out, now, key, r);
+    }
+    std::uint64_t newest = r.stamp;
+    for (std::map<std::string, Other>::value_type const& o : others_) {
+      signal::Stamps::const_iterator const it = o.second.echoStamps.find(key);
+      if (it != o.second.echoStamps.end()) newest = std::max(newest, it->second);
+    }
+    std::map<std::string, Committed>::const_iterator const have = committed_.find(key);
+    if (r.role != Role::owner && (have == committed_.end() ? 0 : have->second.stamp) < newest &&
+        now - r.fetchedAt >= tuning_.resendEvery) {
+      r.fetchedAt = now;
+      for (Member const& m : cohort_)
+        if (m.id != self_.id) out.sends.push_back(signal::Send{m.link, signal::Fetch{key, false, self_.id, cohortStamp_}});
+    }
+  }
+  for (std::map<std::string, Other>::value_type const& o : others_)
+    for (signal::Stamps::value_type const& s : o.second.echoStamps) reg(s.first);
+  considerCohort(out, now);
+  return out;
+}
+
+void Mooring::on(Commands& out, Tick now, std::string const& from, signal::Fetch const& m) {
+  if (m.copy) {
+    if (!voting() || !isMember(m.member) || m.cohort < cohortStamp_) return;
+    signal::Copy copy;
+    copy.member = self_.id;
+    for (std::map<std::string, Reg>::value_type const& r : regs_)
+      copy.slots.push_back(signal::Slot{r.first, r.second.promised, r.second.acceptedEpoch, r.second.stamp, r.second.value});
+    Reg newest;
+    for (std::map<std::string, Reg>::value_type const& r : regs_) newest.ticket = std::max(newest.ticket, r.second.ticket);
+    sendWhenSynced(out, now, newest, from, copy);
+    return;
+  }
+  std::map<std::string, Committed>::const_iterator const it = committed_.find(m.key);
+  if (it != committed_.end())
+    out.sends.push_back(signal::Send{from, signal::Commit{reg(m.key).promised, signal::Item{m.key, it->second.stamp, it->second.value}}});
+}
+
+void Mooring::on(Commands& out, Tick now, std::string const&, signal::Copy const& m) { copied(out, now, m); }
+
+void Mooring::copied(Commands& out, Tick now, signal::Copy const& copy) {
+  if (voting_ || diskFailed_ || !isMember(self_.id) || !isMember(copy.member) || voteTicket_ != 0) return;
+  copies_[copy.member] = copy.slots;
+  if (copies_.size() < cohort_.size() / 2 + 1) return;
+  for (std::map<std::string, std::vector<signal::Slot>>::value_type const& c : copies_) {
+    for (signal::Slot const& s : c.second) {
+      Reg& r = reg(s.key);
+      r.promised = std::max(r.promised, s.promised);
+      r.highest = std::max(r.highest, s.promised.n);
+      if (s.stamp > 0 && r.acceptedEpoch < s.acceptedEpoch) {
+        r.acceptedEpoch = s.acceptedEpoch;
+        r.stamp = s.stamp;
+        r.value = s.value;
+      }
+      r.ownerHeard = now;
+    }
+  }
+  copies_.clear();
+  for (std::map<std::string, Reg>::value_type& r : regs_) persist(out, now, r.first, r.second);
+  persistMeta(out, true);
+}
+
+void Mooring::found(Commands& out, Tick now) {
+  if (founders_.empty() || voteTicket_ != 0 || cohortStamp_ > 0 || self_.link != *std::min_element(founders_.begin(), founders_.end())) return;
+  std::vector<Member> members{self_};
+  for (std::string const& link : founders_) {
+    if (link == self_.link) continue;
+    Member seen;
+    for (std::map<std::string, Newcomer>::value_type const& n : newcomers_)
+      if (n.second.link == link && n.second.empty && now - n.second.heard < 3 * tuning_.beatEvery) seen = Member{n.first, link};
+    if (seen.id.empty()) return;
+    members.push_back(seen);
+  }
+  std::sort(members.begin(), members.end(), [](Member const& a, Member const& b) { return a.link < b.link; });
+  QJsonObject const value = cohortJson(members);
+  out.notes.push_back(core::Note{"found-cohort", {{"members", std::to_string(members.size())}}});
+  for (Member const& m : members) send(out, now, m.link, signal::Found{value});
+}
+
+void Mooring::on(Commands& out, Tick now, std::string const&, signal::Found const& m) {
+  std::vector<Member> const members = membersOf(m.cohortValue);
+  if (!empty_ || voting_ || diskFailed_ || voteTicket_ != 0 ||
+      std::none_of(members.begin(), members.end(), [&](Member const& f) { return f.id == self_.id; }))
+    return;
+  Reg& r = reg(cohortKey);
+  r.acceptedEpoch = Epoch{1, members.front().id};
+  r.promised = r.acceptedEpoch;
+  r.stamp = 1;
+  r.value = m.cohortValue;
+  r.highest = 1;
+  r.ownerHeard = now;
+  adoptCohort(out, 1, m.cohortValue, now);
+  persist(out, now, cohortKey, r);
+  persistMeta(out, true);
+}
+
+void Mooring::considerCohort(Commands& out, Tick now) {
+  std::map<std::string, Reg>::iterator const it = regs_.find(cohortKey);
+  if (it == regs_.end() || it->second.role != Role::owner || it->second.proposal || !it->second.queue.empty()) return;
+  for (Member const& m : cohort_)
+    if (m.id != self_.id && !others_[m.id].voting && now - others_[m.id].heard < tuning_.ownerSilence) return;
+  for (std::map<std::string, Newcomer>::value_type const& n : newcomers_) {
+    if (!n.second.empty || isMember(n.first) || now - n.second.heard > tuning_.ownerSilence) continue;
+    for (Member const& old : cohort_) {
+      if (old.id == self_.id) continue;
+      Tick const dark = now - others_[old.id].heard;
+      bool const sameAddress = old.link == n.second.link && dark > tuning_.ownerSilence;
+      if (!sameAddress && dark < tuning_.replaceDarkAfter) continue;
+      std::vector<Member> next;
+      for (Member const& m : cohort_) next.push_back(m.id == old.id ? Member{n.first, n.second.link} : m);
+      out.notes.push_back(core::Note{"replace-member", {{"old", old.id}, {"new", n.first}, {"link", n.second.link}}});
+      Proposal p;
+      p.stamp = committed_.at(cohortKey).stamp + 1;
+      p.value = cohortJson(next);
+      propose(out, now, cohortKey, it->second, std::move(p));
+      return;
+    }
+  }
+}
+
+}  // namespace corkward::mooring
--- /dev/null
+++ b/rotor/src/empty.cpp
@@ -0,0 +1,1 @@
+namespace corkward::rotor {}
--- /dev/null
+++ b/signal/src/message.cpp
@@ -0,0 +1,133 @@
+#include <corkward/signal/message.h>
+
+#include <QCborArray>
+#include <QCborMap>
+#include <QCborValue>
+#include <array>
+#include <type_traits>
+
+namespace corkward::signal {
+
+namespace {
+
+constexpr std::array<char const*, 25> kinds{
+    "shuffle", "prepare", "promise", "accept", "accepted", "commit", "handover", "beat",     "beat-echo",
+    "found",   "fetch",   "copy",    "call",   "outcome",  "news",   "news-ack", "ask",      "confirm",
+    "hint",    "touch",   "seen-ask", "seen-echo", "seen-left", "warm-ask", "warm-grant"};
+static_assert(kinds.size() == std::variant_size_v<Message>);
+
+struct Packer {
+  QCborMap map;
+
+  static QCborValue put(bool v) { return QCborValue(v); }
+  static QCborValue put(int v) { return QCborValue(static_cast<qint64>(v)); }
+  static QCborValue put(std::int64_t v) { return QCborValue(static_cast<qint64>(v)); }
+  static QCborValue put(std::uint64_t v) { return QCborValue(static_cast<qint64>(v)); }
+  static QCborValue put(std::string const& v) {
+    return QCborValue(QByteArray(v.data(), static_cast<qsizetype>(v.size())));
+  }
+  static QCborValue put(QJsonObject const& v) { return QCborMap::fromJsonObject(v); }
+  template <class T>
+  static QCborValue put(std::vector<T> const& v) {
+    QCborArray out;
+    for (T const& item : v) out.append(put(item));
+    return out;
+  }
+  static QCborValue put(Stamps const& v) {
+    QCborArray out;
+    for (Stamps::value_type const& item : v) {
+      out.append(put(item.first));
+      out.append(put(item.second));
+    }
+    return out;
+  }
+  template <class T>
+    requires requires(T t, Packer p) { t.each(p); }
+  static QCborValue put(T const& v) {
+    Packer inner;
+    const_cast<T&>(v).each(inner);
+    return inner.map;
+  }
+  template <class T>
+  void operator()(char const* name, T& v) { map.insert(QLatin1String(name), put(v)); }
+};
+
+struct Unpacker {
+  QCborMap const& map;
+
+  [[noreturn]] static void wrong() { throw Error("field of the wrong type"); }
+  static void get(QCborValue const& c, bool& v) { if (!c.isBool()) wrong(); v = c.toBool(); }
+  static void get(QCborValue const& c, int& v) { if (!c.isInteger()) wrong(); v = static_cast<int>(c.toInteger()); }
+  static void get(QCborValue const& c, std::int64_t& v) { if (!c.isInteger()) wrong(); v = c.toInteger(); }
+  static void get(QCborValue const& c, std::uint64_t& v) {
+    if (!c.isInteger() || c.toInteger() < 0) wrong();
+    v = static_cast<std::uint64_t>(c.toInteger());
+  }
+  static void get(QCborValue const& c, std::string& v) { if (!c.isByteArray()) wrong(); v = c.toByteArray().toStdString(); }
+  static void get(QCborValue const& c, QJsonObject& v) { if (!c.isMap()) wrong(); v = c.toMap().toJsonObject(); }
+  template <class T>
+  static void get(QCborValue const& c, std::vector<T>& v) {
+    if (!c.isArray()) wrong();
+    for (QCborValue const item : c.toArray()) get(item, v.emplace_back());
+  }
+  static void get(QCborValue const& c, Stamps& v) {
+    if (!c.isArray() || c.toArray().size() % 2 != 0) wrong();
+    QCborArray const pairs = c.toArray();
+    for (qsizetype i = 0; i < pairs.size(); i += 2) {
+      std::string key;
+      get(pairs.at(i), key);
+      get(pairs.at(i + 1), v[key]);
+    }
+  }
+  template <class T>
+    requires requires(T t, Unpacker u) { t.each(u); }
+  static void get(QCborValue const& c, T& v) {
+    if (!c.isMap()) wrong();
+    QCborMap const inner = c.toMap();
+    Unpacker u{inner};
+    v.each(u);
+  }
+  template <class T>
+  void operator()(char const* name, T& v) { get(map.value(QLatin1String(name)), v); }
+};
+
+template <std::size_t I = 0>
+Message make(std::size_t ix, QCborValue const& body) {
+  if constexpr (I < std::variant_size_v<Message>) {
+    if (ix != I) return make<I + 1>(ix, body);
+    std::variant_alternative_t<I, Message> m;
+    Unpacker::get(body, m);
+    return m;
+  } else {
+    throw Error("unknown kind of message");
+  }
+}
+
+}  // namespace
+
+char const* kind(Message const& message) { return kinds[message.index()]; }
+
+std::string pack(Envelope const& envelope) {
+  QCborMap out;
+  out.insert(QLatin1String("f"), Packer::put(envelope.from));
+  out.insert(QLatin1String("k"), QCborValue(static_cast<qint64>(envelope.message.index())));
+  out.insert(QLatin1String("b"), std::visit([](auto const& m) { return Packer::put(m); }, envelope.message));
+  return QCborValue(out).toCbor().toStdString();
+}
+
+Envelope unpack(std::string const& bytes) {
+  QCborParserError error;
+  QCborValue const root =
+      QCborValue::fromCbor(QByteArray::fromRawData(bytes.data(), static_cast<qsizetype>(bytes.size())), &error);
+  if (error.error != QCborError::NoError || !root.isMap()) throw Error("not an envelope");
+  QCborMap const map = root.toMap();
+  Envelope out;
+  Unpacker u{map};
+  u("f", out.from);
+  std::uint64_t ix = 0;
+  u("k", ix);
+  out.message = make(ix, map.value(QLatin1String("b")));
+  return out;
+}
+
+}  // namespace corkward::signal
--- /dev/null
+++ b/yard/catch_main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
