--- /dev/null
+++ b/governor/include/corkward/governor/governor.h
@@ -0,0 +1,153 @@
+#pragma once
+
+#include <array>
+#include <deque>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include <corkward/core/types.h>
+
+namespace corkward::governor {
+
+using core::Index;
+using core::Tick;
+
+/// The design's figures; starting values, all in one table.
+struct Figures {
+  /// Each width: this many more buffered requests add one more replica.
+  double width = 2.0;
+  /// Own in-flight requests past this share of the cap count as buffered; under it, for one replica fewer, is calm.
+  double calmShare = 0.7;
+  /// How long the calm must last before one replica is given back (never under 5 s).
+  Tick calmFor = 5000;
+  double firstLimit = 4.0;
+  double minLimit = 1.0;
+  double maxLimit = 24.0;
+  /// The limit falls to this share when answer times pass the aim, at most once per cutEvery.
+  double cut = 0.8;
+  Tick cutEvery = 500;
+  /// Share of the cap that long requests may fill.
+  double bulkShare = 0.75;
+  /// A prefix stays on its replica while that has at most this many more in flight than the fewest.
+  int prefixSlack = 2;
+  std::size_t prefixes = 20000;
+  /// A replica's answer times weigh this much in the running mean.
+  double mean = 0.2;
+  /// Answers needed after a widening before it is judged.
+  int judgeAfter = 4;
+};
+
+inline constexpr Figures figures{};
+
+/// A replica that a part may draw from.
+struct Candidate {
+  Index replica = 0;
+  bool cold = false;
+  /// Hash of its address, equal on every node.
+  std::uint64_t hash = 0;
+};
+
+/// Decides which replicas one (node, pool, instance) sends to: width trigger, one-replica steps, calm give-back.
+class Scaler {
+ public:
+  /// The seed orders this node's preference among replicas; nodes choose apart.
+  explicit Scaler(std::uint64_t seed, Figures const& f = figures);
+
+  /// New candidates. Those of the part that are gone leave at once and are replaced one for one; neither counts as a step.
+  void candidates(std::vector<Candidate> const& all);
+  /// One look at the demand; held counts no echoes. Takes at most one step and returns +1, -1 or 0.
+  int look(Tick now, std::size_t held);
+
+  double cap() const;
+  /// Room under the cap for one more request of the kind.
+  bool room(bool bulk) const;
+  std::vector<Candidate> const& part() const { return part_; }
+  int inFlight() const { return inFlight_; }
+  int inFlightAt(Index replica) const;
+  double limit() const { return limit_; }
+  /// True when all of the part is slow and the last widening did not help.
+  bool allSlow() const { return allSlow_; }
+  double firstWordMean() const { return mean_; }
+
+  void sent(Index replica, bool bulk);
+  /// First word after so many milliseconds, against the class's aim.
+  void firstWord(Tick now, Index replica, Tick took, Tick aim);
+  void ended(Index replica, bool bulk);
+
+ private:
+  double z(std::size_t held) const;
+  void add(Candidate const& c);
+  std::uint64_t order(Candidate const& c) const;
+
+  struct Times {
+    double mean = 0;
+    Tick aim = 0;
+    int answers = 0;
+  };
+  std::uint64_t seed_;
+  Figures f_;
+  std::vector<Candidate> all_;
+  std::vector<Candidate> part_;
+  std::unordered_map<Index, int> inFlightAt_;
+  std::unordered_map<Index, Times> times_;
+  int inFlight_ = 0;
+  int bulk_ = 0;
+  double limit_;
+  Tick cutAt_ = 0;
+  Tick calmSince_ = -1;
+  double mean_ = 0;
+  double meanAtWidening_ = 0;
+  int answersSinceWidening_ = 0;
+  bool allSlow_ = false;
+};
+
+/// Remembers which replica last served a prefix, bounded, oldest out first.
+class Prefixes {
+ public:
+  explicit Prefixes(std::size_t bound = figures.prefixes) : bound_(bound) {}
+  void served(std::uint64_t prefix, Index replica);
+  /// Replica that served it last, or -1.
+  std::int64_t last(std::uint64_t prefix) const;
+  std::size_t size() const { return byPrefix_.size(); }
+
+ private:
+  std::size_t bound_;
+  std::unordered_map<std::uint64_t, std::pair<Index, std::uint64_t>> byPrefix_;
+  std::deque<std::pair<std::uint64_t, std::uint64_t>> order_;
+  std::uint64_t turn_ = 0;
+};
+
+/// Fewest own requests in flight; the prefix's replica wins within the slack. Returns -1 when none may be used.
+std::int64_t pick(Scaler const& scaler, std::vector<Candidate> const& usable, std::uint64_t prefix, std::int64_t last);
+
+/// Own retries: at most a fifth of own first attempts in any ten seconds, plus a share of a small allowance.
+class RetryBudget {
+ public:
+  static constexpr Tick window = 10000;
+  static constexpr double share = 0.2;
+  static constexpr double allowance = 10.0;
+  void first(Tick now);
+  /// True, and counted, when one more retry is within the budget.
+  bool retry(Tick now, std::size_t nodes);
+
+ private:
+  void expire(Tick now);
+  std::deque<Tick> firsts_;
+  std::deque<Tick> retries_;
+};
+
+/// Token bucket of a cold replica: holds at most one token and starts empty, so no burst passes the rate.
+class ColdBucket {
+ public:
+  explicit ColdBucket(Tick now = 0) : at_(now) {}
+  bool take(Tick now, double rate);
+  bool has(Tick now, double rate) const;
+
+ private:
+  double tokens_ = 0;
+  Tick at_;
+};
+
+}  // namespace corkward::governor
--- /dev/null
+++ b/governor/src/governor.cpp
@@ -0,0 +1,192 @@
+#include <corkward/governor/governor.h>
+
+#include <algorithm>
+#include <limits>
+
+namespace corkward::governor {
+
+Scaler::Scaler(std::uint64_t seed, Figures const& f) : seed_(seed), f_(f), limit_(f.firstLimit) {}
+
+std::uint64_t Scaler::order(Candidate const& c) const { return core::Rng(seed_ ^ c.hash).next(); }
+
+void Scaler::add(Candidate const& c) { part_.push_back(c); }
+
+void Scaler::candidates(std::vector<Candidate> const& all) {
+  all_ = all;
+  std::sort(all_.begin(), all_.end(), [&](Candidate const& a, Candidate const& b) {
+    return order(a) != order(b) ? order(a) < order(b) : a.replica < b.replica;
+  });
+  std::size_t const want = std::max<std::size_t>(part_.size(), 1);
+  std::vector<Candidate> kept;
+  for (Candidate const& p : part_)
+    for (Candidate const& c : all_)
+      if (c.replica == p.replica) kept.push_back(c);
+  bool const lost = kept.size() < part_.size();
+  part_ = std::move(kept);
+  for (Candidate const& c : all_) {
+    if (part_.size() >= want) break;
+    if (std::none_of(part_.begin(), part_.end(), [&](Candidate const& p) { return p.replica == c.replica; })) add(c);
+  }
+  if (lost) calmSince_ = -1;
+}
+
+double Scaler::cap() const {
+  std::ptrdiff_t const warm = std::count_if(part_.begin(), part_.end(), [](Candidate const& c) { return !c.cold; });
+  return static_cast<double>(warm) * limit_;
+}
+
+bool Scaler::room(bool bulk) const {
+  double const c = cap();
+  if (inFlight_ + 1 > c) return false;
+  return !bulk || c < 2.0 || bulk_ + 1 <= std::max(1.0, c * f_.bulkShare);
+}
+
+int Scaler::inFlightAt(Index replica) const {
+  std::unordered_map<Index, int>::const_iterator const it = inFlightAt_.find(replica);
+  return it == inFlightAt_.end() ? 0 : it->second;
+}
+
+double Scaler::z(std::size_t held) const {
+  return std::max(0.0, inFlight_ - f_.calmShare * cap()) + static_cast<double>(held);
+}
+
+int Scaler::look(Tick now, std::size_t held) {
+  double const buffered = z(held);
+  std::size_t const x = part_.size();
+  if (buffered >= f_.width * static_cast<double>(std::max<std::size_t>(x, 1)) && x < all_.size() && !allSlow_) {
+    calmSince_ = -1;
+    for (Candidate const& c : all_) {
+      if (std::any_of(part_.begin(), part_.end(), [&](Candidate const& p) { return p.replica == c.replica; })) continue;
+      add(c);
+      meanAtWidening_ = mean_;
+      answersSinceWidening_ = 0;
+      return 1;
+    }
+  }
+  if (x <= 1) {
+    calmSince_ = -1;
+    return 0;
+  }
+  std::ptrdiff_t const warm = std::count_if(part_.begin(), part_.end(), [](Candidate const& c) { return !c.cold; });
+  bool const coldThere = warm < static_cast<std::ptrdiff_t>(x);
+  double const fewer = static_cast<double>(coldThere ? warm : warm - 1) * limit_;
+  bool const calm = held == 0 && (inFlight_ == 0 || inFlight_ < f_.calmShare * fewer);
+  if (!calm) {
+    calmSince_ = -1;
+    return 0;
+  }
+  if (calmSince_ < 0) calmSince_ = now;
+  if (now - calmSince_ < f_.calmFor) return 0;
+  std::vector<Candidate>::iterator const idle =
+      std::min_element(part_.begin(), part_.end(), [&](Candidate const& a, Candidate const& b) {
+        if (a.cold != b.cold) return a.cold;
+        if (inFlightAt(a.replica) != inFlightAt(b.replica)) return inFlightAt(a.replica) < inFlightAt(b.replica);
+        return order(a) > order(b);
+      });
+  part_.erase(idle);
+  calmSince_ = now;
+  return -1;
+}
+
+void Scaler::sent(Index replica, bool bulk) {
+  ++inFlight_;
+  ++inFlightAt_[replica];
+  if (bulk) ++bulk_;
+}
+
+void Scaler::firstWord(Tick now, Index replica, Tick took, Tick aim) {
+  Times& t = times_[replica];
+  t.mean = t.answers == 0 ? static_cast<double>(took) : t.mean + f_.mean * (static_cast<double>(took) - t.mean);
+  t.aim = aim;
+  ++t.answers;
+  mean_ = mean_ == 0 ? static_cast<double>(took) : mean_ + f_.mean * (static_cast<double>(took) - mean_);
+  ++answersSinceWidening_;
+  if (took > aim) {
+    if (now - cutAt_ >= f_.cutEvery) {
+      limit_ = std::max(f_.minLimit, limit_ * f_.cut);
+      cutAt_ = now;
+    }
+  } else if (inFlight_ >= f_.calmShare * cap()) {
+    limit_ = std::min(f_.maxLimit, limit_ + 1.0 / std::max(1.0, cap()));
+  }
+  bool const slow = !part_.empty() && std::all_of(part_.begin(), part_.end(), [&](Candidate const& c) {
+    std::unordered_map<Index, Times>::const_iterator const it = times_.find(c.replica);
+    return it != times_.end() && it->second.answers > 0 && it->second.mean > static_cast<double>(it->second.aim);
+  });
+  if (!slow)
+    allSlow_ = false;
+  else if (answersSinceWidening_ >= f_.judgeAfter && (part_.size() == all_.size() || (part_.size() > 1 && mean_ >= meanAtWidening_)))
+    allSlow_ = true;
+}
+
+void Scaler::ended(Index replica, bool bulk) {
+  std::unordered_map<Index, int>::iterator const it = inFlightAt_.find(replica);
+  CORKWARD_INVARIANT(it != inFlightAt_.end() && it->second > 0 && inFlight_ > 0);
+  if (--it->second == 0) inFlightAt_.erase(it);
+  --inFlight_;
+  if (bulk) --bulk_;
+  CORKWARD_INVARIANT(bulk_ >= 0);
+}
+
+void Prefixes::served(std::uint64_t prefix, Index replica) {
+  byPrefix_[prefix] = {replica, ++turn_};
+  order_.emplace_back(prefix, turn_);
+  while (byPrefix_.size() > bound_ || order_.size() > 4 * bound_) {
+    std::unordered_map<std::uint64_t, std::pair<Index, std::uint64_t>>::const_iterator const it = byPrefix_.find(order_.front().first);
+    if (it != byPrefix_.end() && it->second.second == order_.front().second) byPrefix_.erase(it);
+    order_.pop_front();
+  }
+}
+
+std::int64_t Prefixes::last(std::uint64_t prefix) const {
+  std::unordered_map<std::uint64_t, std::pair<Index, std::uint64_t>>::const_iterator const it = byPrefix_.find(prefix);
+  return it == byPrefix_.end() ? -1 : static_cast<std::int64_t>(it->second.first);
+}
+
+std::int64_t pick(Scaler const& scaler, std::vector<Candidate> const& usable, std::uint64_t prefix, std::int64_t last) {
+  int fewest = std::numeric_limits<int>::max();
+  for (Candidate const& c : usable) fewest = std::min(fewest, scaler.inFlightAt(c.replica));
+  std::int64_t best = -1;
+  std::uint64_t bestOrder = 0;
+  for (Candidate const& c : usable) {
+    int const n = scaler.inFlightAt(c.replica);
+    if (static_cast<std::int64_t>(c.replica) == last && n <= fewest + figures.prefixSlack) return last;
+    std::uint64_t const order = core::Rng(prefix ^ c.hash).next();
+    if (n != fewest || (best >= 0 && order >= bestOrder)) continue;
+    best = static_cast<std::int64_t>(c.replica);
+    bestOrder = order;
+  }
+  return best;
+}
+
+void RetryBudget::expire(Tick now) {
+  while (!firsts_.empty() && firsts_.front() <= now - window) firsts_.pop_front();
+  while (!retries_.empty() && retries_.front() <= now - window) retries_.pop_front();
+}
+
+void RetryBudget::first(Tick now) {
+  expire(now);
+  firsts_.push_back(now);
+}
+
+bool RetryBudget::retry(Tick now, std::size_t nodes) {
+  expire(now);
+  double const bound = share * static_cast<double>(firsts_.size()) + allowance / static_cast<double>(std::max<std::size_t>(nodes, 1));
+  if (static_cast<double>(retries_.size()) + 1.0 > bound) return false;
+  retries_.push_back(now);
+  return true;
+}
+
+bool ColdBucket::has(Tick now, double rate) const {
+  return std::min(1.0, tokens_ + rate * static_cast<double>(now - at_) / 1000.0) >= 1.0;
+}
+
+bool ColdBucket::take(Tick now, double rate) {
+  tokens_ = std::min(1.0, tokens_ + rate * static_cast<double>(now - at_) / 1000.0);
+  at_ = now;
+  if (tokens_ < 1.0) return false;
+  tokens_ = 0;
+  return true;
+}
+
+}  // namespace corkward::governor
--- /dev/null
+++ b/programs/cli/main.cpp
@@ -0,0 +1,195 @@
+#include <QCoreApplication>
+#include <QFile>
+#include <QNetworkAccessManager>
+#include <QNetworkReply>
+#include <QNetworkRequest>
+#include <QTimer>
+#include <QUrl>
+#include <QUuid>
+#include <boost/program_options.hpp>
+#include <iostream>
+#include <iterator>
+
+#include <corkward/core/error.h>
+#include <corkward/core/json.h>
+
+namespace corkward::programs {
+
+namespace po = boost::program_options;
+
+namespace {
+
+/// A command line that cannot be carried out; nothing was sent.
+class UsageError : public core::Error {
+ public:
+  using core::Error::Error;
+};
+
+struct CommandRow {
+  char const* name;
+  char const* words;
+  char const* what;
+};
+
+constexpr CommandRow commandTable[] = {
+    {"template-get", "T", "read a template"},
+    {"template-put", "T FILE", "make or replace a template (--stamp, 0 for a new one)"},
+    {"template-patch", "T FILE", "change part of a template by a merge patch (--stamp)"},
+    {"template-delete", "T", "remove a template without instances (--stamp)"},
+    {"templates", "", "list the templates"},
+    {"instance-get", "T I", "read an instance"},
+    {"instance-put", "T I FILE", "make or replace an instance (--stamp, 0 for a new one)"},
+    {"instance-patch", "T I FILE", "change part of an instance by a merge patch (--stamp)"},
+    {"instance-delete", "T I", "remove an instance (--stamp)"},
+    {"evacuate", "ZONE", "evacuate a zone"},
+    {"lift", "ZONE", "lift a zone's evacuation"},
+    {"evacuation", "ZONE", "read whether a zone is evacuated"},
+    {"pool-get", "POOL", "read a pool's list"},
+    {"pool-put", "POOL FILE", "give a pool's list, as the platform does"},
+    {"change", "ID", "ask what became of a change"},
+    {"fleet", "", "show the fleet as one substation sees it"}};
+
+struct ExitRow {
+  int status;
+  int code;
+};
+
+/// Exit codes: 0 done, 2 bad use, 3 denied, 4 stale or reused, 5 not accepted, 6 unknown, 7 no answer, 8 not yet in force.
+constexpr ExitRow exitTable[] = {{200, 0}, {201, 0}, {202, 8}, {400, 3}, {404, 3}, {405, 3}, {409, 4},
+                                 {412, 4}, {413, 3}, {422, 3}, {428, 3}, {431, 3}, {503, 5}, {504, 6}};
+
+std::string readFile(std::string const& path) {
+  if (path == "-") return std::string(std::istreambuf_iterator<char>(std::cin), {});
+  QFile file(QString::fromStdString(path));
+  if (!file.open(QIODevice::ReadOnly)) throw UsageError("cannot read " + path + ": " + file.errorString().toStdString());
+  return file.readAll().toStdString();
+}
+
+struct Wire {
+  std::string method;
+  std::string path;
+  std::string file;
+};
+
+Wire wireOf(std::vector<std::string> const& words) {
+  if (words.empty()) throw UsageError("no command; see --help");
+  std::string const& c = words[0];
+  CommandRow const* row = nullptr;
+  for (CommandRow const& r : commandTable)
+    if (c == r.name) row = &r;
+  if (row == nullptr) throw UsageError("no such command: " + c);
+  std::size_t want = 0;
+  for (char const* p = row->words; *p != '\0'; ++p) want += (p == row->words || p[-1] == ' ') ? 1 : 0;
+  if (words.size() != want + 1) throw UsageError(c + " wants: " + (want == 0 ? "nothing more" : row->words));
+  std::string const verb = c.substr(c.rfind('-') == std::string::npos ? 0 : c.rfind('-') + 1);
+  std::string const method = verb == "put" ? "PUT" : verb == "patch" ? "PATCH" : verb == "delete" ? "DELETE" : "GET";
+  if (c == "templates") return {"GET", "/v1/templates", ""};
+  if (c == "fleet") return {"GET", "/v1/fleet", ""};
+  if (c == "change") return {"GET", "/v1/changes/" + words[1], ""};
+  if (c == "evacuate") return {"PUT", "/v1/evacuations/" + words[1], ""};
+  if (c == "lift") return {"DELETE", "/v1/evacuations/" + words[1], ""};
+  if (c == "evacuation") return {"GET", "/v1/evacuations/" + words[1], ""};
+  bool const body = method == "PUT" || method == "PATCH";
+  if (c.rfind("pool-", 0) == 0) return {method, "/v1/platform/pools/" + words[1], body ? words[2] : ""};
+  if (c.rfind("template-", 0) == 0) return {method, "/v1/templates/" + words[1], body ? words[2] : ""};
+  return {method, "/v1/templates/" + words[1] + "/instances/" + words[2], body ? words[3] : ""};
+}
+
+void print(int status, QByteArray const& body, QByteArray const& etag, bool json) {
+  if (json) {
+    QJsonObject out{{"status", status}};
+    try {
+      out.insert("body", core::parseJson(body.toStdString()));
+    } catch (core::JsonError const&) {
+      out.insert("body", QString::fromUtf8(body));
+    }
+    if (!etag.isEmpty()) out.insert("stamp", QString::fromUtf8(etag).remove('"').toLongLong());
+    std::cout << core::jsonText(out) << "\n";
+    return;
+  }
+  std::cout << "status " << status;
+  if (!etag.isEmpty()) std::cout << ", stamp " << QString::fromUtf8(etag).remove('"').toStdString();
+  std::cout << "\n" << body.toStdString() << (body.endsWith('\n') ? "" : "\n");
+}
+
+int call(std::string const& base, Wire const& wire, std::string const& stamp, std::string const& changeId, bool dryRun, bool json,
+         int limitSeconds) {
+  std::string const body = wire.file.empty() ? "" : readFile(wire.file);
+  QUrl const url(QString::fromStdString("http://" + base + wire.path + (dryRun ? "?dryRun=1" : "")));
+  if (!url.isValid() || url.host().isEmpty()) throw UsageError("substation: must be ip:port, but is " + base);
+  QNetworkAccessManager manager;
+  QNetworkRequest request(url);
+  request.setTransferTimeout(limitSeconds * 1000);
+  request.setHeader(QNetworkRequest::ContentTypeHeader, "application/json");
+  if (!stamp.empty()) request.setRawHeader("If-Match", QByteArray::fromStdString("\"" + stamp + "\""));
+  request.setRawHeader("Corkward-Change-Id", QByteArray::fromStdString(changeId));
+  QNetworkReply* const reply = manager.sendCustomRequest(request, QByteArray::fromStdString(wire.method), QByteArray::fromStdString(body));
+  QObject::connect(reply, &QNetworkReply::finished, [] { QCoreApplication::quit(); });
+  if (!reply->isFinished()) QCoreApplication::exec();
+  int const status = reply->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
+  if (status == 0) {
+    bool const change = wire.method != "GET";
+    std::cerr << "corkward: no answer from " << base << ": " << reply->errorString().toStdString() << "\n";
+    if (change) std::cerr << "corkward: whether the change was accepted is unknown; its change id is " << changeId << "\n";
+    return 7;
+  }
+  print(status, reply->readAll(), reply->rawHeader("ETag"), json);
+  for (ExitRow const& r : exitTable)
+    if (r.status == status) return r.code;
+  return 3;
+}
+
+int runCli(int argc, char** argv) {
+  QCoreApplication app(argc, argv);
+  po::options_description flags("Flags");
+  std::string substation;
+  std::string stamp;
+  std::string changeId;
+  int limit = 15;
+  flags.add_options()("substation", po::value<std::string>(&substation)->default_value("127.0.0.1:9100"), "address of any substation, ip:port")(
+      "stamp", po::value<std::string>(&stamp), "stamp that the change is built on; 0 to make a new one")(
+      "change-id", po::value<std::string>(&changeId), "id of the change; a fresh one when left out")("dry-run", "check the change, change nothing")(
+      "json", "print one JSON object")("limit", po::value<int>(&limit)->default_value(15), "seconds to wait for the answer, 1 to 300")(
+      "help", "print this and exit")("version", "print the version and exit");
+  po::options_description hidden;
+  hidden.add_options()("word", po::value<std::vector<std::string>>());
+  po::options_description all;
+  all.add(flags).add(hidden);
+  po::positional_options_description positional;
+  positional.add("word", -1);
+  try {
+    po::variables_map vm;
+    po::store(po::command_line_parser(argc, argv).options(all).positional(positional).run(), vm);
+    po::notify(vm);
+    if (vm.count("help") > 0) {
+      std::cout << "corkward [flags] COMMAND [words]\n\nCommands\n";
+      for (CommandRow const& r : commandTable) {
+        std::string const left = std::string(r.name) + " " + r.words;
+        std::cout << "  " << left << std::string(left.size() < 28 ? 28 - left.size() : 1, ' ') << r.what << "\n";
+      }
+      std::cout << "  FILE is a JSON file, or - for standard input\n\n" << flags;
+      std::cout << "\nExit codes: 0 done, 2 bad use, 3 denied, 4 stale stamp or reused id, 5 not accepted, 6 unknown, 7 no answer, 8 not yet in force\n";
+      return 0;
+    }
+    if (vm.count("version") > 0) {
+      std::cout << "corkward " << CORKWARD_VERSION << "\n";
+      return 0;
+    }
+    if (limit < 1 || limit > 300) throw UsageError("limit: must be 1 to 300");
+    if (changeId.empty()) changeId = QUuid::createUuid().toString(QUuid::Id128).toStdString();
+    std::vector<std::string> const words = vm.count("word") > 0 ? vm["word"].as<std::vector<std::string>>() : std::vector<std::string>();
+    return call(substation, wireOf(words), stamp, changeId, vm.count("dry-run") > 0, vm.count("json") > 0, limit);
+  } catch (po::error const& e) {
+    std::cerr << "corkward: " << e.what() << "\n";
+    return 2;
+  } catch (UsageError const& e) {
+    std::cerr << "corkward: " << e.what() << "\n";
+    return 2;
+  }
+}
+
+}  // namespace
+
+}  // namespace corkward::programs
+
+int main(int argc, char** argv) { return corkward::programs::runCli(argc, argv); }
--- /dev/null
+++ b/programs/common/settings.cpp
@@ -0,0 +1,114 @@
+#include "settings.h"
+
+#include <QHostAddress>
+#include <boost/program_options.hpp>
+#include <cerrno>
+#include <cstring>
+#include <fstream>
+#include <iostream>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <corkward/blueprint/blueprint.h>
+
+namespace corkward::programs {
+
+namespace po = boost::program_options;
+
+namespace {
+
+void checkAddress(std::string const& name, std::string const& value, bool needed) {
+  if (value.empty()) {
+    if (needed) throw SettingsError(name + ": missing");
+    return;
+  }
+  std::size_t const colon = value.rfind(':');
+  QHostAddress host;
+  bool ok = colon != std::string::npos && host.setAddress(QString::fromStdString(value.substr(0, colon))) &&
+            host.protocol() == QAbstractSocket::IPv4Protocol;
+  if (ok) {
+    int const port = QString::fromStdString(value.substr(colon + 1)).toInt(&ok);
+    ok = ok && port > 0 && port <= 65535;
+  }
+  if (!ok) throw SettingsError(name + ": must be ip:port, but is " + value);
+}
+
+void checkData(std::string const& path) {
+  if (path.empty()) throw SettingsError("data: missing");
+  struct stat info {};
+  if (::stat(path.c_str(), &info) == 0) {
+    if (!S_ISDIR(info.st_mode)) throw SettingsError("data: is not a folder: " + path);
+    if (::access(path.c_str(), W_OK | X_OK) != 0) throw SettingsError("data: cannot be written: " + path);
+  }
+}
+
+}  // namespace
+
+std::optional<Settings> readSettings(int argc, char const* const* argv, Role role) {
+  Settings s;
+  bool const disk = role == Role::substation;
+  std::string const program = disk ? "corkward-substation" : "corkward-nacelle";
+  po::options_description shared("Settings, in the file or as flags");
+  shared.add_options()("link", po::value<std::string>(&s.link), "own address for other processes, ip:port")(
+      "http", po::value<std::string>(&s.http), disk ? "own address for operators and the platform, ip:port" : "own address for callers, ip:port")(
+      "zone", po::value<std::string>(&s.zone), "own zone")(
+      "seed", po::value<std::vector<std::string>>(&s.seeds), "link address of another process to enter by; up to 8 times")(
+      "log-file", po::value<std::string>(&s.logFile), "file for the log; standard error when empty")(
+      "log-level", po::value<std::string>(&s.logLevel)->default_value("info"), "trace, debug, info, warn or error")(
+      "drain-limit", po::value<int>(&s.drainLimit)->default_value(60), "seconds that work in hand may take after SIGTERM, 1 to 3600");
+  if (disk)
+    shared.add_options()("data", po::value<std::string>(&s.data), "folder for this machine's ledger")(
+        "founder", po::value<std::vector<std::string>>(&s.founders), "link address of a founder of the cohort; once for each");
+  po::options_description flags("Flags");
+  flags.add_options()("settings", po::value<std::string>(), "settings file: name = value lines")("check", "check the settings and exit")(
+      "help", "print this and exit")("version", "print the version and exit");
+  po::options_description all(program);
+  all.add(flags).add(shared);
+  po::variables_map vm;
+  try {
+    po::store(po::command_line_parser(argc, argv).options(all).positional(po::positional_options_description()).run(), vm);
+    if (vm.count("help") > 0) {
+      std::cout << all << "\n";
+      return std::nullopt;
+    }
+    if (vm.count("version") > 0) {
+      std::cout << program << " " << CORKWARD_VERSION << "\n";
+      return std::nullopt;
+    }
+    if (vm.count("settings") > 0) {
+      std::string const path = vm["settings"].as<std::string>();
+      std::ifstream file(path);
+      if (!file) throw SettingsError("settings: cannot be read: " + path + ": " + std::strerror(errno));
+      po::store(po::parse_config_file(file, shared, false), vm);
+    }
+    po::notify(vm);
+  } catch (po::error const& e) {
+    throw SettingsError(e.what());
+  }
+  checkAddress("link", s.link, true);
+  checkAddress("http", s.http, true);
+  if (s.link == s.http) throw SettingsError("http: must differ from link");
+  if (s.zone.empty()) throw SettingsError("zone: missing");
+  if (!blueprint::validName(s.zone)) throw SettingsError("zone: not a valid name: " + s.zone);
+  if (s.seeds.size() > 8) throw SettingsError("seed: more than 8");
+  if (s.seeds.empty() && !disk) throw SettingsError("seed: missing");
+  for (std::string const& seed : s.seeds) checkAddress("seed", seed, true);
+  if (s.drainLimit < 1 || s.drainLimit > 3600) throw SettingsError("drain-limit: must be 1 to 3600");
+  constexpr char const* levels[] = {"trace", "debug", "info", "warn", "error"};
+  bool known = false;
+  for (char const* l : levels) known = known || s.logLevel == l;
+  if (!known) throw SettingsError("log-level: must be trace, debug, info, warn or error, but is " + s.logLevel);
+  if (disk) {
+    checkData(s.data);
+    if (s.founders.empty()) throw SettingsError("founder: missing");
+    if (s.founders.size() > 9) throw SettingsError("founder: more than 9");
+    for (std::string const& f : s.founders) checkAddress("founder", f, true);
+  }
+  if (vm.count("check") > 0) {
+    std::cout << "settings are valid\n";
+    return std::nullopt;
+  }
+  return s;
+}
+
+}  // namespace corkward::programs
--- /dev/null
+++ b/programs/common/settings.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <corkward/core/error.h>
+
+namespace corkward::programs {
+
+/// Settings of one process, from its file and flags; a flag goes before the file.
+struct Settings {
+  std::string link;
+  std::string http;
+  std::string zone;
+  std::vector<std::string> seeds;
+  std::string data;
+  std::vector<std::string> founders;
+  std::string logFile;
+  std::string logLevel = "info";
+  int drainLimit = 60;
+};
+
+/// A setting that is unknown, missing or out of its range; the message begins with its name.
+class SettingsError : public core::Error {
+ public:
+  using core::Error::Error;
+};
+
+enum class Role { nacelle, substation };
+
+/// Reads flags and the settings file and checks every value. Returns nothing when the start is to end here with exit
+/// code 0 (--help, --version, --check). Throws SettingsError.
+std::optional<Settings> readSettings(int argc, char const* const* argv, Role role);
+
+}  // namespace corkward::programs
--- /dev/null
+++ b/programs/nacelle/main.cpp
@@ -0,0 +1,275 @@
+#include <QCoreApplication>
+#include <QDateTime>
+#include <QTimer>
+#include <iostream>
+#include <unordered_map>
+
+#include <corkward/core/json.h>
+#include <corkward/core/log.h>
+#include <corkward/door/mapping.h>
+#include <corkward/door/relay.h>
+#include <corkward/door/server.h>
+#include <corkward/rotor/plane.h>
+#include <corkward/signal/link.h>
+
+#include "clock.h"
+#include "settings.h"
+
+namespace corkward::programs {
+
+namespace {
+
+constexpr int clockEveryMs = 20;
+constexpr std::int64_t callerBuffer = 256 << 10;
+
+/// Puts the data plane's library together with its links, its door and its relays; body bytes pass here alone.
+class Nacelle : public QObject {
+ public:
+  explicit Nacelle(Settings const& s)
+      : settings_(s),
+        plane_(contact(s), s.seeds, freshSeed()),
+        link_(this, s.link, [this](signal::Envelope e) { run(plane_.arrived(now(), e.from, e.message)); }),
+        server_(s.http, door::Limits{}, events()) {
+    run(plane_.started(now()));
+    QObject::connect(&clock_, &QTimer::timeout, this, [this] { clockEvent(); });
+    clock_.start(clockEveryMs);
+    onTermination(this, [this] { drain(); });
+  }
+
+ private:
+  struct Call {
+    door::Relay* relay = nullptr;
+    std::string body;
+    std::string contentType;
+    std::string id;
+    std::string path;
+    std::string run;
+    std::uint64_t attempt = 1;
+    std::uint64_t offset = 0;
+    door::Fields fields;
+    std::int64_t length = -1;
+    int status = 0;
+    bool begun = false;
+    bool resuming = false;
+  };
+
+  static signal::Contact contact(Settings const& s) {
+    signal::Contact c;
+    c.link = s.link;
+    c.http = s.http;
+    c.role = "nacelle";
+    c.zone = s.zone;
+    c.inc = static_cast<std::uint64_t>(QDateTime::currentMSecsSinceEpoch());
+    return c;
+  }
+
+  door::Server::Events events() {
+    door::Server::Events e;
+    e.request = [this](door::Request request) { serve(std::move(request)); };
+    e.gone = [this](std::uint64_t id) {
+      run(plane_.callerGone(now(), id));
+      abandon(id);
+      calls_.erase(id);
+    };
+    e.room = [this](std::uint64_t id) {
+      std::unordered_map<std::uint64_t, Call>::iterator const it = calls_.find(id);
+      if (it != calls_.end() && it->second.relay != nullptr && server_.waiting(id) < callerBuffer / 2) it->second.relay->pause(false);
+    };
+    return e;
+  }
+
+  void serve(door::Request request) {
+    std::string const path = request.target.substr(0, request.target.find('?'));
+    if (path == "/healthz") {
+      server_.answer(request.id, 200, {{"content-type", "text/plain"}}, "ok\n");
+    } else if (path == "/readyz") {
+      bool const ready = plane_.ready(now());
+      server_.answer(request.id, ready ? 200 : 503, {{"content-type", "text/plain"}}, ready ? "ready\n" : "not ready\n");
+    } else if (path == "/metrics") {
+      server_.answer(request.id, 200, {{"content-type", "text/plain; version=0.0.4"}},
+                     plane_.metrics(now()) + "# TYPE corkward_garbage_frames_total counter\ncorkward_garbage_frames_total " +
+                         std::to_string(link_.garbage()) + "\n");
+    } else if (path == "/v1/state" && request.method == "GET") {
+      server_.answer(request.id, 200, {{"content-type", "application/json"}}, core::jsonText(plane_.state(now())) + "\n");
+    } else {
+      door::CallerRequest const caller = door::callerRequest(request);
+      if (!caller.request) {
+        rotor::Deny const deny{request.id, caller.status, caller.reason, true, 0};
+        server_.answer(request.id, caller.status, door::denyFields(deny), door::denyBody(deny) + "\n");
+        return;
+      }
+      Call& call = calls_[request.id];
+      call.body = std::move(request.body);
+      call.contentType = request.fields.count("content-type") > 0 ? request.fields["content-type"] : "application/json";
+      call.id = caller.request->id;
+      call.attempt = caller.request->attempt;
+      run(plane_.request(now(), *caller.request));
+    }
+  }
+
+  void run(rotor::Commands&& commands) {
+    for (signal::Send const& s : commands.sends) link_.send(s.to, s.message);
+    for (core::Note const& n : commands.notes) core::writeLog(n);
+    for (std::variant<rotor::Connect, rotor::HandOver, rotor::Abandon, rotor::Deny, rotor::Abort> const& c : commands.calls)
+      std::visit([this](auto const& m) { this->act(m); }, c);
+  }
+
+  void act(rotor::Connect const& m) {
+    std::unordered_map<std::uint64_t, Call>::iterator const it = calls_.find(m.call);
+    if (it == calls_.end()) return;
+    abandon(m.call);
+    std::uint64_t const id = m.call;
+    it->second.path = m.path;
+    it->second.resuming = m.resume;
+    door::Relay::Events e;
+    e.connected = [this, id] { run(plane_.connected(now(), id)); };
+    e.denied = [this, id] { run(plane_.connectDenied(now(), id)); };
+    e.head = [this, id](door::ReplicaHead head) { replicaHead(id, head); };
+    e.piece = [this, id](std::string bytes) { replicaPiece(id, bytes); };
+    e.ended = [this, id](bool whole) { replicaEnded(id, whole); };
+    it->second.relay = new door::Relay(m.address, std::move(e), this);
+  }
+
+  void act(rotor::HandOver const& m) {
+    std::unordered_map<std::uint64_t, Call>::iterator const it = calls_.find(m.call);
+    if (it == calls_.end() || it->second.relay == nullptr) return;
+    Call const& call = it->second;
+    door::Fields fields{{"content-type", call.contentType}, {"corkward-attempt", std::to_string(call.attempt)}};
+    if (!call.id.empty()) fields["corkward-request-id"] = call.id;
+    if (call.resuming) {
+      fields["corkward-run"] = call.run;
+      fields["corkward-offset"] = std::to_string(call.offset);
+    }
+    call.relay->send(call.path, fields, call.body);
+  }
+
+  void act(rotor::Abandon const& m) { abandon(m.call); }
+
+  void act(rotor::Deny const& m) {
+    abandon(m.call);
+    calls_.erase(m.call);
+    server_.answer(m.call, m.status, door::denyFields(m), door::denyBody(m) + "\n");
+  }
+
+  void act(rotor::Abort const& m) {
+    abandon(m.call);
+    calls_.erase(m.call);
+    server_.abort(m.call);
+  }
+
+  void abandon(std::uint64_t id) {
+    std::unordered_map<std::uint64_t, Call>::iterator const it = calls_.find(id);
+    if (it == calls_.end() || it->second.relay == nullptr) return;
+    it->second.relay->stop();
+    it->second.relay->deleteLater();
+    it->second.relay = nullptr;
+  }
+
+  void replicaHead(std::uint64_t id, door::ReplicaHead const& head) {
+    Call& call = calls_.at(id);
+    door::Fields::const_iterator const run = head.fields.find("corkward-run");
+    std::string const runId = run == head.fields.end() ? "" : run->second;
+    if (call.resuming) {
+      door::Fields::const_iterator const at = head.fields.find("corkward-offset");
+      bool const same = head.status == 206 && runId == call.run && !runId.empty() && at != head.fields.end() &&
+                        at->second == std::to_string(call.offset);
+      if (!same) {
+        this->run(plane_.ended(now(), id, rotor::End::otherRun));
+        return;
+      }
+      this->run(plane_.firstWord(now(), id, true));
+      return;
+    }
+    if (head.status == 503 && runId == "none") {
+      abandon(id);
+      this->run(plane_.ended(now(), id, rotor::End::notRun));
+      return;
+    }
+    if (head.status < 200 || head.status > 599) return;
+    call.run = runId;
+    door::Fields fields;
+    for (char const* kept : {"content-type", "corkward-run", "corkward-replica"})
+      if (head.fields.count(kept) > 0) fields[kept] = head.fields.at(kept);
+    fields["corkward-outcome"] = "run";
+    call.fields = fields;
+    call.status = head.status;
+    call.length = head.length;
+  }
+
+  void begin(std::uint64_t id, Call& call) {
+    if (call.begun || call.status == 0) return;
+    call.begun = true;
+    server_.begin(id, call.status, call.fields, call.length);
+    run(plane_.firstWord(now(), id, !call.run.empty() && call.run != "none"));
+  }
+
+  void replicaPiece(std::uint64_t id, std::string const& bytes) {
+    std::unordered_map<std::uint64_t, Call>::iterator const it = calls_.find(id);
+    if (it == calls_.end()) return;
+    begin(id, it->second);
+    it->second.offset += bytes.size();
+    server_.piece(id, bytes);
+    if (server_.waiting(id) > callerBuffer && it->second.relay != nullptr) it->second.relay->pause(true);
+  }
+
+  void replicaEnded(std::uint64_t id, bool whole) {
+    std::unordered_map<std::uint64_t, Call>::iterator const it = calls_.find(id);
+    if (it == calls_.end()) return;
+    abandon(id);
+    if (whole) begin(id, it->second);
+    if (whole && it->second.begun) {
+      calls_.erase(it);
+      server_.finish(id);
+      run(plane_.ended(now(), id, rotor::End::whole));
+    } else {
+      run(plane_.ended(now(), id, rotor::End::broken));
+    }
+  }
+
+  void clockEvent() {
+    run(plane_.clockEvent(now()));
+    if (drainUntil_ != 0 && ((plane_.inHand() == 0 && now() >= drainLeast_) || now() >= drainUntil_)) {
+      core::writeLog(core::Note{"stopped", {{"in-hand", std::to_string(plane_.inHand())}}});
+      QCoreApplication::exit(0);
+    }
+  }
+
+  void drain() {
+    if (drainUntil_ != 0) return;
+    drainUntil_ = now() + settings_.drainLimit * 1000;
+    drainLeast_ = now() + 300;
+    run(plane_.drain(now()));
+  }
+
+  Settings settings_;
+  rotor::Plane plane_;
+  std::unordered_map<std::uint64_t, Call> calls_;
+  signal::Link link_;
+  door::Server server_;
+  QTimer clock_;
+  core::Tick drainUntil_ = 0;
+  core::Tick drainLeast_ = 0;
+};
+
+}  // namespace
+
+int runNacelle(int argc, char** argv) {
+  QCoreApplication app(argc, argv);
+  try {
+    std::optional<Settings> const settings = readSettings(argc, argv, Role::nacelle);
+    if (!settings) return 0;
+    core::startLog(settings->link, settings->logFile, settings->logLevel);
+    Nacelle node(*settings);
+    return QCoreApplication::exec();
+  } catch (SettingsError const& e) {
+    std::cerr << "corkward-nacelle: " << e.what() << "\n";
+    return 2;
+  } catch (core::Error const& e) {
+    std::cerr << "corkward-nacelle: " << e.what() << "\n";
+    return 1;
+  }
+}
+
+}  // namespace corkward::programs
+
+int main(int argc, char** argv) { return corkward::programs::runNacelle(argc, argv); }
--- /dev/null
+++ b/rotor/include/corkward/rotor/plane.h
@@ -0,0 +1,294 @@
+#pragma once
+
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include <corkward/blueprint/blueprint.h>
+#include <corkward/core/journal.h>
+#include <corkward/governor/governor.h>
+#include <corkward/lookout/lookout.h>
+#include <corkward/signal/message.h>
+
+namespace corkward::rotor {
+
+using core::Index;
+using core::Tick;
+using CallId = std::uint64_t;
+
+/// Starting values of the data plane.
+struct Tuning {
+  /// How long a confirmation of standing holds, counted from when it was asked for.
+  Tick confirmFor = 1500;
+  Tick askEvery = 300;
+  Tick touchEvery = 300;
+  Tick seenWait = 500;
+  /// How long ids are remembered, and how long after its start a nacelle cannot vouch for an id.
+  Tick seenFor = 600000;
+  Tick vouchAfter = 60000;
+  std::size_t seenBound = 100000;
+  Tick connectLimit = 700;
+  Tick coolFor = 1500;
+  /// Rest of a replica that said "not run".
+  Tick busyFor = 300;
+  Tick hintFor = 10000;
+  Tick warmEvery = 400;
+  Tick warmLease = 1400;
+  double heldPerCap = 4.0;
+  std::size_t heldLeast = 8;
+  double nodeLimitPerReplica = 8.0;
+  int resumes = 2;
+  /// A nacelle whose roster is smaller than this cannot stand on its neighbours alone.
+  std::size_t leastRoster = 3;
+};
+
+/// What the door saw of a request's head and body.
+struct Request {
+  CallId call = 0;
+  std::string instance;
+  std::string path;
+  std::string id;
+  std::uint64_t attempt = 1;
+  /// The caller says that every earlier attempt was answered "not run".
+  bool earlierNotRun = false;
+  std::string prefix;
+  /// Milliseconds the caller still waits; 0: the path's own deadline.
+  Tick deadline = 0;
+};
+
+/// How a relayed call ended.
+enum class End {
+  /// The replica's own end was seen.
+  whole,
+  /// The replica said itself that it did not run the request.
+  notRun,
+  /// The connection broke, or ended early, after a byte was handed over.
+  broken,
+  /// The replica answered an attempt to resume with anything but the same run at the same offset.
+  otherRun
+};
+
+/// Command: open a connection to the replica, hand nothing over yet.
+struct Connect {
+  CallId call = 0;
+  std::string address;
+  std::string path;
+  bool resume = false;
+};
+/// Command: hand the request over on the connection that was opened.
+struct HandOver {
+  CallId call = 0;
+};
+/// Command: close the replica's connection, if there is one.
+struct Abandon {
+  CallId call = 0;
+};
+/// Command: final answer to a caller that has had no byte yet.
+struct Deny {
+  CallId call = 0;
+  int status = 503;
+  std::string reason;
+  /// False: it may have run.
+  bool notRun = true;
+  /// Seconds after which to come back; 0: no use in coming back as it is.
+  int retryAfter = 0;
+};
+/// Command: cut the caller's connection, so that what it has cannot look complete.
+struct Abort {
+  CallId call = 0;
+};
+
+/// Commands of one event, in order.
+struct Commands {
+  std::vector<signal::Send> sends;
+  std::vector<std::variant<Connect, HandOver, Abandon, Deny, Abort>> calls;
+  std::vector<core::Note> notes;
+};
+
+/// The data plane of one node as a pure reducer over its events.
+class Plane {
+ public:
+  Plane(signal::Contact self, std::vector<std::string> seeds, std::uint64_t seed, Tuning tuning = {});
+
+  Commands started(Tick now);
+  Commands arrived(Tick now, std::string const& from, signal::Message const& message);
+  Commands clockEvent(Tick now);
+
+  Commands request(Tick now, Request const& request);
+  /// The connection stands and no byte was handed over yet: the last check before sending.
+  Commands connected(Tick now, CallId call);
+  /// No connection could be had, so nothing was handed over.
+  Commands connectDenied(Tick now, CallId call);
+  Commands firstWord(Tick now, CallId call, bool runKnown);
+  Commands ended(Tick now, CallId call, End end);
+  Commands callerGone(Tick now, CallId call);
+  /// No new work from here on; ids and duties go to the others.
+  Commands drain(Tick now);
+
+  /// Whether clients should be sent here.
+  bool ready(Tick now) const;
+  /// Whether this node may hand requests over at all.
+  bool standing(Tick now) const;
+  std::size_t inHand() const { return calls_.size(); }
+  std::string metrics(Tick now) const;
+  QJsonObject state(Tick now) const;
+  std::uint64_t stampOf(std::string const& key) const;
+  core::Journal const& journal() const { return journal_; }
+
+ private:
+  enum class Phase { asking, held, connecting, handed, streaming };
+  struct Call {
+    Request request;
+    Index path = 0;
+    Phase phase = Phase::held;
+    Tick arrived = 0;
+    Tick until = 0;
+    Tick phaseAt = 0;
+    Tick handedAt = 0;
+    Index replica = 0;
+    bool counted = false;
+    bool echo = false;
+    bool runKnown = false;
+    bool dispatched = false;
+    int resumes = 0;
+    std::uint64_t prefix = 0;
+    std::set<std::string> waiting;
+  };
+  struct Key {
+    std::uint64_t stamp = 0;
+    QJsonObject value;
+  };
+  struct Row {
+    blueprint::Path path;
+    Index pool = 0;
+    Index instance = 0;
+  };
+  struct Replica {
+    Index pool = 0;
+    std::string zone;
+    blueprint::ReplicaState state = blueprint::ReplicaState::leaving;
+    bool listed = false;
+    Tick coolUntil = 0;
+    int errors = 0;
+  };
+  struct PoolView {
+    std::uint64_t generation = 0;
+    double coldRate = 0;
+    std::vector<Index> replicas;
+    std::map<std::string, std::pair<std::uint64_t, Tick>> hinted;
+  };
+  struct Credit {
+    governor::Scaler scaler;
+    std::array<std::deque<CallId>, 3> held;
+    unsigned turn = 0;
+    double perSecond = 0;
+    Tick rateAt = 0;
+    int endedSince = 0;
+    std::size_t heldCount() const { return held[0].size() + held[1].size() + held[2].size(); }
+  };
+  struct Warm {
+    Tick until = -1;
+    Tick askedAt = -1;
+    Tick coveredUntil = 0;
+    Tick wantedSince = -1;
+    std::map<Tick, std::set<std::string>> grants;
+    governor::ColdBucket bucket;
+  };
+  struct Seen {
+    Tick at = 0;
+    std::uint64_t attempt = 0;
+    bool mayHaveRun = false;
+    std::uint64_t promisedAway = 0;
+    CallId call = 0;
+  };
+  struct Confirmation {
+    Tick at = -1;
+    signal::Stamps stamps;
+    Tick good = -1;
+  };
+  using CreditKey = std::pair<Index, Index>;
+
+  void apply(Commands& out, Tick now, std::vector<signal::Item> const& items);
+  void applyOne(Commands& out, Tick now, signal::Item const& item);
+  void refreshCandidates(Commands& out, Tick now);
+  bool usable(Tick now, Index replica) const;
+  bool evacuated(std::string const& zone) const;
+  bool knowsAll(signal::Stamps const& stamps) const;
+  void refreshStanding();
+  std::vector<std::string> rosterOthers() const;
+  std::size_t rosterSize() const;
+  std::vector<std::string> substations(Tick now) const;
+  signal::Stamps stamps() const;
+  Credit& credit(Index pool, Index instance);
+  bool mayTry(Tick now, Credit& c, CreditKey key, Call const& call) const;
+  std::vector<governor::Candidate> usableOf(Tick now, Credit const& c, bool warmRoom) const;
+  void admit(Commands& out, Tick now, CallId id);
+  bool tryConnect(Commands& out, Tick now, CallId id);
+  void pump(Commands& out, Tick now, CreditKey key);
+  void look(Commands& out, Tick now, CreditKey key);
+  void uncount(Commands& out, Tick now, Call& call);
+  void deny(Commands& out, Tick now, CallId id, int status, std::string reason, bool notRun, int retryAfter);
+  void forget(Tick now, CallId id);
+  void breakOff(Commands& out, Tick now, CallId id);
+  void unhold(CallId id);
+  void retry(Commands& out, Tick now, CallId id, char const* why);
+  int comeBack(Credit const& c) const;
+  Tick expectedWait(Credit const& c) const;
+  void warmDuties(Commands& out, Tick now);
+  bool warmHeld(Tick now, Index replica) const;
+  void expireSeen(Tick now);
+  void note(Commands& out, Tick now, std::string event, std::map<std::string, std::string> fields = {});
+  void count(std::string const& what);
+  void on(Commands& out, Tick now, std::string const& from, signal::Shuffle const& m);
+  void on(Commands& out, Tick now, std::string const& from, signal::News const& m);
+  void on(Commands& out, Tick now, std::string const& from, signal::Confirm const& m);
+  void on(Commands& out, Tick now, std::string const& from, signal::Hint const& m);
+  void on(Commands& out, Tick now, std::string const& from, signal::Touch const& m);
+  void on(Commands& out, Tick now, std::string const& from, signal::Fetch const& m);
+  void on(Commands& out, Tick now, std::string const& from, signal::SeenAsk const& m);
+  void on(Commands& out, Tick now, std::string const& from, signal::SeenEcho const& m);
+  void on(Commands& out, Tick now, std::string const& from, signal::SeenLeft const& m);
+  void on(Commands& out, Tick now, std::string const& from, signal::WarmGrant const& m);
+
+  Tuning tuning_;
+  std::uint64_t seed_;
+  lookout::Lookout lookout_;
+  core::Journal journal_;
+  std::map<std::string, std::uint64_t> counters_;
+  Tick started_ = 0;
+  bool draining_ = false;
+  bool whole_ = false;
+  std::uint64_t number_ = 0;
+  std::map<std::string, Key> keys_;
+  core::Names instances_;
+  core::Names pools_;
+  core::Names replicaNames_;
+  std::vector<Replica> replicas_;
+  std::vector<PoolView> poolViews_;
+  std::vector<Row> rows_;
+  std::unordered_map<std::string, Index> routes_;
+  std::map<std::string, std::vector<std::string>> familyRoutes_;
+  std::set<std::string> evacuated_;
+  std::map<std::string, Confirmation> confirmations_;
+  std::map<std::string, Confirmation> touches_;
+  std::map<std::string, Tick> fetchedAt_;
+  std::map<std::string, std::string> wholeFrom_;
+  std::map<CreditKey, Credit> credits_;
+  std::map<Index, int> poolInFlight_;
+  std::map<Index, Warm> warm_;
+  governor::Prefixes prefixes_;
+  governor::RetryBudget budget_;
+  std::unordered_map<CallId, Call> calls_;
+  std::unordered_map<std::string, Seen> seen_;
+  std::deque<std::pair<Tick, std::string>> seenOrder_;
+  Tick askAt_ = 0;
+  Tick touchAt_ = 0;
+  Tick warmAt_ = 0;
+  Tick lookAt_ = 0;
+  bool pumping_ = false;
+};
+
+}  // namespace corkward::rotor
--- /dev/null
+++ b/rotor/src/plane.cpp
@@ -0,0 +1,1008 @@
+#include <corkward/rotor/plane.h>
+
+#include <QJsonArray>
+#include <algorithm>
+#include <cmath>
+
+#include <corkward/core/json.h>
+
+namespace corkward::rotor {
+
+namespace {
+
+constexpr char const* rosterKey = "roster";
+constexpr char const* cohortKey = "cohort";
+constexpr Tick lookEvery = 100;
+
+std::size_t majorityOf(std::size_t n) { return n / 2 + 1; }
+
+std::size_t lane(blueprint::Class cls) { return static_cast<std::size_t>(cls); }
+
+}  // namespace
+
+Plane::Plane(signal::Contact self, std::vector<std::string> seeds, std::uint64_t seed, Tuning tuning)
+    : tuning_(tuning), seed_(seed), lookout_(std::move(self), std::move(seeds), seed ^ 0x91) {}
+
+void Plane::count(std::string const& what) { ++counters_[what]; }
+
+void Plane::note(Commands& out, Tick now, std::string event, std::map<std::string, std::string> fields) {
+  journal_.append(now, event, fields.empty() ? "" : fields.begin()->second);
+  count(event);
+  out.notes.push_back(core::Note{std::move(event), std::move(fields)});
+}
+
+Commands Plane::started(Tick now) {
+  Commands out;
+  started_ = now;
+  note(out, now, "started", {{"link", lookout_.self().link}});
+  return out;
+}
+
+std::uint64_t Plane::stampOf(std::string const& key) const {
+  std::map<std::string, Key>::const_iterator const it = keys_.find(key);
+  return it == keys_.end() ? 0 : it->second.stamp;
+}
+
+signal::Stamps Plane::stamps() const {
+  signal::Stamps out;
+  for (std::map<std::string, Key>::value_type const& k : keys_) out[k.first] = k.second.stamp;
+  return out;
+}
+
+bool Plane::knowsAll(signal::Stamps const& stamps) const {
+  return std::all_of(stamps.begin(), stamps.end(),
+                     [&](signal::Stamps::value_type const& s) { return stampOf(s.first) >= s.second; });
+}
+
+void Plane::refreshStanding() {
+  for (std::map<std::string, Confirmation>* const group : {&confirmations_, &touches_})
+    for (std::map<std::string, Confirmation>::value_type& c : *group)
+      if (c.second.at > c.second.good && knowsAll(c.second.stamps)) c.second.good = c.second.at;
+}
+
+std::vector<std::string> Plane::rosterOthers() const {
+  std::vector<std::string> out;
+  std::map<std::string, Key>::const_iterator const it = keys_.find(rosterKey);
+  if (it == keys_.end()) return out;
+  for (QJsonValue const v : it->second.value.value("nodes").toArray()) {
+    std::string const link = core::str(v.toObject().value("link").toString());
+    if (link != lookout_.self().link) out.push_back(link);
+  }
+  return out;
+}
+
+std::size_t Plane::rosterSize() const {
+  std::map<std::string, Key>::const_iterator const it = keys_.find(rosterKey);
+  return it == keys_.end() ? 0 : static_cast<std::size_t>(it->second.value.value("nodes").toArray().size());
+}
+
+std::vector<std::string> Plane::substations(Tick now) const {
+  std::set<std::string> out;
+  std::map<std::string, Key>::const_iterator const it = keys_.find(cohortKey);
+  if (it != keys_.end())
+    for (QJsonValue const v : it->second.value.value("members").toArray())
+      out.insert(core::str(v.toObject().value("link").toString()));
+  for (signal::Contact const& c : lookout_.ofRole("substation", now)) out.insert(c.link);
+  return std::vector<std::string>(out.begin(), out.end());
+}
+
+bool Plane::standing(Tick now) const {
+  if (!whole_) return false;
+  for (std::map<std::string, Confirmation>::value_type const& c : confirmations_)
+    if (c.second.good >= 0 && now - c.second.good <= tuning_.confirmFor) return true;
+  std::vector<std::string> const others = rosterOthers();
+  std::size_t const size = rosterSize();
+  if (size < tuning_.leastRoster || others.size() == size) return false;
+  std::size_t fresh = 1;
+  for (std::string const& link : others) {
+    std::map<std::string, Confirmation>::const_iterator const it = touches_.find(link);
+    fresh += it != touches_.end() && it->second.good >= 0 && now - it->second.good <= tuning_.confirmFor ? 1 : 0;
+  }
+  return fresh >= majorityOf(size);
+}
+
+bool Plane::evacuated(std::string const& zone) const { return evacuated_.count(zone) > 0; }
+
+bool Plane::ready(Tick now) const { return !draining_ && standing(now) && !evacuated(lookout_.self().zone) && !rows_.empty(); }
+
+void Plane::apply(Commands& out, Tick now, std::vector<signal::Item> const& items) {
+  bool any = false;
+  for (signal::Item const& item : items) {
+    if (item.stamp <= stampOf(item.key)) continue;
+    applyOne(out, now, item);
+    any = true;
+  }
+  if (!any) return;
+  refreshStanding();
+  refreshCandidates(out, now);
+}
+
+void Plane::applyOne(Commands& out, Tick now, signal::Item const& item) {
+  std::size_t const colon = item.key.find(':');
+  std::string const kind = item.key.substr(0, colon);
+  std::string const name = colon == std::string::npos ? "" : item.key.substr(colon + 1);
+  try {
+    if (kind == "family") {
+      std::vector<blueprint::Path> const paths = blueprint::render(name, item.value);
+      for (std::string const& route : familyRoutes_[name]) routes_.erase(route);
+      std::vector<std::string> fresh;
+      for (blueprint::Path const& p : paths) {
+        std::string const route = p.instance + "/" + p.path;
+        routes_[route] = static_cast<Index>(rows_.size());
+        fresh.push_back(route);
+        Index const pool = pools_.index(p.pool);
+        if (pool >= poolViews_.size()) poolViews_.resize(pool + 1);
+        rows_.push_back(Row{p, pool, instances_.index(p.instance)});
+      }
+      familyRoutes_[name] = std::move(fresh);
+    } else if (kind == "pool") {
+      blueprint::Pool const list = blueprint::readPool(item.value);
+      Index const pool = pools_.index(name);
+      if (pool >= poolViews_.size()) poolViews_.resize(pool + 1);
+      PoolView& view = poolViews_[pool];
+      for (Index const r : view.replicas) replicas_[r].listed = false;
+      view.replicas.clear();
+      view.generation = list.generation;
+      view.coldRate = list.coldRate;
+      for (blueprint::Replica const& r : list.replicas) {
+        Index const ix = replicaNames_.index(name + "|" + r.address);
+        if (ix >= replicas_.size()) replicas_.resize(ix + 1);
+        Replica& mine = replicas_[ix];
+        mine.pool = pool;
+        mine.zone = r.zone;
+        mine.state = r.state;
+        mine.listed = true;
+        view.replicas.push_back(ix);
+      }
+      for (std::map<std::string, std::pair<std::uint64_t, Tick>>::iterator h = view.hinted.begin(); h != view.hinted.end();)
+        h = h->second.first <= list.generation ? view.hinted.erase(h) : std::next(h);
+    } else if (kind == "zone") {
+      if (item.value.value("evacuated").toBool())
+        evacuated_.insert(name);
+      else
+        evacuated_.erase(name);
+    }
+  } catch (core::Error const& e) {
+    note(out, now, "news-not-applied", {{"key", item.key}, {"error", e.what()}});
+    return;
+  }
+  keys_[item.key] = Key{item.stamp, item.value};
+  note(out, now, "in-force", {{"key", item.key}, {"stamp", std::to_string(item.stamp)}});
+  if (rows_.size() < 1024 || rows_.size() < 4 * routes_.size()) return;
+  std::vector<bool> used(rows_.size(), false);
+  for (std::unordered_map<std::string, Index>::value_type const& r : routes_) used[r.second] = true;
+  for (std::unordered_map<CallId, Call>::value_type const& c : calls_) used[c.second.path] = true;
+  std::vector<Index> moved(rows_.size(), 0);
+  std::vector<Row> kept;
+  for (std::size_t i = 0; i < rows_.size(); ++i) {
+    if (!used[i]) continue;
+    moved[i] = static_cast<Index>(kept.size());
+    kept.push_back(std::move(rows_[i]));
+  }
+  rows_ = std::move(kept);
+  for (std::unordered_map<std::string, Index>::value_type& r : routes_) r.second = moved[r.second];
+  for (std::unordered_map<CallId, Call>::value_type& c : calls_) c.second.path = moved[c.second.path];
+}
+
+bool Plane::usable(Tick now, Index replica) const {
+  Replica const& r = replicas_[replica];
+  if (!r.listed || r.state == blueprint::ReplicaState::leaving || evacuated(r.zone) || now < r.coolUntil) return false;
+  std::string const& name = replicaNames_.name(replica);
+  PoolView const& view = poolViews_[r.pool];
+  if (view.hinted.count(name.substr(name.find('|') + 1)) > 0) return false;
+  return r.state == blueprint::ReplicaState::serving || warmHeld(now, replica);
+}
+
+bool Plane::warmHeld(Tick now, Index replica) const {
+  std::map<Index, Warm>::const_iterator const it = warm_.find(replica);
+  return it != warm_.end() && now < it->second.until;
+}
+
+void Plane::refreshCandidates(Commands& out, Tick now) {
+  for (PoolView& view : poolViews_)
+    for (std::map<std::string, std::pair<std::uint64_t, Tick>>::iterator h = view.hinted.begin(); h != view.hinted.end();)
+      h = now - h->second.second > tuning_.hintFor ? view.hinted.erase(h) : std::next(h);
+  std::vector<CreditKey> keys;
+  for (std::map<CreditKey, Credit>::value_type& c : credits_) {
+    std::vector<governor::Candidate> all;
+    for (Index const r : poolViews_[c.first.first].replicas)
+      if (usable(now, r))
+        all.push_back(governor::Candidate{r, replicas_[r].state == blueprint::ReplicaState::cold,
+                                          core::stableHash(replicaNames_.name(r))});
+    c.second.scaler.candidates(all);
+    keys.push_back(c.first);
+  }
+  for (CreditKey const& k : keys) pump(out, now, k);
+}
+
+Plane::Credit& Plane::credit(Index pool, Index instance) {
+  CreditKey const key{pool, instance};
+  std::map<CreditKey, Credit>::iterator it = credits_.find(key);
+  if (it == credits_.end())
+    it = credits_.emplace(key, Credit{governor::Scaler(seed_ ^ core::stableHash(lookout_.self().link + instances_.name(instance))), {}, 0, 0, 0, 0}).first;
+  return it->second;
+}
+
+Commands Plane::arrived(Tick now, std::string const& from, signal::Message const& message) {
+  Commands out;
+  std::visit(
+      [&](auto const& m) {
+        if constexpr (requires { this->on(out, now, from, m); }) this->on(out, now, from, m);
+      },
+      message);
+  return out;
+}
+
+void Plane::on(Commands& out, Tick now, std::string const& from, signal::Shuffle const& m) {
+  std::vector<signal::Send> sends = lookout_.arrived(now, from, m);
+  std::move(sends.begin(), sends.end(), std::back_inserter(out.sends));
+}
+
+void Plane::on(Commands& out, Tick now, std::string const& from, signal::News const& m) {
+  bool const fromNacelle = m.whole && m.number == 0;
+  apply(out, now, m.items);
+  if (m.whole && !whole_) {
+    if (!fromNacelle) {
+      whole_ = true;
+      note(out, now, "whole-image", {{"from", from}});
+    } else {
+      wholeFrom_[from] = from;
+      std::size_t n = 0;
+      for (std::string const& link : rosterOthers()) n += wholeFrom_.count(link);
+      if (rosterSize() >= tuning_.leastRoster && n >= majorityOf(rosterSize())) {
+        whole_ = true;
+        note(out, now, "whole-image", {{"from", "neighbours"}});
+      }
+    }
+  }
+  signal::NewsAck ack{m.number, lookout_.self().link, lookout_.self().inc, false, stamps()};
+  std::set<std::string> to;
+  for (std::string const& s : substations(now)) to.insert(s);
+  if (!fromNacelle) to.insert(from);
+  for (std::string const& s : to) out.sends.push_back(signal::Send{s, ack});
+}
+
+void Plane::on(Commands& out, Tick, std::string const& from, signal::Confirm const& m) {
+  if (!m.inTouch || m.age < 0) return;
+  Confirmation& c = confirmations_[from];
+  Tick const at = m.tick - m.age;
+  if (at > c.at) {
+    c.at = at;
+    c.stamps = m.stamps;
+  }
+  refreshStanding();
+  (void)out;
+}
+
+void Plane::on(Commands& out, Tick now, std::string const&, signal::Hint const& m) {
+  Index const pool = pools_.index(m.pool);
+  if (pool >= poolViews_.size()) poolViews_.resize(pool + 1);
+  PoolView& view = poolViews_[pool];
+  if (m.generation <= view.generation) return;
+  bool fresh = false;
+  for (std::string const& address : m.leaving) {
+    std::pair<std::uint64_t, Tick>& h = view.hinted[address];
+    fresh = fresh || h.first < m.generation;
+    if (h.first < m.generation) h = {m.generation, now};
+  }
+  if (!fresh) return;
+  note(out, now, "leaving-hint", {{"pool", m.pool}});
+  for (std::string const& link : rosterOthers()) out.sends.push_back(signal::Send{link, m});
+  refreshCandidates(out, now);
+}
+
+void Plane::on(Commands& out, Tick now, std::string const& from, signal::Touch const& m) {
+  if (m.link != from) return;
+  if (!m.echo) {
+    signal::Touch echo;
+    echo.tick = m.tick;
+    echo.echo = true;
+    echo.whole = whole_;
+    echo.link = lookout_.self().link;
+    echo.inc = lookout_.self().inc;
+    echo.stamps = stamps();
+    out.sends.push_back(signal::Send{from, echo});
+    if (m.wantWhole && whole_) {
+      signal::News news;
+      news.whole = true;
+      for (std::map<std::string, Key>::value_type const& k : keys_)
+        news.items.push_back(signal::Item{k.first, k.second.stamp, k.second.value});
+      out.sends.push_back(signal::Send{from, std::move(news)});
+    }
+  } else if (m.whole) {
+    Confirmation& c = touches_[from];
+    if (m.tick > c.at) {
+      c.at = m.tick;
+      c.stamps = m.stamps;
+    }
+    refreshStanding();
+  }
+  for (signal::Stamps::value_type const& s : m.stamps) {
+    if (stampOf(s.first) >= s.second) continue;
+    Tick& at = fetchedAt_[s.first];
+    if (at != 0 && now - at < tuning_.touchEvery) continue;
+    at = now;
+    out.sends.push_back(signal::Send{from, signal::Fetch{s.first, false, "", 0}});
+  }
+}
+
+void Plane::on(Commands& out, Tick, std::string const& from, signal::Fetch const& m) {
+  std::map<std::string, Key>::const_iterator const it = keys_.find(m.key);
+  if (it == keys_.end()) return;
+  signal::News news;
+  news.items.push_back(signal::Item{it->first, it->second.stamp, it->second.value});
+  out.sends.push_back(signal::Send{from, std::move(news)});
+}
+
+Commands Plane::request(Tick now, Request const& request) {
+  Commands out;
+  count("requests");
+  CallId const id = request.call;
+  Call call;
+  call.request = request;
+  call.phase = Phase::asking;
+  call.arrived = now;
+  call.phaseAt = now;
+  std::unordered_map<std::string, Index>::const_iterator const route = routes_.find(request.instance + "/" + request.path);
+  calls_[id] = call;
+  if (draining_) {
+    deny(out, now, id, 503, "leaving", true, 1);
+    return out;
+  }
+  if (!standing(now)) {
+    deny(out, now, id, 503, "no standing", true, 1);
+    return out;
+  }
+  if (route == routes_.end()) {
+    deny(out, now, id, 404, "no such path", true, 0);
+    return out;
+  }
+  Row const& row = rows_[route->second];
+  Call& mine = calls_[id];
+  mine.path = route->second;
+  mine.until = now + (request.deadline > 0 ? std::min(request.deadline, row.path.deadline) : row.path.deadline);
+  mine.prefix = request.prefix.empty() ? 0 : core::stableHash(request.instance + "|" + request.prefix);
+  mine.echo = request.attempt > 1;
+  if (!request.id.empty()) {
+    expireSeen(now);
+    std::string const key = request.instance + "|" + request.id;
+    std::unordered_map<std::string, Seen>::iterator const it = seen_.find(key);
+    if (it != seen_.end()) {
+      Seen const before = it->second;
+      mine.echo = true;
+      if (before.promisedAway >= request.attempt) {
+        deny(out, now, id, 409, "a later attempt went to another node", false, 0);
+        return out;
+      }
+      if (before.mayHaveRun && !row.path.resumable) {
+        deny(out, now, id, 409, "an earlier attempt may have run", false, 0);
+        return out;
+      }
+      std::unordered_map<CallId, Call>::const_iterator const held = calls_.find(before.call);
+      if (before.call != 0 && before.call != id && held != calls_.end()) {
+        if (held->second.phase == Phase::held || held->second.phase == Phase::asking) {
+          deny(out, now, before.call, 409, "replaced by a later attempt", true, 0);
+        } else if (!row.path.resumable) {
+          deny(out, now, id, 409, "an earlier attempt is in hand", false, 0);
+          return out;
+        }
+      }
+    }
+    Seen& s = seen_[key];
+    if (s.at == 0) seenOrder_.emplace_back(now, key);
+    s.at = now;
+    s.attempt = std::max(s.attempt, request.attempt);
+    s.call = id;
+  }
+  if (request.attempt > 1 && !request.earlierNotRun && !row.path.resumable) {
+    if (request.id.empty()) {
+      deny(out, now, id, 409, "a later attempt without an id cannot be told from the first", false, 0);
+      return out;
+    }
+    Call& asking = calls_[id];
+    asking.phase = Phase::asking;
+    for (std::string const& link : rosterOthers()) {
+      asking.waiting.insert(link);
+      out.sends.push_back(signal::Send{link, signal::SeenAsk{id, request.instance + "|" + request.id, request.attempt}});
+    }
+    if (!asking.waiting.empty()) return out;
+  }
+  admit(out, now, id);
+  return out;
+}
+
+void Plane::on(Commands& out, Tick now, std::string const& from, signal::SeenAsk const& m) {
+  bool clear = now - started_ >= tuning_.vouchAfter;
+  std::unordered_map<std::string, Seen>::iterator const it = seen_.find(m.id);
+  if (it != seen_.end()) {
+    if (it->second.mayHaveRun) clear = false;
+    std::unordered_map<CallId, Call>::const_iterator const c = calls_.find(it->second.call);
+    if (it->second.call != 0 && c != calls_.end()) {
+      if (c->second.phase == Phase::held || c->second.phase == Phase::asking)
+        deny(out, now, it->second.call, 409, "replaced by a later attempt", true, 0);
+      else
+        clear = false;
+    }
+  }
+  Seen& s = seen_[m.id];
+  if (s.at == 0) seenOrder_.emplace_back(now, m.id);
+  s.at = now;
+  s.promisedAway = std::max(s.promisedAway, m.attempt);
+  out.sends.push_back(signal::Send{from, signal::SeenEcho{m.token, lookout_.self().link, clear}});
+}
+
+void Plane::on(Commands& out, Tick now, std::string const& from, signal::SeenEcho const& m) {
+  std::unordered_map<CallId, Call>::iterator const it = calls_.find(m.token);
+  if (it == calls_.end() || it->second.phase != Phase::asking || it->second.waiting.erase(from) == 0) return;
+  if (!m.clear)
+    deny(out, now, m.token, 409, "an earlier attempt may have run on another node", false, 0);
+  else if (it->second.waiting.empty())
+    admit(out, now, m.token);
+}
+
+void Plane::on(Commands&, Tick now, std::string const&, signal::SeenLeft const& m) {
+  for (std::string const& id : m.ids) {
+    Seen& s = seen_[id];
+    if (s.at == 0) seenOrder_.emplace_back(now, id);
+    s.at = now;
+    s.mayHaveRun = true;
+  }
+}
+
+void Plane::expireSeen(Tick now) {
+  while (!seenOrder_.empty() && (now - seenOrder_.front().first > tuning_.seenFor || seen_.size() > tuning_.seenBound)) {
+    std::pair<Tick, std::string> const front = seenOrder_.front();
+    seenOrder_.pop_front();
+    std::unordered_map<std::string, Seen>::iterator const it = seen_.find(front.second);
+    if (it == seen_.end()) continue;
+    if (now - it->second.at <= tuning_.seenFor && seen_.size() <= tuning_.seenBound)
+      seenOrder_.emplace_back(it->second.at, front.second);
+    else
+      seen_.erase(it);
+  }
+}
+
+Tick Plane::expectedWait(Credit const& c) const {
+  if (c.heldCount() == 0) return 0;
+  double const rate = std::max(c.perSecond, 0.2);
+  return static_cast<Tick>(1000.0 * static_cast<double>(c.heldCount()) / rate);
+}
+
+int Plane::comeBack(Credit const& c) const {
+  return static_cast<int>(std::clamp<Tick>((expectedWait(c) + 999) / 1000, 1, 30));
+}
+
+void Plane::admit(Commands& out, Tick now, CallId id) {
+  Call& call = calls_.at(id);
+  Row const& row = rows_[call.path];
+  CreditKey const key{row.pool, row.instance};
+  bool const fresh = credits_.count(key) == 0;
+  Credit& c = credit(row.pool, row.instance);
+  if (fresh) refreshCandidates(out, now);
+  call.phase = Phase::held;
+  if (!call.echo) budget_.first(now);
+  std::size_t const ahead = c.heldCount();
+  if (ahead == 0 && tryConnect(out, now, id)) {
+    look(out, now, key);
+    return;
+  }
+  std::size_t const bound = std::max(tuning_.heldLeast, static_cast<std::size_t>(tuning_.heldPerCap * c.scaler.cap()));
+  Tick const wait = c.scaler.part().empty() && ahead == 0 ? 0 : expectedWait(c);
+  bool const none = c.scaler.part().empty();
+  bool const late = wait > 0 && now + wait + static_cast<Tick>(c.scaler.firstWordMean()) > call.until &&
+                    row.path.cls != blueprint::Class::urgent;
+  bool const slow = c.scaler.allSlow() && ahead >= static_cast<std::size_t>(std::max(1.0, c.scaler.cap()));
+  if (none || ahead >= bound || late || slow) {
+    deny(out, now, id, 503, none ? "no replica" : slow ? "all replicas slow" : "too much held", true, comeBack(c));
+    return;
+  }
+  c.held[lane(row.path.cls)].push_back(id);
+  look(out, now, key);
+  pump(out, now, key);
+}
+
+void Plane::look(Commands& out, Tick now, CreditKey key) {
+  Credit& c = credits_.at(key);
+  std::size_t held = 0;
+  for (std::deque<CallId> const& lane : c.held)
+    for (CallId const id : lane) held += calls_.at(id).echo ? 0 : 1;
+  int const step = c.scaler.look(now, held);
+  if (step == 0) return;
+  note(out, now, step > 0 ? "widened" : "gave-back",
+       {{"instance", instances_.name(key.second)}, {"pool", pools_.name(key.first)}, {"part", std::to_string(c.scaler.part().size())}});
+  if (step > 0) pump(out, now, key);
+}
+
+std::vector<governor::Candidate> Plane::usableOf(Tick now, Credit const& c, bool warmRoom) const {
+  std::vector<governor::Candidate> out;
+  for (governor::Candidate const& p : c.scaler.part()) {
+    if (!usable(now, p.replica)) continue;
+    if (p.cold) {
+      std::map<Index, Warm>::const_iterator const w = warm_.find(p.replica);
+      if (w == warm_.end() || now >= w->second.until ||
+          !w->second.bucket.has(now, poolViews_[replicas_[p.replica].pool].coldRate))
+        continue;
+    } else if (!warmRoom) {
+      continue;
+    }
+    out.push_back(p);
+  }
+  return out;
+}
+
+bool Plane::mayTry(Tick, Credit& c, CreditKey key, Call const& call) const {
+  bool const bulk = rows_[call.path].path.cls == blueprint::Class::bulk;
+  if (!c.scaler.room(bulk)) return false;
+  double const poolCap = tuning_.nodeLimitPerReplica * static_cast<double>(std::max<std::size_t>(poolViews_[key.first].replicas.size(), 1));
+  std::vector<std::pair<CreditKey, int>> active;
+  for (std::map<CreditKey, Credit>::value_type const& o : credits_)
+    if (o.first.first == key.first && (o.first == key || o.second.scaler.inFlight() > 0 || o.second.heldCount() > 0))
+      active.emplace_back(o.first, o.second.scaler.inFlight());
+  double const floor = std::max(1.0, poolCap / (2.0 * static_cast<double>(active.size())));
+  if (c.scaler.inFlight() < floor) return true;
+  double taken = 0;
+  for (std::pair<CreditKey, int> const& a : active) taken += std::max<double>(a.second, a.first == key ? 0 : floor);
+  return taken < poolCap;
+}
+
+bool Plane::tryConnect(Commands& out, Tick now, CallId id) {
+  Call& call = calls_.at(id);
+  Row const& row = rows_[call.path];
+  CreditKey const key{row.pool, row.instance};
+  Credit& c = credits_.at(key);
+  std::vector<governor::Candidate> const choices = usableOf(now, c, mayTry(now, c, key, call));
+  std::int64_t const last = call.prefix == 0 ? -1 : prefixes_.last(call.prefix);
+  std::int64_t const chosen = governor::pick(c.scaler, choices, call.prefix == 0 ? seed_ ^ id : call.prefix, last);
+  if (chosen < 0) return false;
+  Index const replica = static_cast<Index>(chosen);
+  if (replicas_[replica].state == blueprint::ReplicaState::cold) {
+    bool const taken = warm_.at(replica).bucket.take(now, poolViews_[row.pool].coldRate);
+    CORKWARD_INVARIANT(taken);
+  }
+  call.phase = Phase::connecting;
+  call.phaseAt = now;
+  call.replica = replica;
+  call.counted = true;
+  c.scaler.sent(replica, row.path.cls == blueprint::Class::bulk);
+  ++poolInFlight_[row.pool];
+  std::string const& name = replicaNames_.name(replica);
+  out.calls.push_back(Connect{id, name.substr(name.find('|') + 1), row.path.path, false});
+  return true;
+}
+
+void Plane::pump(Commands& out, Tick now, CreditKey key) {
+  if (pumping_) return;
+  pumping_ = true;
+  Credit& c = credits_.at(key);
+  bool going = true;
+  while (going && c.heldCount() > 0) {
+    going = false;
+    ++c.turn;
+    std::array<std::size_t, 3> order{0, 1, 2};
+    if (c.turn % 8 == 0) order = {2, 1, 0};
+    for (std::size_t const l : order) {
+      if (c.held[l].empty()) continue;
+      CallId const id = c.held[l].front();
+      if (!tryConnect(out, now, id)) continue;
+      c.held[l].pop_front();
+      going = true;
+      break;
+    }
+  }
+  pumping_ = false;
+}
+
+void Plane::unhold(CallId id) {
+  Call const& call = calls_.at(id);
+  if (call.phase != Phase::held) return;
+  std::map<CreditKey, Credit>::iterator const it = credits_.find({rows_[call.path].pool, rows_[call.path].instance});
+  if (it == credits_.end()) return;
+  for (std::deque<CallId>& lane : it->second.held) lane.erase(std::remove(lane.begin(), lane.end(), id), lane.end());
+}
+
+void Plane::uncount(Commands& out, Tick now, Call& call) {
+  if (!call.counted) return;
+  call.counted = false;
+  Row const& row = rows_[call.path];
+  CreditKey const key{row.pool, row.instance};
+  Credit& c = credits_.at(key);
+  c.scaler.ended(call.replica, row.path.cls == blueprint::Class::bulk);
+  --poolInFlight_[row.pool];
+  CORKWARD_INVARIANT(poolInFlight_[row.pool] >= 0);
+  ++c.endedSince;
+  look(out, now, key);
+  pump(out, now, key);
+}
+
+void Plane::forget(Tick now, CallId id) {
+  std::unordered_map<CallId, Call>::iterator const it = calls_.find(id);
+  if (it == calls_.end()) return;
+  if (!it->second.request.id.empty()) {
+    std::unordered_map<std::string, Seen>::iterator const s = seen_.find(it->second.request.instance + "|" + it->second.request.id);
+    if (s != seen_.end() && s->second.call == id) {
+      s->second.call = 0;
+      s->second.at = now;
+    }
+  }
+  calls_.erase(it);
+}
+
+void Plane::deny(Commands& out, Tick now, CallId id, int status, std::string reason, bool notRun, int retryAfter) {
+  Call& call = calls_.at(id);
+  CORKWARD_INVARIANT(call.phase != Phase::streaming);
+  CORKWARD_INVARIANT(!notRun || call.phase != Phase::handed);
+  unhold(id);
+  journal_.append(now, "denied", reason);
+  count("denied_" + std::to_string(status));
+  out.calls.push_back(Deny{id, status, std::move(reason), notRun, retryAfter});
+  Call gone = call;
+  forget(now, id);
+  uncount(out, now, gone);
+}
+
+Commands Plane::connected(Tick now, CallId id) {
+  Commands out;
+  std::unordered_map<CallId, Call>::iterator const it = calls_.find(id);
+  if (it != calls_.end() && it->second.phase == Phase::handed && it->second.resumes > 0) {
+    if (standing(now) && usable(now, it->second.replica))
+      out.calls.push_back(HandOver{id});
+    else
+      breakOff(out, now, id);
+    return out;
+  }
+  if (it == calls_.end() || it->second.phase != Phase::connecting) return out;
+  Call& call = it->second;
+  Row const& row = rows_[call.path];
+  std::unordered_map<std::string, Index>::const_iterator const route = routes_.find(call.request.instance + "/" + call.request.path);
+  if (!standing(now)) {
+    out.calls.push_back(Abandon{id});
+    deny(out, now, id, 503, "no standing", true, 1);
+    return out;
+  }
+  if (route == routes_.end() || rows_[route->second].pool != row.pool) {
+    out.calls.push_back(Abandon{id});
+    deny(out, now, id, route == routes_.end() ? 404 : 503, "the blueprint has changed", true, route == routes_.end() ? 0 : 1);
+    return out;
+  }
+  if (!usable(now, call.replica)) {
+    out.calls.push_back(Abandon{id});
+    retry(out, now, id, "replica left before sending");
+    return out;
+  }
+  if (now >= call.until) {
+    out.calls.push_back(Abandon{id});
+    deny(out, now, id, 503, "deadline passed", true, 1);
+    return out;
+  }
+  call.phase = Phase::handed;
+  call.phaseAt = now;
+  call.handedAt = now;
+  call.dispatched = true;
+  if (!call.request.id.empty()) seen_[call.request.instance + "|" + call.request.id].mayHaveRun = true;
+  if (call.prefix != 0) {
+    count(prefixes_.last(call.prefix) == static_cast<std::int64_t>(call.replica) ? "prefix_kept" : "prefix_moved");
+    prefixes_.served(call.prefix, call.replica);
+  }
+  count("handed_over");
+  out.calls.push_back(HandOver{id});
+  return out;
+}
+
+void Plane::retry(Commands& out, Tick now, CallId id, char const* why) {
+  Call& call = calls_.at(id);
+  bool const again = call.dispatched;
+  CORKWARD_INVARIANT(call.phase == Phase::connecting);
+  call.phase = Phase::held;
+  uncount(out, now, call);
+  if (now >= call.until) {
+    deny(out, now, id, 503, "deadline passed", true, 1);
+    return;
+  }
+  if (!budget_.retry(now, rosterSize())) {
+    deny(out, now, id, 503, std::string(why) + "; no retry left", true, 1);
+    return;
+  }
+  count(again ? "retried_dispatched" : "retried");
+  CreditKey const key{rows_[call.path].pool, rows_[call.path].instance};
+  if (tryConnect(out, now, id)) return;
+  credits_.at(key).held[lane(rows_[call.path].path.cls)].push_front(id);
+}
+
+Commands Plane::connectDenied(Tick now, CallId id) {
+  Commands out;
+  std::unordered_map<CallId, Call>::iterator const it = calls_.find(id);
+  if (it != calls_.end() && it->second.phase == Phase::handed && it->second.resumes > 0) {
+    breakOff(out, now, id);
+    return out;
+  }
+  if (it == calls_.end() || it->second.phase != Phase::connecting) return out;
+  replicas_[it->second.replica].coolUntil = now + tuning_.coolFor;
+  note(out, now, "replica-cooled", {{"replica", replicaNames_.name(it->second.replica)}, {"why", "connect denied"}});
+  retry(out, now, id, "replica refused the connection");
+  refreshCandidates(out, now);
+  return out;
+}
+
+Commands Plane::firstWord(Tick now, CallId id, bool runKnown) {
+  Commands out;
+  std::unordered_map<CallId, Call>::iterator const it = calls_.find(id);
+  if (it == calls_.end() || it->second.phase != Phase::handed) return out;
+  Call& call = it->second;
+  Row const& row = rows_[call.path];
+  bool const first = !call.runKnown && call.resumes == 0;
+  call.phase = Phase::streaming;
+  call.phaseAt = now;
+  call.runKnown = runKnown;
+  replicas_[call.replica].errors = 0;
+  if (!first) return out;
+  CreditKey const key{row.pool, row.instance};
+  credits_.at(key).scaler.firstWord(now, call.replica, now - call.handedAt, row.path.aim);
+  count("first_words");
+  pump(out, now, key);
+  return out;
+}
+
+Commands Plane::ended(Tick now, CallId id, End end) {
+  Commands out;
+  std::unordered_map<CallId, Call>::iterator const it = calls_.find(id);
+  if (it == calls_.end()) return out;
+  Call& call = it->second;
+  bool const streaming = call.phase == Phase::streaming;
+  CORKWARD_INVARIANT(call.phase == Phase::handed || streaming);
+  if (end == End::whole) {
+    count("served");
+    Call gone = call;
+    forget(now, id);
+    uncount(out, now, gone);
+    return out;
+  }
+  if (end == End::notRun && !streaming && call.resumes == 0) {
+    if (!call.request.id.empty()) seen_[call.request.instance + "|" + call.request.id].mayHaveRun = false;
+    count("replica_not_run");
+    replicas_[call.replica].coolUntil = std::max(replicas_[call.replica].coolUntil, now + tuning_.busyFor);
+    call.phase = Phase::connecting;
+    retry(out, now, id, "replica said not run");
+    return out;
+  }
+  Replica& r = replicas_[call.replica];
+  if (end == End::broken && ++r.errors >= 2) {
+    r.coolUntil = now + tuning_.coolFor;
+    note(out, now, "replica-cooled", {{"replica", replicaNames_.name(call.replica)}, {"why", "broken streams"}});
+  }
+  Row const& row = rows_[call.path];
+  bool const mayResume = end == End::broken && call.runKnown && row.path.resumable && call.resumes < tuning_.resumes &&
+                         r.listed && standing(now) && budget_.retry(now, rosterSize());
+  if (mayResume) {
+    ++call.resumes;
+    call.phase = Phase::handed;
+    call.phaseAt = now;
+    count("resumed");
+    std::string const& name = replicaNames_.name(call.replica);
+    out.calls.push_back(Connect{id, name.substr(name.find('|') + 1), row.path.path, true});
+    return out;
+  }
+  if (streaming || call.resumes > 0) {
+    breakOff(out, now, id);
+  } else {
+    deny(out, now, id, 502, "unknown, may have run", false, 0);
+  }
+  refreshCandidates(out, now);
+  return out;
+}
+
+void Plane::breakOff(Commands& out, Tick now, CallId id) {
+  count("broken");
+  out.calls.push_back(Abandon{id});
+  out.calls.push_back(Abort{id});
+  Call gone = calls_.at(id);
+  forget(now, id);
+  uncount(out, now, gone);
+}
+
+Commands Plane::callerGone(Tick now, CallId id) {
+  Commands out;
+  std::unordered_map<CallId, Call>::iterator const it = calls_.find(id);
+  if (it == calls_.end()) return out;
+  count("caller_gone");
+  if (it->second.counted) out.calls.push_back(Abandon{id});
+  unhold(id);
+  Call gone = it->second;
+  forget(now, id);
+  uncount(out, now, gone);
+  return out;
+}
+
+Commands Plane::clockEvent(Tick now) {
+  Commands out;
+  if (now >= askAt_) {
+    askAt_ = now + tuning_.askEvery;
+    signal::Ask const ask{now, lookout_.self(), !whole_, stamps()};
+    for (std::string const& s : substations(now)) out.sends.push_back(signal::Send{s, ask});
+  }
+  if (now >= touchAt_) {
+    touchAt_ = now + tuning_.touchEvery;
+    signal::Touch touch;
+    touch.tick = now;
+    touch.whole = whole_;
+    touch.wantWhole = !whole_ && now - started_ > 2000;
+    touch.link = lookout_.self().link;
+    touch.inc = lookout_.self().inc;
+    touch.stamps = stamps();
+    std::set<std::string> to;
+    for (std::string const& link : rosterOthers()) to.insert(link);
+    if (!whole_)
+      for (signal::Contact const& c : lookout_.ofRole("nacelle", now)) to.insert(c.link);
+    for (std::string const& link : to) out.sends.push_back(signal::Send{link, touch});
+  }
+  std::vector<signal::Send> sends = lookout_.clockEvent(now);
+  std::move(sends.begin(), sends.end(), std::back_inserter(out.sends));
+  if (now >= warmAt_) {
+    warmAt_ = now + tuning_.warmEvery;
+    warmDuties(out, now);
+  }
+  std::vector<CallId> late;
+  for (std::unordered_map<CallId, Call>::value_type const& c : calls_) {
+    Call const& call = c.second;
+    if ((call.phase == Phase::asking && now - call.phaseAt > tuning_.seenWait) ||
+        (call.phase == Phase::connecting && now - call.phaseAt > tuning_.connectLimit) ||
+        (call.phase != Phase::streaming && now >= call.until))
+      late.push_back(c.first);
+  }
+  std::sort(late.begin(), late.end());
+  for (CallId const id : late) {
+    std::unordered_map<CallId, Call>::iterator const it = calls_.find(id);
+    if (it == calls_.end()) continue;
+    switch (it->second.phase) {
+      case Phase::asking:
+        deny(out, now, id, 409, "another node cannot say whether an earlier attempt ran", false, 0);
+        break;
+      case Phase::held:
+        if (now >= it->second.until)
+          deny(out, now, id, 503, "held too long", true, comeBack(credits_.at({rows_[it->second.path].pool, rows_[it->second.path].instance})));
+        break;
+      case Phase::connecting: {
+        out.calls.push_back(Abandon{id});
+        Commands more = connectDenied(now, id);
+        std::move(more.calls.begin(), more.calls.end(), std::back_inserter(out.calls));
+        std::move(more.notes.begin(), more.notes.end(), std::back_inserter(out.notes));
+        break;
+      }
+      case Phase::handed: {
+        Replica& r = replicas_[it->second.replica];
+        if (++r.errors >= 2) r.coolUntil = now + tuning_.coolFor;
+        if (it->second.resumes > 0) {
+          breakOff(out, now, id);
+        } else {
+          out.calls.push_back(Abandon{id});
+          deny(out, now, id, 504, "unknown, may have run", false, 0);
+        }
+        break;
+      }
+      case Phase::streaming:
+        break;
+    }
+  }
+  if (now >= lookAt_) {
+    lookAt_ = now + lookEvery;
+    refreshCandidates(out, now);
+    std::vector<CreditKey> keys;
+    for (std::map<CreditKey, Credit>::value_type& c : credits_) {
+      if (now - c.second.rateAt >= 1000) {
+        double const rate = 1000.0 * c.second.endedSince / static_cast<double>(std::max<Tick>(now - c.second.rateAt, 1));
+        c.second.perSecond = c.second.perSecond == 0 ? rate : 0.5 * c.second.perSecond + 0.5 * rate;
+        c.second.endedSince = 0;
+        c.second.rateAt = now;
+      }
+      keys.push_back(c.first);
+    }
+    for (CreditKey const& k : keys) look(out, now, k);
+  }
+  return out;
+}
+
+void Plane::warmDuties(Commands& out, Tick now) {
+  std::vector<std::string> const subs = substations(now);
+  std::vector<std::string> nodes = rosterOthers();
+  nodes.push_back(lookout_.self().link);
+  for (std::size_t p = 0; p < poolViews_.size(); ++p) {
+    for (Index const r : poolViews_[p].replicas) {
+      Warm& w = warm_.try_emplace(r).first->second;
+      bool const want = !draining_ && whole_ && replicas_[r].state == blueprint::ReplicaState::cold && replicas_[r].listed &&
+                        !evacuated(replicas_[r].zone);
+      if (!want) {
+        w.until = -1;
+        w.wantedSince = -1;
+        continue;
+      }
+      if (w.wantedSince < 0) w.wantedSince = now;
+      std::string const& name = replicaNames_.name(r);
+      std::uint64_t const mine = core::stableHash(name + lookout_.self().link);
+      Tick rank = 0;
+      for (std::string const& n : nodes) rank += core::stableHash(name + n) < mine ? 1 : 0;
+      bool const held = now < w.until;
+      Tick const openSince = std::max(w.wantedSince, w.coveredUntil);
+      if (!held && now - openSince < rank * 2 * tuning_.warmEvery) continue;
+      w.askedAt = now;
+      if (w.grants.size() > 8) w.grants.erase(w.grants.begin());
+      for (std::string const& s : subs)
+        out.sends.push_back(signal::Send{s, signal::WarmAsk{now, name, lookout_.self().link, lookout_.self().inc, false, ""}});
+    }
+  }
+}
+
+void Plane::on(Commands& out, Tick now, std::string const&, signal::WarmGrant const& m) {
+  Index const r = replicaNames_.index(m.replica);
+  if (r >= replicas_.size()) return;
+  Warm& w = warm_.try_emplace(r).first->second;
+  if (!m.ok) {
+    if (m.holder != lookout_.self().link) w.coveredUntil = std::max(w.coveredUntil, now + tuning_.warmLease);
+    return;
+  }
+  std::map<std::string, Key>::const_iterator const cohort = keys_.find(cohortKey);
+  if (cohort == keys_.end()) return;
+  std::set<std::string>& yes = w.grants[m.tick];
+  yes.insert(m.member);
+  std::size_t n = 0;
+  QJsonArray const members = cohort->second.value.value("members").toArray();
+  for (QJsonValue const v : members) n += yes.count(core::str(v.toObject().value("id").toString()));
+  if (n < majorityOf(static_cast<std::size_t>(members.size())) || m.tick + tuning_.warmLease <= w.until) return;
+  bool const fresh = now >= w.until;
+  w.until = m.tick + tuning_.warmLease;
+  if (!fresh) return;
+  w.bucket = governor::ColdBucket(now);
+  note(out, now, "warming-duty", {{"replica", m.replica}, {"epoch", std::to_string(m.epoch)}});
+  refreshCandidates(out, now);
+}
+
+Commands Plane::drain(Tick now) {
+  Commands out;
+  if (draining_) return out;
+  draining_ = true;
+  lookout_.setDraining();
+  note(out, now, "draining", {{"in-hand", std::to_string(calls_.size())}});
+  std::vector<std::string> const others = rosterOthers();
+  signal::SeenLeft left{lookout_.self().link, lookout_.self().inc, {}};
+  for (std::unordered_map<std::string, Seen>::value_type const& s : seen_)
+    if (s.second.mayHaveRun && left.ids.size() < 20000) left.ids.push_back(s.first);
+  for (std::string const& link : others) out.sends.push_back(signal::Send{link, left});
+  for (std::map<Index, Warm>::value_type& w : warm_) {
+    if (now >= w.second.until) continue;
+    w.second.until = -1;
+    for (std::string const& s : substations(now))
+      out.sends.push_back(signal::Send{s, signal::WarmAsk{now, replicaNames_.name(w.first), lookout_.self().link, lookout_.self().inc, true,
+                                                          others.empty() ? "" : others[w.first % others.size()]}});
+  }
+  std::vector<CallId> waiting;
+  for (std::unordered_map<CallId, Call>::value_type const& c : calls_)
+    if (c.second.phase == Phase::asking) waiting.push_back(c.first);
+  for (CallId const id : waiting) deny(out, now, id, 503, "leaving", true, 1);
+  return out;
+}
+
+std::string Plane::metrics(Tick now) const {
+  std::string out = "# TYPE corkward_nacelle_events_total counter\n";
+  for (std::map<std::string, std::uint64_t>::value_type const& c : counters_)
+    out += "corkward_nacelle_events_total{event=\"" + c.first + "\"} " + std::to_string(c.second) + "\n";
+  out += "# TYPE corkward_nacelle_standing gauge\ncorkward_nacelle_standing " + std::string(standing(now) ? "1" : "0") + "\n";
+  out += "# TYPE corkward_nacelle_in_hand gauge\ncorkward_nacelle_in_hand " + std::to_string(calls_.size()) + "\n";
+  out += "# TYPE corkward_nacelle_part gauge\n# TYPE corkward_nacelle_cap gauge\n# TYPE corkward_nacelle_in_flight gauge\n# TYPE corkward_nacelle_held gauge\n";
+  for (std::map<CreditKey, Credit>::value_type const& c : credits_) {
+    std::string const labels = "{instance=\"" + instances_.name(c.first.second) + "\",pool=\"" + pools_.name(c.first.first) + "\"} ";
+    out += "corkward_nacelle_part" + labels + std::to_string(c.second.scaler.part().size()) + "\n";
+    out += "corkward_nacelle_cap" + labels + std::to_string(c.second.scaler.cap()) + "\n";
+    out += "corkward_nacelle_in_flight" + labels + std::to_string(c.second.scaler.inFlight()) + "\n";
+    out += "corkward_nacelle_held" + labels + std::to_string(c.second.heldCount()) + "\n";
+  }
+  return out;
+}
+
+QJsonObject Plane::state(Tick now) const {
+  QJsonObject stampsOut;
+  for (std::map<std::string, Key>::value_type const& k : keys_) stampsOut.insert(core::qstr(k.first), static_cast<qint64>(k.second.stamp));
+  return QJsonObject{{"link", core::qstr(lookout_.self().link)}, {"zone", core::qstr(lookout_.self().zone)},
+                     {"standing", standing(now)}, {"ready", ready(now)}, {"draining", draining_}, {"whole", whole_},
+                     {"rosterSize", static_cast<qint64>(rosterSize())}, {"inHand", static_cast<qint64>(calls_.size())},
+                     {"stamps", stampsOut}};
+}
+
+}  // namespace corkward::rotor
--- /dev/null
+++ b/substation/include/corkward/substation/plane.h
@@ -0,0 +1,151 @@
+#pragma once
+
+#include <QJsonObject>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <corkward/core/journal.h>
+#include <corkward/lookout/lookout.h>
+#include <corkward/mooring/mooring.h>
+
+namespace corkward::substation {
+
+using core::Tick;
+
+/// Starting values of the control plane.
+struct Tuning {
+  mooring::Tuning mooring;
+  /// A nacelle without a confirmation this fresh denies new work; see rotor::Tuning::confirmFor.
+  Tick fence = 1500;
+  Tick fenceMargin = 200;
+  Tick forceLimit = 4000;
+  Tick relayLimit = 9000;
+  /// A relayed call is sent again after this long; its change id keeps it from counting twice.
+  Tick resendEvery = 1500;
+  Tick repushEvery = 300;
+  Tick strikeAfter = 60000;
+  Tick warmLease = 1500;
+  Tick probeAfter = 400;
+};
+
+/// Answers an operator's call that came in at this process's own door.
+struct Answer {
+  std::uint64_t token = 0;
+  int status = 0;
+  QJsonObject body;
+};
+
+/// Commands of one event.
+struct Commands {
+  std::vector<signal::Send> sends;
+  std::vector<mooring::Persist> persists;
+  std::vector<Answer> answers;
+  /// Link addresses to knock at: is anything listening there?
+  std::vector<std::string> probes;
+  std::vector<core::Note> notes;
+};
+
+/// The control plane of one machine as a pure reducer over its events.
+class Plane {
+ public:
+  Plane(signal::Contact self, std::string memberId, std::vector<std::string> seeds, std::vector<std::string> founders,
+        std::uint64_t seed, Tuning tuning = {});
+
+  Commands restore(std::map<std::string, std::string> const& slots, bool damaged, Tick now);
+  Commands arrived(Tick now, std::string const& from, signal::Message const& message);
+  Commands clockEvent(Tick now);
+  Commands written(Tick now, std::uint64_t ticket, bool ok);
+  /// A call at this process's door; the answer comes with the call's token.
+  Commands operatorCall(Tick now, signal::Call const& call);
+  /// What knocking at a link address showed.
+  Commands probed(Tick now, std::string const& link, bool refused);
+  /// Hands every owned key to a named successor and takes no calls from here on.
+  Commands drain(Tick now);
+
+  /// True while this substation is in fresh touch with a majority of the disks.
+  bool ready(Tick now) const;
+  QJsonObject fleet(Tick now) const;
+  /// Counters folded from the journal and gauges, in Prometheus' text form.
+  std::string metrics(Tick now) const;
+  mooring::Mooring const& mooring() const { return mooring_; }
+  /// Calls that are waiting for their answer.
+  std::size_t inHand() const { return calls_.size() + forces_.size(); }
+
+ private:
+  struct CallState {
+    std::string from;
+    std::uint64_t token = 0;
+    std::string key;
+    signal::Call call;
+    Tick since = 0;
+    Tick sentAt = 0;
+    bool relayed = false;
+  };
+  struct Force {
+    std::uint64_t call = 0;
+    std::string key;
+    std::uint64_t stamp = 0;
+    Tick since = 0;
+    Tick majorityAt = -1;
+    int status = 0;
+    QJsonObject body;
+  };
+  struct Nacelle {
+    signal::Contact contact;
+    Tick heard = -1;
+    signal::Stamps stamps;
+    std::map<std::string, std::pair<std::uint64_t, Tick>> pushed;
+    std::uint64_t number = 0;
+    Tick refusedAt = -1;
+    Tick probedAt = -1;
+    Tick wantWhole = -1;
+  };
+  struct Lease {
+    std::string holder;
+    std::uint64_t inc = 0;
+    std::uint64_t epoch = 0;
+    Tick until = 0;
+  };
+
+  void take(Commands& out, Tick now, mooring::Commands&& from);
+  void decided(Commands& out, Tick now, mooring::Decided const& d);
+  void finish(Commands& out, Tick now, std::uint64_t call, int status, QJsonObject body);
+  void route(Commands& out, Tick now, std::uint64_t call);
+  void push(Commands& out, Tick now, std::string const& link, Nacelle& n);
+  void acked(Commands& out, Tick now, std::string const& link, std::uint64_t inc, signal::Stamps const& stamps);
+  void checkForces(Commands& out, Tick now);
+  enum class InForce { yes, majority, no };
+  InForce inForce(Tick now, std::string const& key, std::uint64_t stamp, Tick since) const;
+  void considerRoster(Commands& out, Tick now);
+  bool rosterSettled(Tick now) const;
+  std::set<std::string> rosterLinks(char const* field) const;
+  std::uint64_t committedStamp(std::string const& key) const;
+  void hint(Commands& out, Tick now, signal::Call const& call, std::string const& pool);
+  QJsonObject localPage(Tick now, signal::Call const& call, int& status) const;
+  void on(Commands& out, Tick now, std::string const& from, signal::Shuffle const& m);
+  void on(Commands& out, Tick now, std::string const& from, signal::Call const& m);
+  void on(Commands& out, Tick now, std::string const& from, signal::Outcome const& m);
+  void on(Commands& out, Tick now, std::string const& from, signal::NewsAck const& m);
+  void on(Commands& out, Tick now, std::string const& from, signal::Ask const& m);
+  void on(Commands& out, Tick now, std::string const& from, signal::WarmAsk const& m);
+
+  Tuning tuning_;
+  lookout::Lookout lookout_;
+  mooring::Mooring mooring_;
+  core::Journal journal_;
+  std::map<std::string, std::uint64_t> counters_;
+  std::uint64_t nextCall_ = 1;
+  std::map<std::uint64_t, CallState> calls_;
+  std::vector<Force> forces_;
+  std::map<std::string, Nacelle> nacelles_;
+  std::map<std::string, Lease> leases_;
+  Tick started_ = 0;
+  Tick rosterAt_ = 0;
+  Tick rosterCommittedAt_ = 0;
+  bool rosterCalling_ = false;
+  bool draining_ = false;
+};
+
+}  // namespace corkward::substation
--- a/substation/src/empty.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-namespace corkward::substation {}
--- /dev/null
+++ b/substation/src/judge.cpp
@@ -0,0 +1,224 @@
+#include <corkward/substation/judge.h>
+
+#include <QJsonArray>
+#include <vector>
+
+#include <corkward/blueprint/blueprint.h>
+#include <corkward/core/json.h>
+
+namespace corkward::substation {
+
+namespace {
+
+using mooring::Verdict;
+
+Verdict deny(int status, std::string const& error, std::string const& reason, std::string const& pointer = "") {
+  Verdict v;
+  v.status = status;
+  v.body = QJsonObject{{"error", core::qstr(error)}, {"reason", core::qstr(reason)}};
+  if (!pointer.empty()) v.body.insert("pointer", core::qstr(pointer));
+  return v;
+}
+
+Verdict replay(int status, std::uint64_t stamp, std::string const& changeId) {
+  Verdict v;
+  v.status = status;
+  v.body = QJsonObject{{"changeId", core::qstr(changeId)}, {"stamp", static_cast<qint64>(stamp)}, {"replayed", true}};
+  return v;
+}
+
+std::string bare(std::string const& ifMatch) {
+  if (ifMatch.size() >= 2 && ifMatch.front() == '"' && ifMatch.back() == '"') return ifMatch.substr(1, ifMatch.size() - 2);
+  return ifMatch;
+}
+
+std::vector<std::string> split(std::string const& path) {
+  std::vector<std::string> out;
+  std::string part;
+  for (std::size_t i = 1; i <= path.size(); ++i) {
+    if (i == path.size() || path[i] == '/') {
+      out.push_back(part);
+      part.clear();
+    } else {
+      part += path[i];
+    }
+  }
+  return out;
+}
+
+QString digestOf(signal::Call const& call) {
+  return QString::number(core::stableHash(call.method + " " + call.path + " " + bare(call.ifMatch) + " " + call.body), 16);
+}
+
+QJsonObject readBody(signal::Call const& call) {
+  QJsonValue const v = core::parseJson(call.body);
+  if (!v.isObject()) throw core::JsonError("must be an object");
+  return v.toObject();
+}
+
+Verdict judgeFamily(std::uint64_t stamp, QJsonObject const& family, signal::Call const& call,
+                    std::function<bool(std::string const&)> const& poolKnown) {
+  Target const target = *targetOf(call.path);
+  bool const ofInstance = !target.instance.empty();
+  QJsonObject const instances = family.value("instances").toObject();
+  QJsonObject const current =
+      ofInstance ? instances.value(core::qstr(target.instance)).toObject() : family.value("template").toObject();
+  qint64 const have = current.value("stamp").toInteger();
+  if (call.method == "GET") {
+    if (have == 0) return deny(404, "not found", "no such " + std::string(ofInstance ? "instance" : "template"));
+    Verdict v;
+    v.body = QJsonObject{{"spec", current.value("spec")}, {"stamp", have}};
+    if (!ofInstance) {
+      QJsonArray names;
+      for (QString const& n : instances.keys()) names.append(n);
+      v.body.insert("instances", names);
+    }
+    return v;
+  }
+  if (call.method == "CHANGE") {
+    for (QJsonValue const c : family.value("changes").toArray())
+      if (c.toObject().value("id").toString() == core::qstr(call.changeId))
+        return replay(c.toObject().value("status").toInt(), static_cast<std::uint64_t>(c.toObject().value("stamp").toInteger()), call.changeId);
+    return deny(404, "not found", "no change of that id was accepted for this template");
+  }
+  for (QJsonValue const c : family.value("changes").toArray()) {
+    QJsonObject const o = c.toObject();
+    if (call.dryRun || o.value("id").toString() != core::qstr(call.changeId)) continue;
+    if (o.value("digest").toString() != digestOf(call))
+      return deny(409, "change id reused", "the id " + call.changeId + " stands for another change");
+    return replay(o.value("status").toInt(), static_cast<std::uint64_t>(o.value("stamp").toInteger()), call.changeId);
+  }
+  if (call.ifMatch.empty())
+    return deny(428, "stamp missing", "say If-Match with the stamp the change was built on, 0 to make a new one");
+  if (bare(call.ifMatch) != std::to_string(have)) {
+    Verdict v = deny(412, "stale stamp", "built on " + bare(call.ifMatch) + ", but the newest is " + std::to_string(have));
+    v.body.insert("stamp", have);
+    return v;
+  }
+  if (call.method != "PUT" && have == 0)
+    return deny(404, "not found", "no such " + std::string(ofInstance ? "instance" : "template"));
+  if (ofInstance && !family.contains("template")) return deny(404, "not found", "no such template");
+  qint64 const next = static_cast<qint64>(stamp) + 1;
+  QJsonObject changed = family;
+  try {
+    QJsonObject fresh;
+    if (call.method == "PUT")
+      fresh = QJsonObject{{"spec", readBody(call)}, {"stamp", next}};
+    else if (call.method == "PATCH")
+      fresh = QJsonObject{{"spec", core::mergePatch(current.value("spec"), readBody(call))}, {"stamp", next}};
+    if (ofInstance) {
+      QJsonObject all = instances;
+      if (call.method == "DELETE")
+        all.remove(core::qstr(target.instance));
+      else
+        all.insert(core::qstr(target.instance), fresh);
+      changed.insert("instances", all);
+    } else if (call.method == "DELETE") {
+      changed.remove("template");
+    } else {
+      changed.insert("template", fresh);
+    }
+    blueprint::checkFamily(changed, poolKnown);
+  } catch (core::JsonError const& e) {
+    return deny(400, "malformed", e.what(), "/");
+  } catch (blueprint::Error const& e) {
+    return deny(422, "not a valid blueprint", e.reason(), e.pointer());
+  }
+  if (core::jsonText(changed).size() > 4 * maxBody) return deny(413, "too large", "the family would pass its limit");
+  Verdict v;
+  v.status = call.method == "PUT" && have == 0 ? 201 : 200;
+  v.body = QJsonObject{{"changeId", core::qstr(call.changeId)}, {"stamp", next}};
+  if (call.dryRun) {
+    v.status = 200;
+    v.body.insert("dryRun", true);
+    return v;
+  }
+  QJsonArray window = family.value("changes").toArray();
+  window.append(QJsonObject{{"id", core::qstr(call.changeId)}, {"digest", digestOf(call)}, {"status", v.status}, {"stamp", next}});
+  while (static_cast<std::size_t>(window.size()) > blueprint::changeWindow) window.removeFirst();
+  changed.insert("changes", window);
+  v.change = true;
+  v.value = changed;
+  return v;
+}
+
+Verdict judgePool(std::uint64_t stamp, QJsonObject const& current, signal::Call const& call) {
+  if (call.method == "GET") {
+    if (stamp == 0) return deny(404, "not found", "no such pool");
+    Verdict v;
+    v.body = current;
+    v.body.insert("stamp", static_cast<qint64>(stamp));
+    return v;
+  }
+  try {
+    QJsonObject const next = readBody(call);
+    blueprint::Pool const list = blueprint::readPool(next);
+    std::uint64_t const have = static_cast<std::uint64_t>(current.value("generation").toInteger());
+    if (list.generation == have && next == current) return replay(200, stamp, call.changeId);
+    if (list.generation <= have)
+      return deny(409, "older generation", "the list held has generation " + std::to_string(have));
+    Verdict v;
+    v.change = !call.dryRun;
+    v.value = next;
+    v.body = QJsonObject{{"changeId", core::qstr(call.changeId)}, {"stamp", static_cast<qint64>(stamp) + 1}};
+    return v;
+  } catch (core::JsonError const& e) {
+    return deny(400, "malformed", e.what(), "/");
+  } catch (blueprint::Error const& e) {
+    return deny(422, "not a valid list", e.reason(), e.pointer());
+  }
+}
+
+Verdict judgeZone(std::uint64_t stamp, QJsonObject const& current, signal::Call const& call) {
+  bool const have = current.value("evacuated").toBool();
+  if (call.method == "GET") {
+    Verdict v;
+    v.body = QJsonObject{{"evacuated", have}, {"stamp", static_cast<qint64>(stamp)}};
+    return v;
+  }
+  bool const want = call.method == "PUT";
+  if (want == have) return replay(200, stamp, call.changeId);
+  Verdict v;
+  v.change = !call.dryRun;
+  v.value = QJsonObject{{"evacuated", want}};
+  v.body = QJsonObject{{"changeId", core::qstr(call.changeId)}, {"stamp", static_cast<qint64>(stamp) + 1}, {"evacuated", want}};
+  return v;
+}
+
+Verdict judgeRoster(std::uint64_t stamp, QJsonObject const& current, signal::Call const& call) {
+  if (bare(call.ifMatch) != std::to_string(stamp)) return deny(412, "stale stamp", "the roster has moved on");
+  Verdict v;
+  v.change = true;
+  v.value = core::parseJson(call.body).toObject();
+  v.value.insert("previous", current.value("nodes").toArray());
+  return v;
+}
+
+}  // namespace
+
+std::optional<Target> targetOf(std::string const& path) {
+  std::vector<std::string> const parts = split(path);
+  if (parts.size() < 3 || parts[0] != "v1") return std::nullopt;
+  if (parts[1] == "templates" && blueprint::validName(parts[2])) {
+    if (parts.size() == 3) return Target{"family:" + parts[2], parts[2], ""};
+    if (parts.size() == 5 && parts[3] == "instances" && blueprint::validName(parts[4]))
+      return Target{"family:" + parts[2], parts[2], parts[4]};
+  }
+  if (parts[1] == "evacuations" && parts.size() == 3 && blueprint::validName(parts[2]))
+    return Target{"zone:" + parts[2], "", ""};
+  if (parts[1] == "platform" && parts.size() == 4 && parts[2] == "pools" && blueprint::validName(parts[3]))
+    return Target{"pool:" + parts[3], "", ""};
+  if (parts[1] == "roster" && parts.size() == 3) return Target{"roster", "", ""};
+  return std::nullopt;
+}
+
+mooring::Verdict judge(std::string const& key, std::uint64_t stamp, QJsonObject const& value, signal::Call const& call,
+                       std::function<bool(std::string const&)> const& poolKnown) {
+  if (key.rfind("family:", 0) == 0) return judgeFamily(stamp, value, call, poolKnown);
+  if (key.rfind("pool:", 0) == 0) return judgePool(stamp, value, call);
+  if (key.rfind("zone:", 0) == 0) return judgeZone(stamp, value, call);
+  if (key == "roster") return judgeRoster(stamp, value, call);
+  return deny(404, "not found", "no such key");
+}
+
+}  // namespace corkward::substation
--- /dev/null
+++ b/yard/common/body.cpp
@@ -0,0 +1,40 @@
+#include "body.h"
+
+#include <sstream>
+
+namespace corkward::yard {
+
+std::string word(std::string const& run, std::uint64_t n) { return run + " " + std::to_string(n) + "\n"; }
+
+std::string bodyOf(std::string const& run, std::uint64_t words) {
+  std::string out;
+  for (std::uint64_t n = 0; n < words; ++n) out += word(run, n);
+  return out + run + " end " + std::to_string(words) + "\n";
+}
+
+BodyVerdict checkBody(std::string const& body) {
+  BodyVerdict out;
+  std::istringstream in(body);
+  std::string line;
+  std::uint64_t next = 0;
+  bool ended = false;
+  while (std::getline(in, line)) {
+    std::size_t const space = line.find(' ');
+    std::string const run = line.substr(0, space);
+    if (out.run.empty()) out.run = run;
+    std::string const rest = space == std::string::npos ? "" : line.substr(space + 1);
+    if (run != out.run || ended) out.oneRun = false;
+    if (rest == "end " + std::to_string(next)) {
+      ended = true;
+    } else if (rest == std::to_string(next)) {
+      ++next;
+    } else {
+      out.oneRun = false;
+    }
+  }
+  out.words = next;
+  out.whole = ended && out.oneRun && !body.empty() && body.back() == '\n';
+  return out;
+}
+
+}  // namespace corkward::yard
--- /dev/null
+++ b/yard/common/body.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace corkward::yard {
+
+/// The n-th word of a run's body: it names the run and the place, so gaps, repeats and mixes show.
+std::string word(std::string const& run, std::uint64_t n);
+
+/// The whole body of a run of so many words.
+std::string bodyOf(std::string const& run, std::uint64_t words);
+
+/// What a caller can tell of a body it was given.
+struct BodyVerdict {
+  bool whole = false;
+  bool oneRun = true;
+  std::string run;
+  std::uint64_t words = 0;
+};
+
+/// Checks a body against what its run must have produced. The last word carries the count of words.
+BodyVerdict checkBody(std::string const& body);
+
+}  // namespace corkward::yard
--- /dev/null
+++ b/yard/fleet/fleet.cpp
@@ -0,0 +1,237 @@
+#include "fleet.h"
+
+#include <QCoreApplication>
+#include <QDir>
+#include <QElapsedTimer>
+#include <QEventLoop>
+#include <QFile>
+#include <QHostAddress>
+#include <QJsonArray>
+#include <QNetworkReply>
+#include <QTcpServer>
+#include <QTimer>
+#include <csignal>
+
+#include <corkward/core/json.h>
+
+#include "clock.h"
+
+namespace corkward::yard {
+
+Fleet::Fleet(Deployment const& deployment) : deployment_(deployment) {
+  core::Rng rng(programs::freshSeed());
+  net_ = "127." + std::to_string(10 + rng.below(200)) + "." + std::to_string(1 + rng.below(250)) + ".";
+  int machine = 0;
+  std::vector<std::string> founders;
+  for (int i = 0; i < deployment.disks; ++i) {
+    Node n;
+    std::string const ip = net_ + std::to_string(++machine);
+    n.name = "substation" + std::to_string(i + 1);
+    n.link = freeAddress(ip);
+    n.http = freeAddress(ip);
+    n.zone = "z" + std::to_string(i % deployment.zones + 1);
+    n.data = folder() + "/" + n.name;
+    founders.push_back(n.link);
+    substations_.push_back(std::move(n));
+  }
+  for (int i = 0; i < deployment.nacelles; ++i) {
+    Node n;
+    std::string const ip = net_ + std::to_string(++machine);
+    n.name = "nacelle" + std::to_string(i + 1);
+    n.link = freeAddress(ip);
+    n.http = freeAddress(ip);
+    n.zone = "z" + std::to_string(i % deployment.zones + 1);
+    nacelles_.push_back(std::move(n));
+  }
+  for (int i = 0; i < deployment.models + deployment.others; ++i) {
+    Node n;
+    bool const model = i < deployment.models;
+    n.name = model ? "model" + std::to_string(i + 1) : std::string(deployment.otherPool) + std::to_string(i - deployment.models + 1);
+    n.http = freeAddress(net_ + std::to_string(100 + i));
+    n.zone = "z" + std::to_string(i % deployment.zones + 1);
+    n.pool = model ? "model" : deployment.otherPool;
+    n.record = folder() + "/" + n.name + ".record";
+    n.program = CORKWARD_BIN "/yard/standin-replica";
+    n.flags = {"--http", core::qstr(n.http), "--record", core::qstr(n.record)};
+    if (!model) n.flags += {"--first-ms", "5", "--words", "1", "--slots", "32"};
+    if (model) n.flags += {"--slots", "8"};
+    replicas_.push_back(std::move(n));
+  }
+  for (std::vector<Node>* const group : {&substations_, &nacelles_})
+    for (Node& n : *group) {
+      bool const disk = group == &substations_;
+      n.program = QString(CORKWARD_BIN "/programs/") + (disk ? "corkward-substation" : "corkward-nacelle");
+      QFile settings(core::qstr(folder() + "/" + n.name + ".conf"));
+      settings.open(QIODevice::WriteOnly);
+      std::string text = "link = " + n.link + "\nhttp = " + n.http + "\nzone = " + n.zone + "\n";
+      for (std::size_t i = 0; i < 3; ++i) text += "seed = " + substations_[i % substations_.size()].link + "\n";
+      if (disk) text += "data = " + n.data + "\n";
+      if (disk)
+        for (std::string const& f : founders) text += "founder = " + f + "\n";
+      text += "log-file = " + folder() + "/" + n.name + ".log\n";
+      settings.write(QByteArray::fromStdString(text));
+      n.flags = {"--settings", settings.fileName()};
+    }
+}
+
+Fleet::~Fleet() {
+  for (std::vector<Node>* const group : {&nacelles_, &substations_, &replicas_})
+    for (Node& n : *group)
+      if (n.process) kill9(n);
+}
+
+std::string Fleet::freeAddress(std::string const& ip) {
+  QTcpServer probe;
+  if (!probe.listen(QHostAddress(core::qstr(ip)), 0)) throw FleetError("no free port at " + ip);
+  return ip + ":" + std::to_string(probe.serverPort());
+}
+
+void Fleet::start(Node& node) {
+  node.process = std::make_unique<QProcess>();
+  node.process->setProcessChannelMode(QProcess::MergedChannels);
+  node.process->setStandardOutputFile(core::qstr(folder() + "/" + node.name + ".out"), QIODevice::Append);
+  node.process->start(node.program, node.flags);
+  if (!node.process->waitForStarted(10000)) throw FleetError("cannot start " + node.name);
+}
+
+void Fleet::startAll() {
+  for (std::vector<Node>* const group : {&replicas_, &substations_, &nacelles_})
+    for (Node& n : *group) start(n);
+}
+
+void Fleet::kill9(Node& node) {
+  if (!node.process) return;
+  ::kill(static_cast<pid_t>(node.process->processId()), SIGCONT);
+  node.process->kill();
+  node.process->waitForFinished(10000);
+  node.process.reset();
+}
+
+void Fleet::freeze(Node& node) { ::kill(static_cast<pid_t>(node.process->processId()), SIGSTOP); }
+void Fleet::wake(Node& node) { ::kill(static_cast<pid_t>(node.process->processId()), SIGCONT); }
+
+int Fleet::stop(Node& node) {
+  node.process->terminate();
+  until(node.name + " to stop", [&] { return node.process->state() == QProcess::NotRunning; }, 90000);
+  int const code = node.process->exitStatus() == QProcess::NormalExit ? node.process->exitCode() : -1;
+  node.process.reset();
+  return code;
+}
+
+void Fleet::wipe(Node& node) { QDir(core::qstr(node.data)).removeRecursively(); }
+
+void Fleet::until(std::string const& what, std::function<bool()> const& condition, int limitMs) {
+  QElapsedTimer clock;
+  clock.start();
+  while (!condition()) {
+    if (clock.elapsed() > limitMs) throw FleetError("waited in vain for " + what);
+    runFor(20);
+  }
+}
+
+void Fleet::runFor(int ms) {
+  QEventLoop loop;
+  QTimer::singleShot(ms, &loop, &QEventLoop::quit);
+  loop.exec();
+}
+
+Reply Fleet::call(Node const& node, std::string const& method, std::string const& path, std::string const& body,
+                  std::string const& ifMatch, std::string const& changeId) {
+  QNetworkRequest request(QUrl(core::qstr("http://" + node.http + path)));
+  request.setTransferTimeout(15000);
+  request.setHeader(QNetworkRequest::ContentTypeHeader, "application/json");
+  if (!ifMatch.empty()) request.setRawHeader("If-Match", QByteArray::fromStdString(ifMatch));
+  if (!changeId.empty()) request.setRawHeader("Corkward-Change-Id", QByteArray::fromStdString(changeId));
+  std::unique_ptr<QNetworkReply> const reply(
+      manager_.sendCustomRequest(request, QByteArray::fromStdString(method), QByteArray::fromStdString(body)));
+  QEventLoop loop;
+  QObject::connect(reply.get(), &QNetworkReply::finished, &loop, &QEventLoop::quit);
+  if (!reply->isFinished()) loop.exec();
+  Reply out;
+  out.status = reply->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
+  try {
+    out.body = core::parseJson(reply->readAll().toStdString()).toObject();
+  } catch (core::JsonError const&) {
+    out.body = {};
+  }
+  return out;
+}
+
+Reply Fleet::get(std::string const& address, std::string const& path) {
+  Node n;
+  n.http = address;
+  return call(n, "GET", path);
+}
+
+void Fleet::getAsync(std::string const& address, std::string const& path, std::function<void(Reply)> done) {
+  QNetworkRequest request(QUrl(core::qstr("http://" + address + path)));
+  request.setTransferTimeout(1000);
+  QNetworkReply* const reply = manager_.get(request);
+  QObject::connect(reply, &QNetworkReply::finished, this, [reply, done] {
+    Reply out;
+    out.status = reply->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
+    reply->deleteLater();
+    done(out);
+  });
+}
+
+Node& Fleet::firstSubstation() {
+  for (Node& n : substations_)
+    if (n.process && get(n.http, "/readyz").status == 200) return n;
+  throw FleetError("no substation is ready");
+}
+
+void Fleet::giveLists(std::map<std::string, std::string> const& states) {
+  ++generation_;
+  for (std::string const& pool : {std::string("model"), std::string(deployment_.otherPool)}) {
+    QJsonArray list;
+    for (Node const& r : replicas_) {
+      if (r.pool != pool) continue;
+      std::map<std::string, std::string>::const_iterator const it = states.find(r.name);
+      if (it != states.end() && it->second == "gone") continue;
+      list.append(QJsonObject{{"address", core::qstr(r.http)},
+                              {"zone", core::qstr(r.zone)},
+                              {"state", core::qstr(it == states.end() ? "serving" : it->second)}});
+    }
+    std::string const body =
+        core::jsonText(QJsonObject{{"generation", static_cast<qint64>(generation_)}, {"coldRate", 2}, {"replicas", list}});
+    Reply const r = call(firstSubstation(), "PUT", "/v1/platform/pools/" + pool, body);
+    if (r.status != 200) throw FleetError("pool " + pool + ": status " + std::to_string(r.status) + " " + core::jsonText(r.body));
+  }
+}
+
+std::vector<std::string> Fleet::instances() const {
+  std::string const family = deployment_.family;
+  return {family + ".nord", family + ".sued"};
+}
+
+void Fleet::loadBlueprints() {
+  std::string const family = deployment_.family;
+  QFile file(core::qstr(std::string(CORKWARD_SOURCE "/examples/") + family + ".json"));
+  if (!file.open(QIODevice::ReadOnly)) throw FleetError("no example for " + family);
+  Reply const t = call(firstSubstation(), "PUT", "/v1/templates/" + family, file.readAll().toStdString(), "0");
+  if (t.status != 201) throw FleetError("template: status " + std::to_string(t.status) + " " + core::jsonText(t.body));
+  for (std::string const& name : {std::string("nord"), std::string("sued")}) {
+    Reply const i = call(firstSubstation(), "PUT", "/v1/templates/" + family + "/instances/" + name,
+                         R"({"parameters":{"site":")" + name + "\"}}", "0");
+    if (i.status != 201) throw FleetError("instance: status " + std::to_string(i.status) + " " + core::jsonText(i.body));
+  }
+}
+
+void Fleet::untilReady(std::size_t nacelles) {
+  until("ready nacelles", [&] {
+    std::size_t n = 0;
+    for (Node const& node : nacelles_)
+      if (node.process && get(node.http, "/readyz").status == 200) ++n;
+    return n >= nacelles;
+  });
+}
+
+std::string Fleet::logTail(Node const& node) const {
+  QFile file(core::qstr(folder() + "/" + node.name + ".log"));
+  if (!file.open(QIODevice::ReadOnly)) return "";
+  QByteArray const all = file.readAll();
+  return all.right(2000).toStdString();
+}
+
+}  // namespace corkward::yard
--- /dev/null
+++ b/yard/fleet/fleet.h
@@ -0,0 +1,121 @@
+#pragma once
+
+#include <QJsonObject>
+#include <QNetworkAccessManager>
+#include <QObject>
+#include <QProcess>
+#include <QTemporaryDir>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <corkward/core/error.h>
+#include <corkward/core/types.h>
+
+namespace corkward::yard {
+
+/// A fleet that does not do what was waited for.
+class FleetError : public core::Error {
+ public:
+  using core::Error::Error;
+};
+
+/// Size and mix of one deployment.
+struct Deployment {
+  char const* name;
+  int zones;
+  int disks;
+  int nacelles;
+  int models;
+  int others;
+  double streams;
+  double quick;
+  char const* otherPool;
+  char const* family;
+  char const* bulkPath;
+  char const* shortPath;
+  char const* quickPath;
+};
+
+inline constexpr Deployment deployments[] = {
+    {"harmattan", 3, 3, 8, 9, 3, 100, 25, "gateway", "fault-desk", "narrate", "pitch", "ack"},
+    {"lernkarten", 4, 4, 8, 9, 4, 110, 30, "study", "card-desk", "deck", "hint", "lookup"},
+    {"small", 2, 3, 3, 3, 1, 20, 5, "gateway", "fault-desk", "narrate", "pitch", "ack"}};
+
+/// One process of the fleet.
+struct Node {
+  std::string name;
+  std::string link;
+  std::string http;
+  std::string zone;
+  std::string pool;
+  std::string record;
+  std::string data;
+  QStringList flags;
+  QString program;
+  std::unique_ptr<QProcess> process;
+};
+
+/// Answer to an operator's call.
+struct Reply {
+  int status = 0;
+  QJsonObject body;
+};
+
+/// A fleet of real processes on loopback addresses; it alone starts processes.
+class Fleet : public QObject {
+ public:
+  explicit Fleet(Deployment const& deployment);
+  ~Fleet() override;
+
+  void startAll();
+  void start(Node& node);
+  void kill9(Node& node);
+  void freeze(Node& node);
+  void wake(Node& node);
+  /// SIGTERM, then waits for the end; returns the exit code.
+  int stop(Node& node);
+  void wipe(Node& node);
+
+  /// Runs the event loop until the condition holds; throws FleetError after the limit.
+  void until(std::string const& what, std::function<bool()> const& condition, int limitMs = 30000);
+  /// Runs the event loop for the time that the traffic takes.
+  void runFor(int ms);
+
+  /// One call to a substation, waited for.
+  Reply call(Node const& node, std::string const& method, std::string const& path, std::string const& body = "",
+             std::string const& ifMatch = "", std::string const& changeId = "");
+  /// A plain GET; status 0 when nobody answers.
+  Reply get(std::string const& address, std::string const& path);
+  void getAsync(std::string const& address, std::string const& path, std::function<void(Reply)> done);
+
+  /// The platform gives both pools' lists; state by replica name, serving when not named.
+  void giveLists(std::map<std::string, std::string> const& states = {});
+  void loadBlueprints();
+  void untilReady(std::size_t nacelles);
+
+  Deployment const& deployment() const { return deployment_; }
+  std::vector<Node>& substations() { return substations_; }
+  std::vector<Node>& nacelles() { return nacelles_; }
+  std::vector<Node>& replicas() { return replicas_; }
+  Node& firstSubstation();
+  std::string folder() const { return folder_.path().toStdString(); }
+  /// Every instance's name as callers use it.
+  std::vector<std::string> instances() const;
+  std::string logTail(Node const& node) const;
+
+ private:
+  std::string freeAddress(std::string const& ip);
+  Deployment deployment_;
+  QTemporaryDir folder_;
+  QNetworkAccessManager manager_;
+  std::string net_;
+  std::uint64_t generation_ = 0;
+  std::vector<Node> substations_;
+  std::vector<Node> nacelles_;
+  std::vector<Node> replicas_;
+};
+
+}  // namespace corkward::yard
--- /dev/null
+++ b/yard/fleet/traffic.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <QObject>
+#include <QTimer>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <corkward/door/relay.h>
+
+#include "body.h"
+#include "fleet.h"
+
+namespace corkward::yard {
+
+/// What callers saw of one request.
+struct CallerRecord {
+  std::string id;
+  std::string cls;
+  std::string outcome;
+  int attempts = 0;
+  std::vector<std::string> runs;
+  core::Tick firstWord = -1;
+  core::Tick began = 0;
+  bool deniedAsNotRun = false;
+};
+
+/// Figures of one run, from the callers' and the replicas' own records.
+struct Report {
+  std::map<std::string, std::size_t> outcomes;
+  std::map<std::string, std::vector<core::Tick>> firstWords;
+  std::size_t runTwice = 0;
+  std::size_t badBodies = 0;
+  std::size_t deniedButRan = 0;
+  std::size_t replicaRuns = 0;
+  std::size_t prefixHits = 0;
+  std::size_t prefixMisses = 0;
+  std::size_t requests = 0;
+};
+
+/// Callers with the deployment's mix: each goes to nodes that say they are ready, and comes back when told to.
+class Traffic : public QObject {
+ public:
+  Traffic(Fleet& fleet, std::uint64_t seed, double scale);
+  void startCalling();
+  void stopCalling();
+  std::size_t open() const { return open_.size(); }
+  /// Requests whose final outcome is known, by outcome.
+  std::map<std::string, std::size_t> outcomes() const;
+  /// Joins the callers' records with the replicas'. Call when open() is 0.
+  Report report() const;
+  std::vector<CallerRecord> const& records() const { return done_; }
+  void send(std::string const& cls);
+
+ private:
+  struct Open {
+    CallerRecord record;
+    std::string instance;
+    std::string path;
+    std::string prefix;
+    std::string body;
+    bool earlierNotRun = true;
+    core::Tick deadline = 0;
+    door::Relay* relay = nullptr;
+    door::ReplicaHead head;
+    std::string got;
+  };
+  void arrive();
+  void attempt(std::string const& id);
+  void ended(std::string const& id, bool whole);
+  void finish(std::string const& id, std::string const& outcome);
+  void look();
+  Fleet& fleet_;
+  core::Rng rng_;
+  double scale_;
+  QTimer arrivals_;
+  QTimer looks_;
+  double due_ = 0;
+  core::Tick last_ = 0;
+  std::uint64_t next_ = 1;
+  std::set<std::string> ready_;
+  std::map<std::string, Open> open_;
+  std::vector<CallerRecord> done_;
+};
+
+/// The report as lines for people.
+std::string text(Report const& report);
+
+}  // namespace corkward::yard
--- /dev/null
+++ b/yard/replica/main.cpp
@@ -0,0 +1,197 @@
+#include <QCoreApplication>
+#include <QTimer>
+#include <boost/program_options.hpp>
+#include <deque>
+#include <fstream>
+#include <iostream>
+#include <unordered_map>
+
+#include <corkward/core/json.h>
+#include <corkward/door/server.h>
+
+#include "body.h"
+#include "clock.h"
+
+namespace corkward::yard {
+
+namespace po = boost::program_options;
+
+/// A stand-in for a model replica or a small ordinary service: runs what it is handed, a few at a time, and writes
+/// down every run.
+class Replica : public QObject {
+ public:
+  struct Ways {
+    std::string http;
+    std::string record;
+    int slots = 4;
+    int queue = 64;
+    int firstMs = 40;
+    int gapMs = 5;
+    int words = 5;
+    int longWords = 60;
+    int dropAfter = 0;
+  };
+
+  explicit Replica(Ways const& ways)
+      : ways_(ways), name_(programs::freshName().substr(0, 8)), record_(ways.record, std::ios::app), server_(ways.http, door::Limits{}, events()) {
+    write("up", "", "", "");
+  }
+
+ private:
+  struct Run {
+    std::uint64_t call = 0;
+    std::string run;
+    std::string id;
+    bool bulk = false;
+    int firstMs = 0;
+    std::uint64_t words = 0;
+    std::uint64_t next = 0;
+    std::string resumed;
+  };
+
+  door::Server::Events events() {
+    door::Server::Events e;
+    e.request = [this](door::Request r) { take(std::move(r)); };
+    e.gone = [this](std::uint64_t id) { gone(id); };
+    return e;
+  }
+
+  void write(std::string const& what, std::string const& run, std::string const& id, std::string const& more) {
+    record_ << programs::now() << " " << what << " " << (run.empty() ? "-" : run) << " " << (id.empty() ? "-" : id) << " "
+            << (more.empty() ? "-" : more) << std::endl;
+  }
+
+  void take(door::Request r) {
+    std::string const id = r.fields["corkward-request-id"];
+    std::string const target = r.target;
+    std::string const attempt = r.fields["corkward-attempt"];
+    if (r.fields.count("corkward-run") > 0) {
+      resume(r, id);
+      return;
+    }
+    if (static_cast<int>(running_.size() + queue_.size()) >= ways_.slots + ways_.queue) {
+      write("not-run", "", id, attempt);
+      server_.answer(r.id, 503, {{"corkward-run", "none"}}, "");
+      return;
+    }
+    Run run;
+    run.call = r.id;
+    run.run = name_ + "-" + std::to_string(++count_);
+    run.id = id;
+    run.bulk = target.find("narrate") != std::string::npos || target.find("deck") != std::string::npos;
+    run.words = static_cast<std::uint64_t>(run.bulk ? ways_.longWords : ways_.words);
+    run.firstMs = ways_.firstMs;
+    std::string prefix;
+    try {
+      prefix = core::str(core::parseJson(r.body).toObject().value("prefix").toString());
+    } catch (core::JsonError const&) {
+      prefix.clear();
+    }
+    bool const hit = !prefix.empty() && prefixes_.count(prefix) > 0;
+    if (hit) run.firstMs /= 4;
+    if (!prefix.empty()) prefixes_[prefix] = 1;
+    write("run", run.run, id, attempt + "/" + target.substr(1) + "/" + (prefix.empty() ? "none" : hit ? "hit" : "miss"));
+    queue_.push_back(run);
+    next();
+  }
+
+  void resume(door::Request const& r, std::string const& id) {
+    std::string const run = r.fields.at("corkward-run");
+    std::string const offset = r.fields.count("corkward-offset") > 0 ? r.fields.at("corkward-offset") : "";
+    std::unordered_map<std::string, std::uint64_t>::const_iterator const it = known_.find(run);
+    std::string const body = it == known_.end() ? "" : bodyOf(run, it->second);
+    if (it == known_.end() || offset.empty() || std::stoull(offset) > body.size()) {
+      write("resume-denied", run, id, offset);
+      server_.answer(r.id, 410, {}, "");
+      return;
+    }
+    write("resume", run, id, offset);
+    server_.begin(r.id, 206, {{"corkward-run", run}, {"corkward-offset", offset}}, -1);
+    server_.piece(r.id, body.substr(std::stoull(offset)));
+    server_.finish(r.id);
+  }
+
+  void next() {
+    while (static_cast<int>(running_.size()) < ways_.slots && !queue_.empty()) {
+      Run const run = queue_.front();
+      queue_.pop_front();
+      running_[run.call] = run;
+      known_[run.run] = run.words;
+      std::uint64_t const call = run.call;
+      QTimer::singleShot(run.firstMs, this, [this, call] { step(call); });
+    }
+  }
+
+  void step(std::uint64_t call) {
+    std::unordered_map<std::uint64_t, Run>::iterator const it = running_.find(call);
+    if (it == running_.end()) return;
+    Run& run = it->second;
+    if (run.next == 0) server_.begin(call, 200, {{"corkward-run", run.run}, {"content-type", "text/plain"}}, -1);
+    if (ways_.dropAfter > 0 && run.next == static_cast<std::uint64_t>(ways_.dropAfter)) {
+      write("dropped", run.run, run.id, "");
+      running_.erase(it);
+      server_.abort(call);
+      next();
+      return;
+    }
+    if (run.next < run.words) {
+      server_.piece(call, word(run.run, run.next++));
+      QTimer::singleShot(ways_.gapMs, this, [this, call] { step(call); });
+      return;
+    }
+    server_.piece(call, run.run + " end " + std::to_string(run.words) + "\n");
+    server_.finish(call);
+    write("end", run.run, run.id, "");
+    running_.erase(it);
+    next();
+  }
+
+  void gone(std::uint64_t id) {
+    std::unordered_map<std::uint64_t, Run>::iterator const it = running_.find(id);
+    if (it != running_.end()) {
+      write("gone", it->second.run, it->second.id, "");
+      running_.erase(it);
+    }
+    for (std::deque<Run>::iterator q = queue_.begin(); q != queue_.end(); ++q)
+      if (q->call == id) {
+        write("gone", q->run, q->id, "");
+        queue_.erase(q);
+        break;
+      }
+    next();
+  }
+
+  Ways ways_;
+  std::string name_;
+  std::ofstream record_;
+  std::uint64_t count_ = 0;
+  std::unordered_map<std::uint64_t, Run> running_;
+  std::deque<Run> queue_;
+  std::unordered_map<std::string, int> prefixes_;
+  std::unordered_map<std::string, std::uint64_t> known_;
+  door::Server server_;
+};
+
+}  // namespace corkward::yard
+
+int main(int argc, char** argv) {
+  QCoreApplication app(argc, argv);
+  corkward::yard::Replica::Ways w;
+  boost::program_options::options_description flags("standin-replica");
+  flags.add_options()("http", boost::program_options::value(&w.http)->required(), "own address")(
+      "record", boost::program_options::value(&w.record)->required(), "file that every run is written to")(
+      "slots", boost::program_options::value(&w.slots), "runs at a time")("queue", boost::program_options::value(&w.queue), "runs that wait")(
+      "first-ms", boost::program_options::value(&w.firstMs), "time to the first word")("gap-ms", boost::program_options::value(&w.gapMs), "time between words")(
+      "words", boost::program_options::value(&w.words), "words of a short run")("long-words", boost::program_options::value(&w.longWords), "words of a long run")(
+      "drop-after", boost::program_options::value(&w.dropAfter), "cut every stream after so many words");
+  try {
+    boost::program_options::variables_map vm;
+    boost::program_options::store(boost::program_options::parse_command_line(argc, argv, flags), vm);
+    boost::program_options::notify(vm);
+    corkward::yard::Replica replica(w);
+    return QCoreApplication::exec();
+  } catch (std::exception const& e) {
+    std::cerr << "standin-replica: " << e.what() << "\n";
+    return 2;
+  }
+}
