--- a/rotor/include/corkward/rotor/plane.h
+++ b/rotor/include/corkward/rotor/plane.h
@@ -136,6 +136,8 @@
   std::string metrics(Tick now) const;
   QJsonObject state(Tick now) const;
   std::uint64_t stampOf(std::string const& key) const;
+  /// Value in force for a key; empty when there is none.
+  QJsonObject valueOf(std::string const& key) const;
   core::Journal const& journal() const { return journal_; }
 
  private:
--- a/rotor/src/plane.cpp
+++ b/rotor/src/plane.cpp
@@ -43,6 +43,11 @@
   return it == keys_.end() ? 0 : it->second.stamp;
 }
 
+QJsonObject Plane::valueOf(std::string const& key) const {
+  std::map<std::string, Key>::const_iterator const it = keys_.find(key);
+  return it == keys_.end() ? QJsonObject() : it->second.value;
+}
+
 signal::Stamps Plane::stamps() const {
   signal::Stamps out;
   for (std::map<std::string, Key>::value_type const& k : keys_) out[k.first] = k.second.stamp;
--- /dev/null
+++ b/yard/sim/sweep.cpp
@@ -0,0 +1,102 @@
+#include <QCoreApplication>
+#include <algorithm>
+#include <boost/program_options.hpp>
+#include <atomic>
+#include <iostream>
+#include <mutex>
+#include <thread>
+
+#include "world.h"
+
+namespace corkward::yard {
+
+namespace po = boost::program_options;
+
+int sweep(int argc, char** argv) {
+  std::uint64_t from = 1;
+  std::uint64_t count = 100;
+  unsigned jobs = 8;
+  std::vector<std::string> names;
+  bool counts = false;
+  double demand = 0;
+  po::options_description flags("yard-sweep: simulated fleets over many seeds");
+  flags.add_options()("from", po::value(&from), "first seed")("count", po::value(&count), "seeds")("jobs", po::value(&jobs), "threads")(
+      "fault", po::value(&names), "cause this failure alone; may be repeated; without it, a random set for each seed")(
+      "demand", po::value(&demand), "requests a second")("counts", po::bool_switch(&counts), "print what each run counted")("list", "list the failures")("help", "print this");
+  po::variables_map vm;
+  try {
+    po::store(po::parse_command_line(argc, argv, flags), vm);
+    po::notify(vm);
+  } catch (po::error const& e) {
+    std::cerr << "yard-sweep: " << e.what() << "\n";
+    return 2;
+  }
+  if (vm.count("help") > 0) {
+    std::cout << flags;
+    return 0;
+  }
+  if (vm.count("list") > 0) {
+    for (FaultRow const& f : faultTable) std::cout << f.name << "\n";
+    return 0;
+  }
+  std::vector<Fault> faults;
+  for (std::string const& n : names) {
+    bool found = false;
+    for (FaultRow const& f : faultTable)
+      if (n == f.name) {
+        faults.push_back(f.fault);
+        found = true;
+      }
+    if (!found) {
+      std::cerr << "yard-sweep: no such failure: " << n << "\n";
+      return 2;
+    }
+  }
+  std::atomic<std::uint64_t> next{from};
+  std::atomic<std::uint64_t> bad{0};
+  std::mutex out;
+  std::vector<std::thread> threads;
+  for (unsigned j = 0; j < jobs; ++j)
+    threads.emplace_back([&] {
+      for (;;) {
+        std::uint64_t const seed = next++;
+        if (seed >= from + count) return;
+        Plan plan = faults.empty() ? chaos(seed) : only(seed, faults);
+        if (demand > 0) plan.demand = demand;
+        std::vector<std::string> violations;
+        Result result;
+        try {
+          result = World(plan).run();
+          violations = result.violations;
+        } catch (std::exception const& e) {
+          violations.push_back(std::string("thrown: ") + e.what());
+        }
+        std::lock_guard<std::mutex> const hold(out);
+        if (!violations.empty()) {
+          ++bad;
+          std::cout << "seed " << seed << ":\n";
+          for (std::string const& v : violations) std::cout << "  " << v << "\n";
+        }
+        if (counts) {
+          std::cout << "seed " << seed;
+          for (std::map<std::string, std::size_t>::value_type const& c : result.counts) std::cout << " " << c.first << "=" << c.second;
+          for (std::map<std::string, std::vector<Tick>>::value_type const& f : result.firstWords) {
+            std::vector<Tick> t = f.second;
+            std::sort(t.begin(), t.end());
+            std::cout << " " << f.first << "-median=" << t[t.size() / 2] << " " << f.first << "-99=" << t[t.size() * 99 / 100];
+          }
+          std::vector<Tick> a = result.ackTimes;
+          std::sort(a.begin(), a.end());
+          if (!a.empty()) std::cout << " ack-median=" << a[a.size() / 2] << " ack-most=" << a.back();
+          std::cout << "\n";
+        }
+      }
+    });
+  for (std::thread& t : threads) t.join();
+  std::cout << count << " seeds, " << bad << " with violations\n";
+  return bad == 0 ? 0 : 1;
+}
+
+}  // namespace corkward::yard
+
+int main(int argc, char** argv) { return corkward::yard::sweep(argc, argv); }
--- /dev/null
+++ b/yard/sim/world.h
@@ -0,0 +1,337 @@
+#pragma once
+
+#include <QJsonObject>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <corkward/rotor/plane.h>
+#include <corkward/substation/plane.h>
+
+#include "disk.h"
+
+namespace corkward::yard {
+
+using core::Tick;
+
+/// Failures of the brief that a run may cause.
+enum class Fault {
+  killNacelle,
+  killHerd,
+  killControl,
+  killAll,
+  freezeNacelle,
+  freezeSubstation,
+  isolateMember,
+  splitCore,
+  cutCore,
+  cutZone,
+  isolateNacelle,
+  oneWayCut,
+  diskSlow,
+  diskStall,
+  diskFull,
+  diskFail,
+  diskDamage,
+  powerLoss,
+  wipeSameAddress,
+  returnNewAddress,
+  replicaCrash,
+  replicaDark,
+  replicaVanish,
+  allSlow,
+  crowd,
+  hardRetries,
+  rollReplicas,
+  coldReplicas,
+  restartNacelle,
+  restartSubstation,
+  changeStorm,
+  races,
+  bigTemplate,
+  evacuate,
+  wallClockJump,
+  lossyNetwork
+};
+
+struct FaultRow {
+  Fault fault;
+  char const* name;
+};
+
+inline constexpr FaultRow faultTable[] = {{Fault::killNacelle, "kill-nacelle"},
+                                          {Fault::killHerd, "kill-herd"},
+                                          {Fault::killControl, "kill-control"},
+                                          {Fault::killAll, "kill-all"},
+                                          {Fault::freezeNacelle, "freeze-nacelle"},
+                                          {Fault::freezeSubstation, "freeze-substation"},
+                                          {Fault::isolateMember, "isolate-member"},
+                                          {Fault::splitCore, "split-core"},
+                                          {Fault::cutCore, "cut-core"},
+                                          {Fault::cutZone, "cut-zone"},
+                                          {Fault::isolateNacelle, "isolate-nacelle"},
+                                          {Fault::oneWayCut, "one-way-cut"},
+                                          {Fault::diskSlow, "disk-slow"},
+                                          {Fault::diskStall, "disk-stall"},
+                                          {Fault::diskFull, "disk-full"},
+                                          {Fault::diskFail, "disk-fail"},
+                                          {Fault::diskDamage, "disk-damage"},
+                                          {Fault::powerLoss, "power-loss"},
+                                          {Fault::wipeSameAddress, "wipe-same-address"},
+                                          {Fault::returnNewAddress, "return-new-address"},
+                                          {Fault::replicaCrash, "replica-crash"},
+                                          {Fault::replicaDark, "replica-dark"},
+                                          {Fault::replicaVanish, "replica-vanish"},
+                                          {Fault::allSlow, "all-slow"},
+                                          {Fault::crowd, "crowd"},
+                                          {Fault::hardRetries, "hard-retries"},
+                                          {Fault::rollReplicas, "roll-replicas"},
+                                          {Fault::coldReplicas, "cold-replicas"},
+                                          {Fault::restartNacelle, "restart-nacelle"},
+                                          {Fault::restartSubstation, "restart-substation"},
+                                          {Fault::changeStorm, "change-storm"},
+                                          {Fault::races, "races"},
+                                          {Fault::bigTemplate, "big-template"},
+                                          {Fault::evacuate, "evacuate"},
+                                          {Fault::wallClockJump, "wall-clock-jump"},
+                                          {Fault::lossyNetwork, "lossy-network"}};
+
+/// Switches that break a rule on purpose, to show that its oracle can fail.
+enum class Mutation {
+  none,
+  noFence,
+  earlyAck,
+  vouchTooSoon,
+  sayNotRun,
+  resendUnseen,
+  warmForever,
+  lyingDisk,
+  rewriteIfMatch,
+  denyAccepted,
+  dropOnRestart,
+  noReturn,
+  forgetLeaving
+};
+
+/// Sizes and failures of one run; everything else follows from the seed.
+struct Plan {
+  std::uint64_t seed = 1;
+  int substations = 3;
+  int nacelles = 8;
+  int models = 9;
+  int others = 3;
+  int zones = 3;
+  double demand = 40;
+  Tick length = 60000;
+  std::vector<Fault> faults;
+  /// Mean time between failures.
+  Tick every = 6000;
+  Mutation mutation = Mutation::none;
+  /// Whole pool, fewest in flight: the plain variant for comparisons.
+  bool plain = false;
+};
+
+/// What a run showed.
+struct Result {
+  std::vector<std::string> violations;
+  std::map<std::string, std::size_t> counts;
+  std::map<std::string, std::vector<Tick>> firstWords;
+  std::vector<Tick> ackTimes;
+  double partSum = 0;
+  std::size_t partSamples = 0;
+};
+
+/// A whole fleet, its network, disks, callers, replicas, operators and platform, from one seed.
+class World {
+ public:
+  explicit World(Plan plan);
+  ~World();
+  Result run();
+
+ private:
+  struct Node {
+    std::string link;
+    std::string zone;
+    bool alive = false;
+    bool frozen = false;
+    bool draining = false;
+    std::uint64_t life = 0;
+    Tick offset = 0;
+    double rate = 1.0;
+    std::deque<std::function<void()>> inbox;
+    std::unique_ptr<substation::Plane> control;
+    std::unique_ptr<rotor::Plane> data;
+    std::unique_ptr<SimDisk> disk;
+    std::unique_ptr<ledger::Ledger> ledger;
+    std::deque<std::pair<std::vector<ledger::Record>, std::vector<std::uint64_t>>> writes;
+    bool writing = false;
+    Tick diskDelay = 2;
+    bool diskStalled = false;
+  };
+  struct Run {
+    std::string run;
+    std::string id;
+    std::uint64_t attempt = 0;
+    std::uint64_t call = 0;
+    std::string node;
+    std::uint64_t life = 0;
+    bool alive = true;
+    bool done = false;
+    bool bulk = false;
+  };
+  struct Replica {
+    std::string address;
+    std::string zone;
+    std::string pool;
+    std::string state = "serving";
+    bool up = true;
+    bool dark = false;
+    bool listed = true;
+    double slow = 1.0;
+    std::uint64_t life = 0;
+    Tick shownLeaving = -1;
+    std::vector<Tick> coldHits;
+    std::map<std::string, Run> runs;
+    std::deque<std::string> queue;
+    int running = 0;
+    std::set<std::string> prefixes;
+  };
+  struct Caller {
+    std::string id;
+    std::string cls;
+    std::string instance;
+    std::string path;
+    std::string prefix;
+    std::uint64_t attempt = 0;
+    std::string node;
+    std::uint64_t life = 0;
+    std::uint64_t call = 0;
+    bool resumable = false;
+    bool earlierNotRun = true;
+    bool hard = false;
+    bool open = false;
+    Tick began = 0;
+    Tick deadline = 0;
+    bool worded = false;
+  };
+  struct Event {
+    Tick at;
+    std::uint64_t order;
+    std::function<void()> act;
+    bool operator<(Event const& o) const { return at != o.at ? at > o.at : order > o.order; }
+  };
+  struct Change {
+    std::string id;
+    std::string key;
+    std::string ifMatch;
+    std::string mark;
+    std::string what;
+    int status = 0;
+    std::uint64_t stamp = 0;
+    bool inForce = false;
+    Tick sentAt = 0;
+    Tick answeredAt = -1;
+  };
+
+  void at(Tick when, std::function<void()> act);
+  void after(Tick delay, std::function<void()> act) { at(now_ + delay, std::move(act)); }
+  Tick local(Node const& n) const;
+  Node* node(std::string const& link);
+  void toNode(std::string const& link, std::uint64_t life, std::function<void()> act);
+  void boot(Node& n);
+  void kill(Node& n, bool power);
+  void freeze(Node& n, Tick how);
+  void clock(std::string const& link, std::uint64_t life);
+  void send(std::string const& from, signal::Send const& s);
+  bool passes(std::string const& from, std::string const& to);
+  void run(Node& n, substation::Commands&& c);
+  void run(Node& n, rotor::Commands&& c);
+  void disk(Node& n);
+  void connect(Node& n, rotor::Connect const& m);
+  void handOver(Node& n, std::uint64_t call);
+  void abandon(Node& n, std::uint64_t call);
+  void reach(Node& n, std::uint64_t life, std::uint64_t call, Replica& r, rotor::Connect const& m);
+  void serveNext(Replica& r);
+  void crash(Replica& r);
+  Replica* replica(std::string const& address);
+  void callerArrives();
+  void callerSends(std::string const& id);
+  void callerDenied(std::string const& id, rotor::Deny const& d);
+  void callerCut(std::string const& id);
+  void callerEnds(std::string const& id, std::string const& outcome);
+  void operatorTurn();
+  void change(std::string const& key, std::string const& what, std::string const& method, std::string const& path, std::string const& body,
+              std::string const& ifMatch, std::string const& mark, std::function<void(int, QJsonObject const&)> then = {});
+  void putTemplate(std::string const& ifMatch, int extraPaths, std::function<void(int, QJsonObject const&)> then = {});
+  void platform();
+  void cause(Fault f);
+  void heal();
+  void watch();
+  void finalChecks();
+  void violation(std::string const& what);
+  std::string someSubstation();
+  int live(bool control) const;
+
+  Plan plan_;
+  core::Rng rng_;
+  Tick now_ = 0;
+  std::uint64_t order_ = 0;
+  std::priority_queue<Event> events_;
+  std::map<std::string, Node> nodes_;
+  std::map<std::string, Replica> replicas_;
+  std::set<std::pair<std::string, std::string>> cuts_;
+  std::set<std::string> zoneCuts_;
+  double loss_ = 0;
+  double duplication_ = 0;
+  Tick wallJump_ = 0;
+  struct Relayed {
+    std::string address;
+    std::string run;
+    std::string caller;
+    rotor::Connect connect;
+    std::uint64_t turn = 0;
+  };
+  std::map<std::pair<std::string, std::uint64_t>, Relayed> relays_;
+  std::map<std::string, Caller> callers_;
+  std::map<std::pair<std::string, std::uint64_t>, std::string> callerOf_;
+  std::uint64_t nextCall_ = 1;
+  std::uint64_t nextCaller_ = 1;
+  std::uint64_t nextRun_ = 1;
+  std::uint64_t nextChange_ = 1;
+  std::uint64_t generation_ = 0;
+  bool platformBusy_ = false;
+  bool operatorBusy_ = false;
+  double demandNow_ = 0;
+  double hardShare_ = 0;
+  bool quiet_ = false;
+  std::vector<Change> changes_;
+  std::map<std::string, std::pair<Tick, bool>> zoneShown_;
+  std::map<std::pair<std::string, std::uint64_t>, std::function<void(int, QJsonObject const&)>> answers_;
+  std::string lastStamp_;
+  std::string lastMark_;
+  std::map<std::string, std::vector<std::string>> runsOf_;
+  std::set<std::pair<std::string, std::uint64_t>> deniedNotRun_;
+  std::set<std::pair<std::string, std::uint64_t>> ranAttempts_;
+  std::deque<Tick> firsts_;
+  std::deque<Tick> retries_;
+  std::map<std::pair<std::string, std::uint64_t>, int> connects_;
+  Tick outageEnded_ = -1;
+  bool servedSince_ = true;
+  int newAddresses_ = 0;
+  bool totalOutage_ = false;
+  std::map<Fault, int> caused_;
+  Result result_;
+};
+
+/// A plan with every kind of failure, for sweeps.
+Plan chaos(std::uint64_t seed);
+
+/// A plan that causes the named failures alone.
+Plan only(std::uint64_t seed, std::vector<Fault> faults);
+
+}  // namespace corkward::yard
