Adopt the newest stamp among promises of one epoch, not the first one seen

Cause: a new owner chose among the promises by accepted epoch alone. One owner accepts several stamps under one epoch, so two promises may carry the same epoch with different stamps; the older one was adopted when it came first, and a chosen change was proposed over. The same comparison stood in the copy of a joining member. Ruled out: quorum counting (own promise is always in it), stale messages of an earlier life (epochs are synced first).

--- a/mooring/src/mooring.cpp
+++ b/mooring/src/mooring.cpp
@@ -22,6 +22,11 @@
   return Epoch{static_cast<std::uint64_t>(o.value("n").toInteger()), core::str(o.value("m").toString())};
 }
 
+template <class A, class B>
+bool newer(A const& a, B const& b) {
+  return b.acceptedEpoch < a.acceptedEpoch || (a.acceptedEpoch == b.acceptedEpoch && b.stamp < a.stamp);
+}
+
 QJsonObject cohortJson(std::vector<Member> const& members) {
   QJsonArray list;
   for (Member const& m : members)
@@ -276,7 +281,7 @@
   out.notes.push_back(core::Note{"owner", {{"key", key}, {"epoch", std::to_string(r.mine.n)}}});
   signal::Promise const* best = nullptr;
   for (std::map<std::string, signal::Promise>::value_type const& p : r.promises)
-    if (p.second.stamp > 0 && (best == nullptr || best->acceptedEpoch < p.second.acceptedEpoch)) best = &p.second;
+    if (p.second.stamp > 0 && (best == nullptr || newer(p.second, *best))) best = &p.second;
   if (best != nullptr) {
     Proposal p;
     p.stamp = best->stamp;
@@ -654,7 +659,7 @@
       Reg& r = reg(s.key);
       r.promised = std::max(r.promised, s.promised);
       r.highest = std::max(r.highest, s.promised.n);
-      if (s.stamp > 0 && r.acceptedEpoch < s.acceptedEpoch) {
+      if (s.stamp > 0 && newer(s, r)) {
         r.acceptedEpoch = s.acceptedEpoch;
         r.stamp = s.stamp;
         r.value = s.value;
