Keep a faulted connection open until its answer can be read, and test real fleets

Cause: after a fault the door closed its socket with unread bytes behind; the kernel then resets the connection and the caller loses the answer it was given (413 came back as no answer at all). Ruled out: the parser (the status was chosen rightly), the operator client (raw sockets saw the same reset). Before: a body of 3 MiB got no answer; after: 413, with the rest read and dropped for at most a second. With it: real-process tests for bad input, run-once at the wire, kills, freezes, wiped folders, an outage of control, a total outage, and both deployments from the example templates.

--- a/door/src/server.cpp
+++ b/door/src/server.cpp
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr qint64 readBuffer = 64 << 10;
+constexpr int lingerMs = 1000;
 
 std::string lower(std::string text) {
   for (char& c : text) c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
@@ -53,6 +54,7 @@
   bool chunked = false;
   bool continued = false;
   bool dropped = false;
+  bool faulted = false;
 };
 
 Server::Server(std::string const& address, Limits limits, Events events, QObject* parent)
@@ -111,6 +113,10 @@
 
 void Server::readable(std::shared_ptr<Conn> const& conn) {
   if (conn->dropped || conn->id != 0) return;
+  if (conn->faulted) {
+    conn->socket->readAll();
+    return;
+  }
   conn->buffer += conn->socket->readAll();
   while (!conn->buffer.isEmpty() && conn->id == 0 && !conn->dropped) {
     if (!conn->parser) {
@@ -172,8 +178,9 @@
   std::ostringstream text;
   text << message;
   conn->buffer.clear();
+  conn->faulted = true;
   conn->socket->write(QByteArray::fromStdString(text.str()));
-  conn->socket->disconnectFromHost();
+  conn->timer->start(lingerMs);
 }
 
 Server::Conn* Server::find(std::uint64_t id) const {
--- a/yard/fleet/fleet.cpp
+++ b/yard/fleet/fleet.cpp
@@ -176,9 +176,13 @@
 }
 
 Node& Fleet::firstSubstation() {
-  for (Node& n : substations_)
-    if (n.process && get(n.http, "/readyz").status == 200) return n;
-  throw FleetError("no substation is ready");
+  Node* found = nullptr;
+  until("a ready substation", [&] {
+    for (Node& n : substations_)
+      if (found == nullptr && n.process && get(n.http, "/readyz").status == 200) found = &n;
+    return found != nullptr;
+  });
+  return *found;
 }
 
 void Fleet::giveLists(std::map<std::string, std::string> const& states) {
--- a/yard/sim/world.cpp
+++ b/yard/sim/world.cpp
@@ -928,7 +928,9 @@
       if (!control.empty()) {
         Node& n = *control[rng_.below(control.size())];
         n.diskDelay = 200 + static_cast<Tick>(rng_.below(900));
-        after(shortly, [this, link = n.link] { node(link)->diskDelay = 2; });
+        after(shortly, [this, link = n.link] {
+          if (Node* const k = node(link)) k->diskDelay = 2;
+        });
       }
       break;
     case Fault::diskStall:
@@ -936,10 +938,11 @@
         Node& n = *control[rng_.below(control.size())];
         n.diskStalled = true;
         after(shortly, [this, link = n.link] {
-          Node& k = *node(link);
-          k.diskStalled = false;
-          k.writing = false;
-          if (k.alive) disk(k);
+          Node* const k = node(link);
+          if (k == nullptr) return;
+          k->diskStalled = false;
+          k->writing = false;
+          if (k->alive) disk(*k);
         });
       }
       break;
@@ -949,9 +952,10 @@
         Node& n = *control[rng_.below(control.size())];
         (f == Fault::diskFull ? n.disk->full : n.disk->failing) = true;
         after(shortly, [this, link = n.link] {
-          Node& k = *node(link);
-          if (k.alive) kill(k, false);
-          if (!k.alive) boot(k);
+          Node* const k = node(link);
+          if (k == nullptr) return;
+          if (k->alive) kill(*k, false);
+          boot(*k);
         });
       }
       break;
--- /dev/null
+++ b/yard/test/fleet_test.cpp
@@ -0,0 +1,338 @@
+#include <catch2/catch.hpp>
+
+#include <QCoreApplication>
+#include <QFile>
+#include <QHostAddress>
+#include <QTcpSocket>
+#include <iostream>
+
+#include <corkward/core/json.h>
+
+#include "fleet.h"
+#include "traffic.h"
+
+namespace core = corkward::core;
+namespace door = corkward::door;
+namespace yard = corkward::yard;
+
+namespace {
+
+yard::Deployment const& named(std::string const& name) {
+  for (yard::Deployment const& d : yard::deployments)
+    if (name == d.name) return d;
+  throw yard::FleetError("no deployment " + name);
+}
+
+/// One application for all tests of the program.
+void application() {
+  static int argc = 0;
+  static QCoreApplication app(argc, nullptr);
+}
+
+void bringUp(yard::Fleet& fleet) {
+  fleet.startAll();
+  fleet.until("ready substations", [&] {
+    for (yard::Node& n : fleet.substations())
+      if (fleet.get(n.http, "/readyz").status != 200) return false;
+    return true;
+  });
+  fleet.giveLists();
+  fleet.loadBlueprints();
+  fleet.untilReady(fleet.nacelles().size());
+}
+
+struct Raw {
+  std::string got;
+  bool closed = false;
+};
+
+/// Sends bytes as they are and waits for the end of the connection or for the words.
+Raw raw(yard::Fleet& fleet, std::string const& address, std::string const& bytes, std::string const& words) {
+  std::pair<std::string, std::uint16_t> const at = door::splitAddress(address);
+  QTcpSocket socket;
+  Raw out;
+  socket.connectToHost(QHostAddress(core::qstr(at.first)), at.second);
+  fleet.until("a connection", [&] { return socket.state() == QAbstractSocket::ConnectedState; });
+  socket.write(QByteArray::fromStdString(bytes));
+  fleet.until("an answer to raw bytes", [&] {
+    out.got += socket.readAll().toStdString();
+    out.closed = socket.state() != QAbstractSocket::ConnectedState;
+    return out.closed || (!words.empty() && out.got.find(words) != std::string::npos);
+  });
+  return out;
+}
+
+std::string post(std::string const& path, std::string const& fields, std::string const& body) {
+  return "POST " + path + " HTTP/1.1\r\nHost: x\r\n" + fields + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::size_t linesWith(std::string const& file, std::string const& word) {
+  QFile f(core::qstr(file));
+  if (!f.open(QIODevice::ReadOnly)) return 0;
+  std::size_t n = 0;
+  for (QByteArray const& line : f.readAll().split('\n')) n += line.contains(core::qstr(word).toUtf8()) ? 1 : 0;
+  return n;
+}
+
+std::size_t runsOf(yard::Fleet& fleet, std::string const& id) {
+  std::size_t n = 0;
+  for (yard::Node const& r : fleet.replicas()) n += linesWith(r.record, " " + id + " ");
+  return n;
+}
+
+void soundly(yard::Report const& report) {
+  CHECK(report.runTwice == 0);
+  CHECK(report.badBodies == 0);
+  CHECK(report.deniedButRan == 0);
+  CHECK(report.outcomes.count("served") == 1);
+}
+
+void drainTraffic(yard::Fleet& fleet, yard::Traffic& traffic) {
+  traffic.stopCalling();
+  fleet.until("the last answers", [&] { return traffic.open() == 0; }, 90000);
+}
+
+}  // namespace
+
+TEST_CASE("bad input gets a definite answer, changes nothing and takes no process down", "[input]") {
+  application();
+  yard::Fleet fleet(named("small"));
+  bringUp(fleet);
+  yard::Node& sub = fleet.firstSubstation();
+  yard::Node& nac = fleet.nacelles().front();
+  std::string const t = "/v1/templates/fault-desk";
+  yard::Reply const before = fleet.call(sub, "GET", t);
+  REQUIRE(before.status == 200);
+  std::string const stamp = std::to_string(before.body.value("stamp").toInteger());
+  constexpr char const* good = R"({"paths":[{"path":"a","pool":"model","class":"short"}]})";
+  CHECK(fleet.call(sub, "PUT", t, "{", stamp).status == 400);
+  CHECK(fleet.call(sub, "PUT", t, R"({"paths":[]})", stamp).status == 422);
+  CHECK(fleet.call(sub, "PUT", t, R"({"surprise":1})", stamp).body.value("pointer").toString() == "/template/surprise");
+  CHECK(fleet.call(sub, "PUT", t, good).status == 428);
+  CHECK(fleet.call(sub, "PUT", t, good, "12345").status == 412);
+  CHECK(fleet.call(sub, "PUT", t, std::string(3 << 20, ' '), stamp).status == 413);
+  CHECK(fleet.call(sub, "PUT", t + "/instances/neu", R"({"parameters":{}})", "0").status == 422);
+  CHECK(fleet.call(sub, "PUT", t + "/instances/neu", R"({"parameters":{"site":"x","extra":1}})", "0").status == 422);
+  CHECK(fleet.call(sub, "PUT", "/v1/templates/none/instances/neu", "{}", "0").status == 404);
+  CHECK(fleet.call(sub, "GET", "/v1/templates/none").status == 404);
+  CHECK(fleet.call(sub, "DELETE", t, "", stamp).status == 422);
+  CHECK(fleet.call(sub, "POST", t, "{}").status == 405);
+  CHECK(fleet.call(sub, "GET", "/v1/nowhere").status == 404);
+  CHECK(fleet.call(sub, "PUT", "/v1/platform/pools/model", R"({"generation":1,"replicas":[]})").status == 409);
+  CHECK(fleet.call(sub, "GET", "/v1/changes/never-said").status == 404);
+  std::string const nord = t + "/instances/nord";
+  std::string const is = std::to_string(fleet.call(sub, "GET", nord).body.value("stamp").toInteger());
+  CHECK(fleet.call(sub, "PATCH", nord, R"({"parameters":{"pitch-aim":700}})", is, "one").status == 200);
+  CHECK(fleet.call(sub, "PATCH", nord, R"({"parameters":{"pitch-aim":700}})", is, "one").body.value("replayed").toBool());
+  CHECK(fleet.call(sub, "PATCH", nord, R"({"parameters":{"pitch-aim":701}})", is, "one").status == 409);
+  CHECK(fleet.call(sub, "GET", "/v1/changes/one").body.value("inForce").toBool());
+  CHECK(fleet.call(sub, "GET", t).body.value("spec") == before.body.value("spec"));
+
+  CHECK(raw(fleet, nac.http, "GARBAGE\r\n\r\n", "").got.find(" 400 ") != std::string::npos);
+  CHECK(raw(fleet, nac.http, "POST /v1/a/b HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\nabc", "").got.find(" 400 ") != std::string::npos);
+  CHECK(raw(fleet, nac.http, "POST /v1/a/b HTTP/1.1\r\nContent-Length: -3\r\n\r\n", "").got.find(" 400 ") != std::string::npos);
+  CHECK(raw(fleet, nac.http, "POST /v1/a/b HTTP/1.1\r\nX: " + std::string(40000, 'x') + "\r\n\r\n", "").got.find(" 431 ") != std::string::npos);
+  CHECK(raw(fleet, nac.http, "POST /v1/a/b HTTP/1.1\r\nContent-Length: 9000000\r\n\r\n", "").got.find(" 413 ") != std::string::npos);
+  CHECK(raw(fleet, nac.http, "POST /v1/a/b HTTP/1.0\r\nContent-Length: 0\r\n\r\n", "").got.find(" 505 ") != std::string::npos);
+  CHECK(raw(fleet, nac.http, post("/v1/fault-desk.nord/nowhere", "", "{}"), "outcome").got.find(" 404 ") != std::string::npos);
+  CHECK(raw(fleet, nac.http, post("/v1/fault-desk.nord/pitch", "Corkward-Attempt: zero\r\n", "{}"), "outcome").got.find(" 400 ") != std::string::npos);
+  CHECK(raw(fleet, nac.http, post("/v1/fault-desk.nord/pitch", "Corkward-Attempt: 2\r\n", "{}"), "outcome").got.find(" 409 ") != std::string::npos);
+  {
+    std::pair<std::string, std::uint16_t> const at = door::splitAddress(nac.http);
+    QTcpSocket cut;
+    cut.connectToHost(QHostAddress(core::qstr(at.first)), at.second);
+    cut.write("POST /v1/fault-desk.nord/pitch HTTP/1.1\r\nCorkward-Request-Id: truncated\r\nContent-Length: 100\r\n\r\nhalf");
+    fleet.until("bytes to leave", [&] { return cut.state() == QAbstractSocket::ConnectedState && cut.bytesToWrite() == 0; });
+    cut.disconnectFromHost();
+  }
+  core::Rng rng(7);
+  for (yard::Node const* const n : {&sub, &nac})
+    for (int i = 0; i < 20; ++i) {
+      std::pair<std::string, std::uint16_t> const at = door::splitAddress(n->link);
+      QTcpSocket socket;
+      socket.connectToHost(QHostAddress(core::qstr(at.first)), at.second);
+      fleet.until("the link port", [&] { return socket.state() == QAbstractSocket::ConnectedState; });
+      QByteArray bytes(400, '\0');
+      for (char& c : bytes) c = static_cast<char>(rng.next());
+      if (i % 2 == 0) bytes.prepend(QByteArray("\0SP\0\0\x50\0\0", 8));
+      socket.write(bytes);
+      fleet.until("garbage to leave", [&] { return socket.bytesToWrite() == 0 || socket.state() != QAbstractSocket::ConnectedState; });
+    }
+  yard::Traffic traffic(fleet, 3, 1.0);
+  for (int i = 0; i < 20; ++i) traffic.send(i % 2 == 0 ? "short" : "urgent");
+  drainTraffic(fleet, traffic);
+  CHECK(traffic.outcomes()["served"] == 20);
+  CHECK(runsOf(fleet, "truncated") == 0);
+  for (std::vector<yard::Node>* const group : {&fleet.substations(), &fleet.nacelles()})
+    for (yard::Node const& n : *group) CHECK(n.process->state() == QProcess::Running);
+}
+
+TEST_CASE("run-once and whole bodies at the wire", "[wire]") {
+  application();
+  yard::Fleet fleet(named("small"));
+  for (yard::Node& n : fleet.replicas())
+    if (n.pool == "model") n.flags += {"--first-ms", "300", "--gap-ms", "20", "--drop-after", "3"};
+  bringUp(fleet);
+  yard::Node& nac = fleet.nacelles().front();
+  SECTION("a replica that breaks in mid-stream leaves a body that cannot look complete, and no second run") {
+    Raw const r = raw(fleet, nac.http, post("/v1/fault-desk.nord/pitch", "Corkward-Request-Id: broken1\r\n", "{}"), "");
+    CHECK(r.closed);
+    CHECK(r.got.find(" 200 ") != std::string::npos);
+    CHECK(r.got.find("\r\n0\r\n") == std::string::npos);
+    std::size_t const lines = runsOf(fleet, "broken1");
+    CHECK(lines == 2);
+    Raw const again = raw(fleet, nac.http, post("/v1/fault-desk.nord/pitch", "Corkward-Request-Id: broken1\r\nCorkward-Attempt: 2\r\n", "{}"), "outcome");
+    CHECK(again.got.find(" 409 ") != std::string::npos);
+    CHECK(again.got.find("\"unknown\"") != std::string::npos);
+    Raw const elsewhere = raw(fleet, fleet.nacelles()[1].http,
+                              post("/v1/fault-desk.nord/pitch", "Corkward-Request-Id: broken1\r\nCorkward-Attempt: 2\r\n", "{}"), "outcome");
+    CHECK(elsewhere.got.find(" 409 ") != std::string::npos);
+    CHECK(runsOf(fleet, "broken1") == lines);
+  }
+  SECTION("a resumable stream goes on with the same run at the same place") {
+    Raw const r = raw(fleet, nac.http, post("/v1/fault-desk.nord/report/nord", "Corkward-Request-Id: resumed1\r\n", "{}"), "\r\n0\r\n");
+    std::string body;
+    std::size_t at = r.got.find("\r\n\r\n") + 4;
+    while (at < r.got.size()) {
+      std::size_t const line = r.got.find("\r\n", at);
+      std::size_t const size = std::stoul(r.got.substr(at, line - at), nullptr, 16);
+      body += r.got.substr(line + 2, size);
+      at = line + 2 + size + 2;
+    }
+    yard::BodyVerdict const v = yard::checkBody(body);
+    CHECK(v.whole);
+    CHECK(v.oneRun);
+    std::size_t resumes = 0;
+    for (yard::Node const& n : fleet.replicas()) resumes += linesWith(n.record, " resume ");
+    CHECK(resumes == 1);
+  }
+  SECTION("a replica killed after the hand-over is unknown, never denied") {
+    std::pair<std::string, std::uint16_t> const at = door::splitAddress(nac.http);
+    QTcpSocket socket;
+    socket.connectToHost(QHostAddress(core::qstr(at.first)), at.second);
+    socket.write(QByteArray::fromStdString(post("/v1/fault-desk.nord/pitch", "Corkward-Request-Id: killed1\r\n", "{}")));
+    fleet.until("the run", [&] { return runsOf(fleet, "killed1") == 1; });
+    for (yard::Node& n : fleet.replicas())
+      if (n.pool == "model") fleet.kill9(n);
+    std::string got;
+    fleet.until("an answer", [&] {
+      got += socket.readAll().toStdString();
+      return got.find("outcome\":") != std::string::npos;
+    });
+    CHECK(got.find(" 502 ") != std::string::npos);
+    CHECK(got.find("\"unknown\"") != std::string::npos);
+    CHECK(got.find("Retry-After") == std::string::npos);
+    Raw const none = raw(fleet, nac.http, post("/v1/fault-desk.nord/pitch", "Corkward-Request-Id: none1\r\n", "{}"), "outcome\":");
+    CHECK(none.got.find(" 503 ") != std::string::npos);
+    CHECK(none.got.find("\"not-run\"") != std::string::npos);
+    CHECK(none.got.find("retry-after: ") != std::string::npos);
+  }
+  SECTION("a caller that is gone is told to its replica") {
+    std::pair<std::string, std::uint16_t> const at = door::splitAddress(nac.http);
+    QTcpSocket socket;
+    socket.connectToHost(QHostAddress(core::qstr(at.first)), at.second);
+    socket.write(QByteArray::fromStdString(post("/v1/fault-desk.nord/pitch", "Corkward-Request-Id: gone1\r\n", "{}")));
+    fleet.until("the run", [&] { return runsOf(fleet, "gone1") == 1; });
+    socket.abort();
+    fleet.until("the replica to notice", [&] {
+      std::size_t n = 0;
+      for (yard::Node const& r : fleet.replicas()) n += linesWith(r.record, " gone ");
+      return n == 1;
+    });
+  }
+}
+
+TEST_CASE("nacelles and substations are killed, frozen, restarted and wiped under traffic", "[faults]") {
+  application();
+  yard::Fleet fleet(named("small"));
+  bringUp(fleet);
+  yard::Traffic traffic(fleet, 5, 2.0);
+  traffic.startCalling();
+  std::string const t = "/v1/templates/fault-desk/instances/nord";
+  std::function<void(int)> const patch = [&](int aim) {
+    fleet.until("a change", [&] {
+      yard::Reply const now = fleet.call(fleet.firstSubstation(), "GET", t);
+      if (now.status != 200) return false;
+      yard::Reply const r = fleet.call(fleet.firstSubstation(), "PATCH", t, R"({"parameters":{"pitch-aim":)" + std::to_string(aim) + "}}",
+                                       std::to_string(now.body.value("stamp").toInteger()));
+      return r.status == 200;
+    });
+  };
+  patch(701);
+  fleet.kill9(fleet.nacelles()[0]);
+  patch(702);
+  fleet.start(fleet.nacelles()[0]);
+  fleet.untilReady(3);
+  fleet.freeze(fleet.nacelles()[1]);
+  patch(703);
+  fleet.wake(fleet.nacelles()[1]);
+  fleet.untilReady(3);
+  CHECK(fleet.stop(fleet.nacelles()[2]) == 0);
+  fleet.start(fleet.nacelles()[2]);
+  fleet.kill9(fleet.substations()[0]);
+  patch(704);
+  fleet.wipe(fleet.substations()[0]);
+  fleet.start(fleet.substations()[0]);
+  fleet.until("the empty member to vote", [&] {
+    return fleet.get(fleet.substations()[0].http, "/v1/fleet").body.value("voting").toBool() &&
+           fleet.get(fleet.substations()[0].http, "/readyz").status == 200;
+  });
+  CHECK(fleet.stop(fleet.substations()[1]) == 0);
+  patch(705);
+  fleet.start(fleet.substations()[1]);
+  fleet.untilReady(3);
+  std::size_t const beforeOutage = traffic.outcomes()["served"];
+  for (yard::Node& n : fleet.substations()) fleet.kill9(n);
+  fleet.until("traffic without control", [&] { return traffic.outcomes()["served"] > beforeOutage + 60; });
+  for (yard::Node& n : fleet.substations()) fleet.start(n);
+  fleet.untilReady(3);
+  drainTraffic(fleet, traffic);
+  soundly(traffic.report());
+  CHECK(fleet.call(fleet.firstSubstation(), "GET", t).body.value("spec").toObject().value("parameters").toObject().value("pitch-aim").toInteger() == 705);
+}
+
+TEST_CASE("after every process was killed the fleet serves again, with what was acknowledged", "[outage]") {
+  application();
+  yard::Fleet fleet(named("small"));
+  bringUp(fleet);
+  std::string const t = "/v1/templates/fault-desk";
+  yard::Reply const before = fleet.call(fleet.firstSubstation(), "GET", t);
+  for (std::vector<yard::Node>* const group : {&fleet.nacelles(), &fleet.substations(), &fleet.replicas()})
+    for (yard::Node& n : *group) fleet.kill9(n);
+  fleet.startAll();
+  fleet.untilReady(3);
+  yard::Traffic traffic(fleet, 9, 1.0);
+  for (int i = 0; i < 30; ++i) traffic.send("short");
+  drainTraffic(fleet, traffic);
+  CHECK(traffic.outcomes()["served"] == 30);
+  CHECK(fleet.call(fleet.firstSubstation(), "GET", t).body == before.body);
+}
+
+TEST_CASE("both deployments run whole: two instances, their mix, a leaving replica and an evacuated zone", "[deployments]") {
+  application();
+  for (char const* const name : {"harmattan", "lernkarten"}) {
+    yard::Fleet fleet(named(name));
+    bringUp(fleet);
+    yard::Traffic traffic(fleet, 11, 1.0);
+    traffic.startCalling();
+    fleet.until("traffic", [&] { return traffic.outcomes()["served"] > 200; });
+    fleet.giveLists({{"model1", "leaving"}, {"model2", "cold"}});
+    std::size_t const model1 = linesWith(fleet.replicas()[0].record, " run ");
+    CHECK(fleet.call(fleet.firstSubstation(), "PUT", "/v1/evacuations/z2").status == 200);
+    std::vector<std::size_t> z2;
+    for (yard::Node const& r : fleet.replicas()) z2.push_back(linesWith(r.record, " run "));
+    std::size_t const served = traffic.outcomes()["served"];
+    fleet.until("traffic beside the zone", [&] { return traffic.outcomes()["served"] > served + 300; });
+    CHECK(linesWith(fleet.replicas()[0].record, " run ") <= model1 + 8);
+    for (std::size_t i = 0; i < z2.size(); ++i)
+      if (fleet.replicas()[i].zone == "z2") CHECK(linesWith(fleet.replicas()[i].record, " run ") <= z2[i] + 8);
+    for (yard::Node const& n : fleet.nacelles())
+      if (n.zone == "z2") CHECK(fleet.get(n.http, "/readyz").status == 503);
+    CHECK(fleet.call(fleet.firstSubstation(), "DELETE", "/v1/evacuations/z2").status == 200);
+    fleet.untilReady(fleet.nacelles().size());
+    drainTraffic(fleet, traffic);
+    yard::Report const report = traffic.report();
+    soundly(report);
+    std::cerr << name << "\n" << yard::text(report);
+  }
+}
