--- a/programs/cli/main.cpp
+++ b/programs/cli/main.cpp
@@ -1,30 +1,19 @@
 #include <QCoreApplication>
-#include <QFile>
-#include <QNetworkAccessManager>
-#include <QNetworkReply>
-#include <QNetworkRequest>
-#include <QTimer>
-#include <QUrl>
 #include <QUuid>
 #include <boost/program_options.hpp>
 #include <iostream>
-#include <iterator>
 
 #include <corkward/core/error.h>
 #include <corkward/core/json.h>
 
+#include "operator_client.h"
+
 namespace corkward::programs {
 
 namespace po = boost::program_options;
 
 namespace {
 
-/// A command line that cannot be carried out; nothing was sent.
-class UsageError : public core::Error {
- public:
-  using core::Error::Error;
-};
-
 struct CommandRow {
   char const* name;
   char const* words;
@@ -58,13 +47,6 @@
 constexpr ExitRow exitTable[] = {{200, 0}, {201, 0}, {202, 8}, {400, 3}, {404, 3}, {405, 3}, {409, 4},
                                  {412, 4}, {413, 3}, {422, 3}, {428, 3}, {431, 3}, {503, 5}, {504, 6}};
 
-std::string readFile(std::string const& path) {
-  if (path == "-") return std::string(std::istreambuf_iterator<char>(std::cin), {});
-  QFile file(QString::fromStdString(path));
-  if (!file.open(QIODevice::ReadOnly)) throw UsageError("cannot read " + path + ": " + file.errorString().toStdString());
-  return file.readAll().toStdString();
-}
-
 struct Wire {
   std::string method;
   std::string path;
@@ -95,58 +77,42 @@
   return {method, "/v1/templates/" + words[1] + "/instances/" + words[2], body ? words[3] : ""};
 }
 
-void print(int status, QByteArray const& body, QByteArray const& etag, bool json) {
+void print(OperatorOutcome const& outcome, bool json) {
   if (json) {
-    QJsonObject out{{"status", status}};
-    try {
-      out.insert("body", core::parseJson(body.toStdString()));
-    } catch (core::JsonError const&) {
-      out.insert("body", QString::fromUtf8(body));
-    }
-    if (!etag.isEmpty()) out.insert("stamp", QString::fromUtf8(etag).remove('"').toLongLong());
+    QJsonObject out{{"status", outcome.status}, {"body", outcome.body}};
+    if (!outcome.stamp.empty()) out.insert("stamp", core::qstr(outcome.stamp).toLongLong());
     std::cout << core::jsonText(out) << "\n";
     return;
   }
-  std::cout << "status " << status;
-  if (!etag.isEmpty()) std::cout << ", stamp " << QString::fromUtf8(etag).remove('"').toStdString();
-  std::cout << "\n" << body.toStdString() << (body.endsWith('\n') ? "" : "\n");
+  std::cout << "status " << outcome.status;
+  if (!outcome.stamp.empty()) std::cout << ", stamp " << outcome.stamp;
+  std::cout << "\n" << outcome.text.toStdString() << (outcome.text.endsWith('\n') ? "" : "\n");
 }
 
-int call(std::string const& base, Wire const& wire, std::string const& stamp, std::string const& changeId, bool dryRun, bool json,
-         int limitSeconds) {
-  std::string const body = wire.file.empty() ? "" : readFile(wire.file);
-  QUrl const url(QString::fromStdString("http://" + base + wire.path + (dryRun ? "?dryRun=1" : "")));
-  if (!url.isValid() || url.host().isEmpty()) throw UsageError("substation: must be ip:port, but is " + base);
-  QNetworkAccessManager manager;
-  QNetworkRequest request(url);
-  request.setTransferTimeout(limitSeconds * 1000);
-  request.setHeader(QNetworkRequest::ContentTypeHeader, "application/json");
-  if (!stamp.empty()) request.setRawHeader("If-Match", QByteArray::fromStdString("\"" + stamp + "\""));
-  request.setRawHeader("Corkward-Change-Id", QByteArray::fromStdString(changeId));
-  QNetworkReply* const reply = manager.sendCustomRequest(request, QByteArray::fromStdString(wire.method), QByteArray::fromStdString(body));
-  QObject::connect(reply, &QNetworkReply::finished, [] { QCoreApplication::quit(); });
-  if (!reply->isFinished()) QCoreApplication::exec();
-  int const status = reply->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
-  if (status == 0) {
-    bool const change = wire.method != "GET";
-    std::cerr << "corkward: no answer from " << base << ": " << reply->errorString().toStdString() << "\n";
-    if (change) std::cerr << "corkward: whether the change was accepted is unknown; its change id is " << changeId << "\n";
+int call(std::vector<std::string> const& substations, Wire const& wire, std::string const& stamp, std::string const& changeId, bool dryRun,
+         bool json, int limitSeconds) {
+  OperatorCall const call{wire.method, wire.path, wire.file.empty() ? "" : readFile(wire.file), stamp, changeId, dryRun};
+  OperatorOutcome const out = callOperator(substations, call, limitSeconds);
+  if (out.status == 0) {
+    std::cerr << "corkward: no answer from " << out.from << ": " << out.error << "\n";
+    if (wire.method != "GET") std::cerr << "corkward: whether the change was accepted is unknown; its change id is " << changeId << "\n";
     return 7;
   }
-  print(status, reply->readAll(), reply->rawHeader("ETag"), json);
+  print(out, json);
   for (ExitRow const& r : exitTable)
-    if (r.status == status) return r.code;
+    if (r.status == out.status) return r.code;
   return 3;
 }
 
 int runCli(int argc, char** argv) {
   QCoreApplication app(argc, argv);
   po::options_description flags("Flags");
-  std::string substation;
+  std::vector<std::string> substations;
   std::string stamp;
   std::string changeId;
   int limit = 15;
-  flags.add_options()("substation", po::value<std::string>(&substation)->default_value("127.0.0.1:9100"), "address of any substation, ip:port")(
+  flags.add_options()("substation", po::value(&substations)->default_value({"127.0.0.1:9100"}, "127.0.0.1:9100"),
+                      "address of a substation, ip:port; when given more than once, the first that answers")(
       "stamp", po::value<std::string>(&stamp), "stamp that the change is built on; 0 to make a new one")(
       "change-id", po::value<std::string>(&changeId), "id of the change; a fresh one when left out")("dry-run", "check the change, change nothing")(
       "json", "print one JSON object")("limit", po::value<int>(&limit)->default_value(15), "seconds to wait for the answer, 1 to 300")(
@@ -178,7 +144,7 @@
     if (limit < 1 || limit > 300) throw UsageError("limit: must be 1 to 300");
     if (changeId.empty()) changeId = QUuid::createUuid().toString(QUuid::Id128).toStdString();
     std::vector<std::string> const words = vm.count("word") > 0 ? vm["word"].as<std::vector<std::string>>() : std::vector<std::string>();
-    return call(substation, wireOf(words), stamp, changeId, vm.count("dry-run") > 0, vm.count("json") > 0, limit);
+    return call(substations, wireOf(words), stamp, changeId, vm.count("dry-run") > 0, vm.count("json") > 0, limit);
   } catch (po::error const& e) {
     std::cerr << "corkward: " << e.what() << "\n";
     return 2;
--- /dev/null
+++ b/programs/common/operator_client.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <QByteArray>
+#include <QJsonObject>
+#include <string>
+#include <vector>
+
+#include <corkward/core/error.h>
+
+namespace corkward::programs {
+
+/// A command line, runbook or address that cannot be used; nothing was sent.
+class UsageError : public core::Error {
+ public:
+  using core::Error::Error;
+};
+
+/// One call to the operator interface.
+struct OperatorCall {
+  std::string method;
+  std::string path;
+  std::string body;
+  std::string stamp;
+  std::string changeId;
+  bool dryRun = false;
+};
+
+/// Its outcome; status 0: no answer.
+struct OperatorOutcome {
+  int status = 0;
+  QByteArray text;
+  QJsonObject body;
+  std::string stamp;
+  std::string error;
+  std::string from;
+};
+
+/// Sends the call to the first of the substations that answers, and waits. Change ids make a second sending harmless.
+OperatorOutcome callOperator(std::vector<std::string> const& substations, OperatorCall const& call, int limitSeconds);
+
+/// Reads a file, or standard input for "-". Throws UsageError.
+std::string readFile(std::string const& path);
+
+}  // namespace corkward::programs
--- /dev/null
+++ b/programs/workorder/main.cpp
@@ -0,0 +1,308 @@
+#include <QCoreApplication>
+#include <QEventLoop>
+#include <QFile>
+#include <QJsonArray>
+#include <QTimer>
+#include <boost/program_options.hpp>
+#include <iostream>
+
+#include <corkward/core/json.h>
+#include <corkward/squall/rules.h>
+#include <corkward/workorder/runbook.h>
+
+#include "clock.h"
+#include "operator_client.h"
+
+namespace corkward::programs {
+
+namespace po = boost::program_options;
+
+namespace {
+
+constexpr int pollMs = 250;
+constexpr int callSeconds = 15;
+
+void pause(int ms) {
+  QEventLoop loop;
+  QTimer::singleShot(ms, &loop, &QEventLoop::quit);
+  loop.exec();
+}
+
+/// What became of one step.
+struct Outcome {
+  bool ok = false;
+  std::string said;
+};
+
+/// Carries out checked runbooks, by the operator interface alone.
+class Foreman {
+ public:
+  Foreman(std::vector<std::string> substations, bool dryRun, bool yes, std::string account)
+      : substations_(std::move(substations)), dryRun_(dryRun), yes_(yes), account_(std::move(account)) {}
+
+  /// True when every step was done.
+  bool carryOut(workorder::Runbook const& book) {
+    std::string const run = freshName();
+    note("runbook=" + book.name + " run=" + run + (dryRun_ ? " dry-run=yes" : "") + " steps=" + std::to_string(book.steps.size()));
+    for (std::size_t i = 0; i < book.steps.size(); ++i) {
+      workorder::Step const& step = book.steps[i];
+      Outcome const out = take(step, run + "-" + std::to_string(i));
+      note("run=" + run + " step=" + std::to_string(i + 1) + " do=" + workorder::kindName(step.kind) + " name=\"" + step.name + "\" outcome=" +
+           (out.ok ? "done" : "failed") + " said=\"" + out.said + "\"");
+      if (!out.ok) {
+        note("run=" + run + " stopped-at=" + std::to_string(i + 1) + " not-done=" + std::to_string(book.steps.size() - i));
+        return false;
+      }
+    }
+    note("run=" + run + " outcome=done");
+    return true;
+  }
+
+ private:
+  void note(std::string const& line) {
+    std::cout << line << std::endl;
+    if (account_.empty()) return;
+    QFile file(core::qstr(account_));
+    if (file.open(QIODevice::Append)) file.write(QByteArray::fromStdString(line + "\n"));
+  }
+
+  OperatorOutcome call(OperatorCall const& c) { return callOperator(substations_, c, callSeconds); }
+
+  Outcome take(workorder::Step const& step, std::string const& changeId) {
+    switch (step.kind) {
+      case workorder::Kind::evacuate:
+        return change({"PUT", "/v1/evacuations/" + step.words.at("zone"), "", "", changeId, dryRun_}, step);
+      case workorder::Kind::lift:
+        return change({"DELETE", "/v1/evacuations/" + step.words.at("zone"), "", "", changeId, dryRun_}, step);
+      case workorder::Kind::putTemplate:
+      case workorder::Kind::patchTemplate:
+        return onNewest("/v1/templates/" + step.words.at("template"), step.kind == workorder::Kind::putTemplate, step, changeId);
+      case workorder::Kind::putInstance:
+      case workorder::Kind::patchInstance:
+        return onNewest("/v1/templates/" + step.words.at("template") + "/instances/" + step.words.at("instance"),
+                        step.kind == workorder::Kind::putInstance, step, changeId);
+      case workorder::Kind::wait:
+        return wait(step);
+      case workorder::Kind::verify:
+        return verify(step.words.at("file"));
+      case workorder::Kind::save:
+        return save(step.words.at("file"));
+      case workorder::Kind::confirm:
+        return confirm(step.words.at("say"));
+    }
+    return {};
+  }
+
+  Outcome onNewest(std::string const& path, bool put, workorder::Step const& step, std::string const& changeId) {
+    OperatorOutcome const now = call({"GET", path, "", "", "", false});
+    if (now.status != 200 && !(put && now.status == 404)) return {false, "reading it: status " + std::to_string(now.status)};
+    std::string const stamp = now.status == 404 ? "0" : now.stamp;
+    return change({put ? "PUT" : "PATCH", path, core::jsonText(step.body), stamp, changeId, dryRun_}, step);
+  }
+
+  Outcome change(OperatorCall const& c, workorder::Step const& step) {
+    core::Tick const until = now() + step.limitSeconds * 1000;
+    for (;;) {
+      OperatorOutcome const out = call(c);
+      if (out.status == 200 || out.status == 201) return {true, "stamp " + out.stamp};
+      bool const again = out.status == 0 || out.status == 202 || out.status == 503 || out.status == 504;
+      if (!again || now() >= until)
+        return {false, out.status == 0 ? "no answer: " + out.error : "status " + std::to_string(out.status) + " " + core::str(out.body.value("reason").toString())};
+      pause(pollMs);
+    }
+  }
+
+  Outcome wait(workorder::Step const& step) {
+    if (dryRun_) return {true, "would wait"};
+    core::Tick const until = now() + step.limitSeconds * 1000;
+    std::string seen = "nothing";
+    for (;;) {
+      OperatorOutcome const out = call({"GET", step.words.at("page"), "", "", "", false});
+      if (out.status == 200) {
+        workorder::Expectation const e = workorder::meets(out.body, step.expect);
+        if (e.met) return {true, "as expected"};
+        seen = e.seen.substr(0, 200);
+      }
+      if (now() >= until) return {false, "not in " + std::to_string(step.limitSeconds) + " s; last seen " + seen};
+      pause(pollMs);
+    }
+  }
+
+  /// All templates and instances as they stand, by the operator interface.
+  std::pair<bool, QJsonObject> readAll() {
+    OperatorOutcome const names = call({"GET", "/v1/templates", "", "", "", false});
+    if (names.status != 200) return {false, {}};
+    QJsonObject all;
+    for (QJsonValue const n : names.body.value("templates").toArray()) {
+      std::string const path = "/v1/templates/" + core::str(n.toString());
+      OperatorOutcome const t = call({"GET", path, "", "", "", false});
+      if (t.status != 200) return {false, {}};
+      QJsonObject instances;
+      for (QJsonValue const i : t.body.value("instances").toArray()) {
+        OperatorOutcome const one = call({"GET", path + "/instances/" + core::str(i.toString()), "", "", "", false});
+        if (one.status != 200) return {false, {}};
+        instances.insert(i.toString(), one.body);
+      }
+      all.insert(n.toString(), QJsonObject{{"spec", t.body.value("spec")}, {"stamp", t.body.value("stamp")}, {"instances", instances}});
+    }
+    return {true, all};
+  }
+
+  Outcome save(std::string const& path) {
+    std::pair<bool, QJsonObject> const all = readAll();
+    if (!all.first) return {false, "the configuration could not be read"};
+    if (dryRun_) return {true, "would write " + path};
+    QFile file(core::qstr(path));
+    if (!file.open(QIODevice::WriteOnly)) return {false, "cannot write " + path};
+    file.write(QByteArray::fromStdString(core::jsonText(all.second) + "\n"));
+    return {true, std::to_string(all.second.size()) + " templates"};
+  }
+
+  Outcome verify(std::string const& path) {
+    std::pair<bool, QJsonObject> const all = readAll();
+    if (!all.first) return {false, "the configuration could not be read"};
+    QJsonValue const saved = core::parseJson(readFile(path));
+    if (saved == QJsonValue(all.second)) return {true, "as saved"};
+    for (QString const& k : saved.toObject().keys())
+      if (saved.toObject().value(k) != all.second.value(k)) return {false, "template " + core::str(k) + " differs from " + path};
+    return {false, "there are templates that " + path + " does not have"};
+  }
+
+  Outcome confirm(std::string const& say) {
+    if (dryRun_) return {true, "would ask: " + say};
+    if (yes_) return {true, "taken as done: " + say};
+    std::cout << say << "\nDone? (yes/no) " << std::flush;
+    std::string line;
+    std::getline(std::cin, line);
+    return {line == "yes", line == "yes" ? "confirmed" : "not confirmed"};
+  }
+
+  std::vector<std::string> substations_;
+  bool dryRun_;
+  bool yes_;
+  std::string account_;
+};
+
+std::map<std::string, std::string> parametersOf(std::vector<std::string> const& words) {
+  std::map<std::string, std::string> out;
+  for (std::string const& w : words) {
+    std::size_t const eq = w.find('=');
+    if (eq == std::string::npos || eq == 0) throw UsageError("set: must be name=value, but is " + w);
+    out[w.substr(0, eq)] = w.substr(eq + 1);
+  }
+  return out;
+}
+
+std::string besideOf(std::string const& folder, std::string const& name) {
+  if (name.find('/') != std::string::npos || name.find("..") != std::string::npos) throw UsageError("runbook: must be a name without folders: " + name);
+  return folder + "/" + name;
+}
+
+/// Scrapes the metrics pages, adds corkward_up for each, and carries out the declared runbook of each alert that fires.
+int watch(Foreman& foreman, std::vector<squall::Rule> const& rules, std::string const& folder, std::vector<std::string> const& targets, int everySeconds,
+          int rounds) {
+  std::map<std::string, workorder::Runbook> books;
+  for (squall::Rule const& r : rules) books[r.alert] = workorder::readRunbook(readFile(besideOf(folder, r.runbook)), r.parameters);
+  squall::Watch watch(rules);
+  for (int round = 0; rounds == 0 || round < rounds; ++round) {
+    std::vector<squall::Sample> samples;
+    for (std::string const& t : targets) {
+      std::size_t const eq = t.find('=');
+      std::string const address = eq == std::string::npos ? t : t.substr(eq + 1);
+      squall::Labels own{{"target", address}};
+      if (eq != std::string::npos) own["zone"] = t.substr(0, eq);
+      OperatorOutcome const page = callOperator({address}, {"GET", "/metrics", "", "", "", false}, 2);
+      bool sound = page.status == 200;
+      try {
+        if (sound)
+          for (squall::Sample s : squall::readSamples(page.text.toStdString())) {
+            s.labels.insert(own.begin(), own.end());
+            samples.push_back(std::move(s));
+          }
+      } catch (squall::Error const& e) {
+        std::cerr << "corkward-workorder: metrics of " << address << ": " << e.what() << "\n";
+        sound = false;
+      }
+      samples.push_back(squall::Sample{"corkward_up", own, sound ? 1.0 : 0.0});
+    }
+    for (squall::Rule const& r : watch.look(now(), samples)) {
+      std::cout << "alert=" << r.alert << " runbook=" << r.runbook << std::endl;
+      foreman.carryOut(books.at(r.alert));
+    }
+    pause(everySeconds * 1000);
+  }
+  return 0;
+}
+
+int runWorkorder(int argc, char** argv) {
+  QCoreApplication app(argc, argv);
+  std::vector<std::string> substations;
+  std::vector<std::string> sets;
+  std::vector<std::string> targets;
+  std::vector<std::string> words;
+  std::string account;
+  std::string rules;
+  int every = 5;
+  int rounds = 0;
+  po::options_description flags("Flags");
+  flags.add_options()("substation", po::value(&substations)->default_value({"127.0.0.1:9100"}, "127.0.0.1:9100"),
+                      "address of a substation, ip:port; give all of them")("set", po::value(&sets), "name=value for a parameter of the runbook")(
+      "check", "check the runbook or the rules and exit")("dry-run", "say what each step would do; changes are only checked")(
+      "yes", "take every confirm step as done")("account", po::value(&account), "file that the account is added to")(
+      "rules", po::value(&rules), "watch with this rule file; its runbooks stand beside it")("target", po::value(&targets), "metrics page to watch, ip:port or zone=ip:port")(
+      "every", po::value(&every)->default_value(5), "seconds between two looks, 1 to 600")("rounds", po::value(&rounds)->default_value(0), "looks before the end; 0 for no end")(
+      "help", "print this and exit")("version", "print the version and exit");
+  po::options_description hidden;
+  hidden.add_options()("runbook", po::value(&words));
+  po::options_description all;
+  all.add(flags).add(hidden);
+  po::positional_options_description positional;
+  positional.add("runbook", -1);
+  try {
+    po::variables_map vm;
+    po::store(po::command_line_parser(argc, argv).options(all).positional(positional).run(), vm);
+    po::notify(vm);
+    if (vm.count("help") > 0) {
+      std::cout << "corkward-workorder [flags] RUNBOOK\ncorkward-workorder [flags] --rules FILE --target ...\n\n" << flags
+                << "\nExit codes: 0 done, 1 a step failed and the rest was not done, 2 bad use and nothing done\n";
+      return 0;
+    }
+    if (vm.count("version") > 0) {
+      std::cout << "corkward-workorder " << CORKWARD_VERSION << "\n";
+      return 0;
+    }
+    if (every < 1 || every > 600) throw UsageError("every: must be 1 to 600");
+    Foreman foreman(substations, vm.count("dry-run") > 0, vm.count("yes") > 0, account);
+    if (!rules.empty()) {
+      if (!words.empty()) throw UsageError("a runbook and --rules exclude each other");
+      std::vector<squall::Rule> const read = squall::readRules(readFile(rules));
+      std::size_t const slash = rules.rfind('/');
+      std::string const folder = slash == std::string::npos ? "." : rules.substr(0, slash);
+      for (squall::Rule const& r : read) workorder::readRunbook(readFile(besideOf(folder, r.runbook)), r.parameters);
+      if (vm.count("check") > 0) {
+        std::cout << read.size() << " rules are valid\n";
+        return 0;
+      }
+      if (targets.empty()) throw UsageError("target: missing");
+      return watch(foreman, read, folder, targets, every, rounds);
+    }
+    if (words.size() != 1) throw UsageError("one runbook is needed; see --help");
+    workorder::Runbook const book = workorder::readRunbook(readFile(words[0]), parametersOf(sets));
+    if (vm.count("check") > 0) {
+      std::cout << book.name << ": " << book.steps.size() << " steps are valid\n";
+      return 0;
+    }
+    return foreman.carryOut(book) ? 0 : 1;
+  } catch (po::error const& e) {
+    std::cerr << "corkward-workorder: " << e.what() << "\n";
+  } catch (core::Error const& e) {
+    std::cerr << "corkward-workorder: " << e.what() << "\n";
+  }
+  return 2;
+}
+
+}  // namespace
+
+}  // namespace corkward::programs
+
+int main(int argc, char** argv) { return corkward::programs::runWorkorder(argc, argv); }
--- a/yard/fleet/fleet.cpp
+++ b/yard/fleet/fleet.cpp
@@ -157,6 +157,18 @@
   return out;
 }
 
+Fleet::Tool Fleet::tool(std::string const& program, std::vector<std::string> const& words, std::string const& input) {
+  QProcess process;
+  QStringList flags;
+  for (std::string const& w : words) flags += core::qstr(w);
+  process.start(core::qstr(CORKWARD_BIN "/programs/" + program), flags);
+  process.write(QByteArray::fromStdString(input));
+  process.closeWriteChannel();
+  until(program + " to end", [&] { return process.state() == QProcess::NotRunning; }, 60000);
+  return Tool{process.exitStatus() == QProcess::NormalExit ? process.exitCode() : -1, process.readAllStandardOutput().toStdString(),
+              process.readAllStandardError().toStdString()};
+}
+
 Reply Fleet::get(std::string const& address, std::string const& path) {
   Node n;
   n.http = address;
--- a/yard/fleet/fleet.h
+++ b/yard/fleet/fleet.h
@@ -87,6 +87,14 @@
   /// One call to a substation, waited for.
   Reply call(Node const& node, std::string const& method, std::string const& path, std::string const& body = "",
              std::string const& ifMatch = "", std::string const& changeId = "");
+  struct Tool {
+    int code = -1;
+    std::string out;
+    std::string err;
+  };
+  /// Runs one of the project's programs to its end.
+  Tool tool(std::string const& program, std::vector<std::string> const& words, std::string const& input = "");
+
   /// A plain GET; status 0 when nobody answers.
   Reply get(std::string const& address, std::string const& path);
   void getAsync(std::string const& address, std::string const& path, std::function<void(Reply)> done);
--- a/yard/test/fleet_test.cpp
+++ b/yard/test/fleet_test.cpp
@@ -336,3 +336,98 @@
     std::cerr << name << "\n" << yard::text(report);
   }
 }
+
+TEST_CASE("the command line, the runbooks, the rules and the settings are checked and do what they say", "[tools]") {
+  application();
+  yard::Fleet fleet(named("small"));
+  std::string const conf = fleet.folder() + "/x.conf";
+  struct Row {
+    std::vector<std::string> flags;
+    char const* name;
+  };
+  std::vector<std::string> const good{"--link", "127.0.0.1:1", "--http", "127.0.0.1:2", "--zone", "z1", "--seed", "127.0.0.1:3"};
+  std::vector<Row> const rows{{{}, "link: missing"},
+                              {{"--link", "x"}, "link: must be ip:port"},
+                              {{"--nonsense", "1"}, "nonsense"},
+                              {{"--link", "127.0.0.1:1", "--http", "127.0.0.1:1"}, "http: must differ"},
+                              {{"--link", "127.0.0.1:1", "--http", "127.0.0.1:2", "--zone", "Z!", "--seed", "127.0.0.1:3"}, "zone: not a valid name"},
+                              {{"--link", "127.0.0.1:1", "--http", "127.0.0.1:2", "--zone", "z"}, "seed: missing"},
+                              {{"--settings", "/nowhere"}, "settings: cannot be read"}};
+  for (Row const& r : rows) {
+    yard::Fleet::Tool const t = fleet.tool("corkward-nacelle", r.flags);
+    CHECK(t.code == 2);
+    CHECK(t.err.find(r.name) != std::string::npos);
+  }
+  std::vector<std::string> check = good;
+  check.push_back("--check");
+  CHECK(fleet.tool("corkward-nacelle", check).code == 0);
+  QFile file(core::qstr(conf));
+  REQUIRE(file.open(QIODevice::WriteOnly));
+  file.write("link = 127.0.0.1:1\nbogus = 3\n");
+  file.close();
+  yard::Fleet::Tool const bogus = fleet.tool("corkward-substation", {"--settings", conf});
+  CHECK(bogus.code == 2);
+  CHECK(bogus.err.find("bogus") != std::string::npos);
+
+  bringUp(fleet);
+  std::vector<std::string> subs;
+  for (yard::Node const& n : fleet.substations()) {
+    subs.push_back("--substation");
+    subs.push_back(n.http);
+  }
+  std::function<yard::Fleet::Tool(std::string, std::vector<std::string>, std::string)> const run = [&](std::string const& program, std::vector<std::string> words,
+                                                                                                   std::string const& input) {
+    words.insert(words.end(), subs.begin(), subs.end());
+    return fleet.tool(program, words, input);
+  };
+  CHECK(run("corkward", {"templates"}, "").out.find("fault-desk") != std::string::npos);
+  CHECK(run("corkward", {"template-put", "neu", "-", "--stamp", "0", "--dry-run"}, R"({"paths":[{"path":"a","pool":"model","class":"short"}]})").code == 0);
+  CHECK(run("corkward", {"template-get", "neu"}, "").code == 3);
+  CHECK(run("corkward", {"template-put", "neu", "-", "--stamp", "0"}, R"({"paths":[{"path":"a","pool":"model","class":"short"}]})").code == 0);
+  CHECK(run("corkward", {"template-put", "neu", "-", "--stamp", "0"}, R"({"paths":[{"path":"a","pool":"model","class":"short"}]})").code == 4);
+  CHECK(run("corkward", {"template-put", "neu", "-", "--stamp", "1"}, "{").code == 3);
+  CHECK(run("corkward", {"dance"}, "").code == 2);
+  CHECK(fleet.tool("corkward", {"fleet", "--substation", "127.0.0.1:1"}).code == 7);
+  yard::Fleet::Tool const asJson = run("corkward", {"template-get", "neu", "--json"}, "");
+  CHECK(core::parseJson(asJson.out).toObject().value("stamp").toInteger() == 1);
+
+  std::string const books = CORKWARD_SOURCE "/examples/runbooks/";
+  CHECK(run("corkward-workorder", {books + "evacuate-zone.json"}, "").code == 2);
+  CHECK(run("corkward-workorder", {books + "evacuate-zone.json", "--set", "zone=z2", "--check"}, "").code == 0);
+  CHECK(run("corkward-workorder", {books + "evacuate-zone.json", "--set", "zone=z2", "--dry-run"}, "").code == 0);
+  CHECK_FALSE(fleet.call(fleet.firstSubstation(), "GET", "/v1/evacuations/z2").body.value("evacuated").toBool());
+  CHECK(run("corkward-workorder", {books + "evacuate-zone.json", "--set", "zone=z2"}, "").code == 0);
+  CHECK(fleet.call(fleet.firstSubstation(), "GET", "/v1/evacuations/z2").body.value("evacuated").toBool());
+  CHECK(run("corkward-workorder", {books + "lift-zone.json", "--set", "zone=z2"}, "").code == 0);
+  CHECK_FALSE(fleet.call(fleet.firstSubstation(), "GET", "/v1/evacuations/z2").body.value("evacuated").toBool());
+  CHECK(run("corkward-workorder", {books + "read-back.json", "--set", "file=" + fleet.folder() + "/saved.json"}, "").code == 0);
+  CHECK(run("corkward-workorder", {books + "restore-after-outage.json", "--set", "saved=" + fleet.folder() + "/saved.json", "--yes"}, "").code == 0);
+  CHECK(run("corkward", {"template-delete", "neu", "--stamp", "1"}, "").code == 0);
+  yard::Fleet::Tool const differs =
+      run("corkward-workorder", {books + "restore-after-outage.json", "--set", "saved=" + fleet.folder() + "/saved.json", "--yes"}, "");
+  CHECK(differs.code == 1);
+  CHECK(differs.out.find("template neu differs") != std::string::npos);
+  CHECK(run("corkward-workorder", {books + "rolling-restart.json", "--set", "node=n"}, "no\n").code == 1);
+
+  std::string const rules = CORKWARD_SOURCE "/examples/rules/zones.yml";
+  CHECK(run("corkward-workorder", {"--rules", rules, "--check"}, "").code == 0);
+  QFile badRules(core::qstr(fleet.folder() + "/bad.yml"));
+  REQUIRE(badRules.open(QIODevice::WriteOnly));
+  badRules.write("groups:\n- name: g\n  rules:\n  - alert: a\n    expr: rate(x[1m]) > 1\n    annotations: {runbook: evacuate-zone.json}\n");
+  badRules.close();
+  yard::Fleet::Tool const bad = run("corkward-workorder", {"--rules", fleet.folder() + "/bad.yml", "--check"}, "");
+  CHECK(bad.code == 2);
+  CHECK(bad.err.find("line 5") != std::string::npos);
+  yard::Node const& lost = fleet.nacelles()[1];
+  REQUIRE(lost.zone == "z2");
+  fleet.kill9(fleet.nacelles()[1]);
+  QFile quick(core::qstr(fleet.folder() + "/quick.yml"));
+  REQUIRE(quick.open(QIODevice::WriteOnly));
+  quick.write("groups:\n- name: g\n  rules:\n  - alert: a\n    expr: sum(corkward_up{zone=\"z2\"}) < 1\n    for: 1s\n    annotations: {runbook: evacuate-zone.json, parameters: {zone: z2}}\n");
+  quick.close();
+  QFile::copy(core::qstr(books + "evacuate-zone.json"), core::qstr(fleet.folder() + "/evacuate-zone.json"));
+  yard::Fleet::Tool const fired =
+      run("corkward-workorder", {"--rules", fleet.folder() + "/quick.yml", "--target", "z2=" + lost.http, "--every", "1", "--rounds", "4"}, "");
+  CHECK(fired.out.find("alert=a") != std::string::npos);
+  CHECK(fleet.call(fleet.firstSubstation(), "GET", "/v1/evacuations/z2").body.value("evacuated").toBool());
+}
