--- a/governor/include/corkward/governor/governor.h
+++ b/governor/include/corkward/governor/governor.h
@@ -22,6 +22,8 @@
   double calmShare = 0.7;
   /// How long the calm must last before one replica is given back (never under 5 s).
   Tick calmFor = 5000;
+  /// Replicas that a part begins with.
+  std::size_t firstPart = 1;
   double firstLimit = 4.0;
   double minLimit = 1.0;
   double maxLimit = 24.0;
--- a/governor/src/governor.cpp
+++ b/governor/src/governor.cpp
@@ -16,7 +16,7 @@
   std::sort(all_.begin(), all_.end(), [&](Candidate const& a, Candidate const& b) {
     return order(a) != order(b) ? order(a) < order(b) : a.replica < b.replica;
   });
-  std::size_t const want = std::max<std::size_t>(part_.size(), 1);
+  std::size_t const want = std::max<std::size_t>(part_.size(), f_.firstPart);
   std::vector<Candidate> kept;
   for (Candidate const& p : part_)
     for (Candidate const& c : all_)
--- a/rotor/include/corkward/rotor/plane.h
+++ b/rotor/include/corkward/rotor/plane.h
@@ -45,6 +45,7 @@
   Tick streamIdle = 10000;
   /// A nacelle whose roster is smaller than this cannot stand on its neighbours alone.
   std::size_t leastRoster = 3;
+  governor::Figures figures = governor::figures;
 };
 
 /// What the door saw of a request's head and body.
@@ -140,6 +141,8 @@
   std::string metrics(Tick now) const;
   QJsonObject state(Tick now) const;
   std::uint64_t stampOf(std::string const& key) const;
+  /// Replicas held for a pool by each instance's part, and requests held there.
+  std::vector<std::pair<std::size_t, std::size_t>> parts(std::string const& pool) const;
   /// Value in force for a key; empty when there is none.
   QJsonObject valueOf(std::string const& key) const;
   core::Journal const& journal() const { return journal_; }
--- a/rotor/src/plane.cpp
+++ b/rotor/src/plane.cpp
@@ -43,6 +43,13 @@
   return it == keys_.end() ? 0 : it->second.stamp;
 }
 
+std::vector<std::pair<std::size_t, std::size_t>> Plane::parts(std::string const& pool) const {
+  std::vector<std::pair<std::size_t, std::size_t>> out;
+  for (std::map<CreditKey, Credit>::value_type const& c : credits_)
+    if (pools_.name(c.first.first) == pool) out.emplace_back(c.second.scaler.part().size(), c.second.heldCount());
+  return out;
+}
+
 QJsonObject Plane::valueOf(std::string const& key) const {
   std::map<std::string, Key>::const_iterator const it = keys_.find(key);
   return it == keys_.end() ? QJsonObject() : it->second.value;
@@ -224,7 +231,7 @@
   CreditKey const key{pool, instance};
   std::map<CreditKey, Credit>::iterator it = credits_.find(key);
   if (it == credits_.end())
-    it = credits_.emplace(key, Credit{governor::Scaler(seed_ ^ core::stableHash(lookout_.self().link + instances_.name(instance))), {}, 0, 0, 0, 0}).first;
+    it = credits_.emplace(key, Credit{governor::Scaler(seed_ ^ core::stableHash(lookout_.self().link + instances_.name(instance)), tuning_.figures), {}, 0, 0, 0, 0}).first;
   return it->second;
 }
 
--- a/yard/sim/sweep.cpp
+++ b/yard/sim/sweep.cpp
@@ -19,10 +19,18 @@
   std::vector<std::string> names;
   bool counts = false;
   double demand = 0;
+  double surge = 1.0;
+  std::string deployment;
+  bool plain = false;
+  governor::Figures figures = governor::figures;
   po::options_description flags("yard-sweep: simulated fleets over many seeds");
   flags.add_options()("from", po::value(&from), "first seed")("count", po::value(&count), "seeds")("jobs", po::value(&jobs), "threads")(
       "fault", po::value(&names), "cause this failure alone; may be repeated; without it, a random set for each seed")(
-      "demand", po::value(&demand), "requests a second")("counts", po::bool_switch(&counts), "print what each run counted")("list", "list the failures")("help", "print this");
+      "demand", po::value(&demand), "requests a second")("surge", po::value(&surge), "times the demand in the middle third")(
+      "deployment", po::value(&deployment), "calm, at the sizes of harmattan or lernkarten")("plain", po::bool_switch(&plain), "whole pool, fewest in flight")(
+      "width", po::value(&figures.width), "each width")("calm-for", po::value(&figures.calmFor), "give-back wait, ms")(
+      "slack", po::value(&figures.prefixSlack), "prefix slack")("first-limit", po::value(&figures.firstLimit), "limit per replica at the start")(
+      "bulk-share", po::value(&figures.bulkShare), "share of the cap for long requests")("counts", po::bool_switch(&counts), "print what each run counted")("list", "list the failures")("help", "print this");
   po::variables_map vm;
   try {
     po::store(po::parse_command_line(argc, argv, flags), vm);
@@ -39,6 +47,10 @@
     for (FaultRow const& f : faultTable) std::cout << f.name << "\n";
     return 0;
   }
+  if (!deployment.empty() && deployment != "harmattan" && deployment != "lernkarten") {
+    std::cerr << "yard-sweep: no such deployment: " << deployment << "\n";
+    return 2;
+  }
   std::vector<Fault> faults;
   for (std::string const& n : names) {
     bool found = false;
@@ -62,7 +74,20 @@
         std::uint64_t const seed = next++;
         if (seed >= from + count) return;
         Plan plan = faults.empty() ? chaos(seed) : only(seed, faults);
+        if (!deployment.empty()) {
+          plan = only(seed, faults);
+          plan.demand = 125;
+          if (deployment == "lernkarten") {
+            plan.substations = 4;
+            plan.others = 4;
+            plan.zones = 4;
+            plan.demand = 140;
+          }
+        }
         if (demand > 0) plan.demand = demand;
+        plan.surge = surge;
+        plan.plain = plain;
+        plan.figures = figures;
         std::vector<std::string> violations;
         Result result;
         try {
@@ -88,6 +113,12 @@
             std::sort(t.begin(), t.end());
             std::cout << " " << f.first << "-median=" << t[t.size() / 2] << " " << f.first << "-99=" << t[t.size() * 99 / 100];
           }
+          for (std::map<std::string, std::vector<Tick>>::value_type const& f : result.servedWords) {
+            std::vector<Tick> t = f.second;
+            std::sort(t.begin(), t.end());
+            std::cout << " " << f.first << "-served-median=" << t[t.size() / 2] << " " << f.first << "-served-99=" << t[t.size() * 99 / 100];
+          }
+          if (result.partSamples > 0) std::cout << " part-mean=" << result.partSum / static_cast<double>(result.partSamples);
           std::vector<Tick> a = result.ackTimes;
           std::sort(a.begin(), a.end());
           if (!a.empty()) std::cout << " ack-median=" << a[a.size() / 2] << " ack-most=" << a.back();
--- a/yard/sim/world.cpp
+++ b/yard/sim/world.cpp
@@ -139,6 +139,11 @@
     if (plan_.mutation == Mutation::noFence || plan_.mutation == Mutation::forgetLeaving) t.confirmFor = 1000000000;
     if (plan_.mutation == Mutation::vouchTooSoon) t.vouchAfter = -1;
     if (plan_.mutation == Mutation::warmForever) t.warmLease = 1000000000;
+    t.figures = plan_.figures;
+    if (plan_.plain) {
+      t.figures.firstPart = 1000;
+      t.figures.calmFor = 1000000000;
+    }
     n.data = std::make_unique<rotor::Plane>(self, seeds, rng_.next(), t);
     run(n, n.data->started(local(n)));
   }
@@ -459,7 +464,10 @@
   }
   relayed.run = run.run;
   std::string const prefix = caller == callers_.end() ? "" : caller->second.prefix;
-  if (!prefix.empty()) ++result_.counts[r.prefixes.insert(prefix).second ? "prefix-misses" : "prefix-hits"];
+  if (!prefix.empty()) {
+    run.hit = !r.prefixes.insert(prefix).second;
+    ++result_.counts[run.hit ? "prefix-hits" : "prefix-misses"];
+  }
   r.runs[run.run] = run;
   r.queue.push_back(run.run);
   ++result_.counts["runs"];
@@ -477,7 +485,8 @@
     std::uint64_t const life = r.life;
     Run const run = it->second;
     double const slow = r.slow * (r.state == "cold" ? 4.0 : 1.0);
-    Tick const first = static_cast<Tick>(slow * static_cast<double>((r.pool == "other" ? 10 : 80) + rng_.below(60)));
+    Tick const read = r.pool == "other" ? 10 : run.hit ? 40 : run.bulk ? 600 : 200;
+    Tick const first = static_cast<Tick>(slow * static_cast<double>(read + static_cast<Tick>(rng_.below(40))));
     Tick const rest = static_cast<Tick>(slow * static_cast<double>(r.pool == "other" ? 5 : run.bulk ? 2000 + rng_.below(3000) : 100 + rng_.below(200)));
     after(first, [this, address, life, run] {
       Replica& k = replicas_.at(address);
@@ -490,6 +499,7 @@
         if (c != callers_.end() && c->second.call == run.call && !c->second.worded) {
           c->second.worded = true;
           result_.firstWords[c->second.cls].push_back(now_ - c->second.began);
+          result_.servedWords[c->second.cls].push_back(now_ - c->second.attemptAt);
         }
         this->run(m, m.data->firstWord(local(m), run.call, true));
       });
@@ -563,12 +573,12 @@
   Caller c;
   c.id = "c" + std::to_string(nextCaller_++);
   std::uint64_t const kind = rng_.below(100);
-  c.cls = kind < 20 ? "urgent" : kind < 35 ? "long" : "short";
+  c.cls = kind < 20 ? "urgent" : kind < 27 ? "long" : "short";
   c.resumable = kind >= 95;
   c.instance = rng_.chance(0.6) ? "desk.nord" : "desk.sued";
   c.path = c.cls == "urgent" ? "ack" : c.resumable ? "digest" : c.cls == "long" ? "narrate" : "pitch";
   if (rng_.chance(0.03) && !lastMark_.empty()) c.path = lastMark_;
-  if (c.cls != "urgent") c.prefix = rng_.chance(0.3) ? "hot" : "p" + std::to_string(rng_.below(40));
+  if (c.cls != "urgent") c.prefix = rng_.chance(0.3) ? "hot" : "p" + std::to_string(rng_.below(static_cast<std::uint64_t>(plan_.prefixes)));
   c.hard = rng_.chance(hardShare_);
   c.began = now_;
   c.deadline = now_ + callerPatience * 2;
@@ -599,6 +609,7 @@
   c.life = n.life;
   c.call = nextCall_++;
   c.open = true;
+  c.attemptAt = now_;
   callerOf_[{n.link, c.call}] = id;
   rotor::Request r;
   r.call = c.call;
@@ -1205,6 +1216,11 @@
     std::string const note =
         core::str(n.second.data->valueOf(family).value("template").toObject().value("spec").toObject().value("note").toString());
     if (denied.count(note) > 0) violation("a denied change is in force: " + note);
+    for (std::pair<std::size_t, std::size_t> const& part : n.second.data->parts("model")) {
+      result_.partSum += static_cast<double>(part.first);
+      ++result_.partSamples;
+      result_.counts["held-most"] = std::max(result_.counts["held-most"], part.second);
+    }
     ++result_.counts["standing-looks"];
     if (n.second.data->standing(local(n.second))) ++result_.counts["standing-held"];
   }
@@ -1285,6 +1301,10 @@
       Fault const f = plan_.faults[rng_.below(plan_.faults.size())];
       at(t, [this, f] { cause(f); });
     }
+  if (plan_.surge != 1.0) {
+    at(begin + plan_.length / 3, [this] { demandNow_ = plan_.demand * plan_.surge; });
+    at(begin + 2 * plan_.length / 3, [this] { demandNow_ = plan_.demand; });
+  }
   at(begin + plan_.length, [this] {
     heal();
     quiet_ = false;
--- a/yard/sim/world.h
+++ b/yard/sim/world.h
@@ -127,6 +127,8 @@
   int others = 3;
   int zones = 3;
   double demand = 40;
+  /// Times the demand between a third and two thirds of the run.
+  double surge = 1.0;
   Tick length = 60000;
   std::vector<Fault> faults;
   /// Mean time between failures.
@@ -134,13 +136,17 @@
   Mutation mutation = Mutation::none;
   /// Whole pool, fewest in flight: the plain variant for comparisons.
   bool plain = false;
+  governor::Figures figures = governor::figures;
+  int prefixes = 40;
 };
 
 /// What a run showed.
 struct Result {
   std::vector<std::string> violations;
   std::map<std::string, std::size_t> counts;
+  /// From the caller's first attempt, and from the attempt that was served.
   std::map<std::string, std::vector<Tick>> firstWords;
+  std::map<std::string, std::vector<Tick>> servedWords;
   std::vector<Tick> ackTimes;
   double partSum = 0;
   std::size_t partSamples = 0;
@@ -183,6 +189,7 @@
     bool alive = true;
     bool done = false;
     bool bulk = false;
+    bool hit = false;
   };
   struct Replica {
     std::string address;
@@ -216,6 +223,7 @@
     bool hard = false;
     bool open = false;
     Tick began = 0;
+    Tick attemptAt = 0;
     Tick deadline = 0;
     bool worded = false;
   };
