Hold a request for two of its aims at most, and give long ones two fifths of the cap

Cause: requests were held until their deadline (10 s for short ones, 60 s for long ones), and the long lane's every eighth turn is more than its share of the crowd, so in a crowd short requests waited longer than long ones. Ruled out: the scaler's part (5.9 of 9 replicas, and the plain variant shows the same), echoes (not counted in z).

--- a/governor/include/corkward/governor/governor.h
+++ b/governor/include/corkward/governor/governor.h
@@ -31,7 +31,7 @@
   double cut = 0.8;
   Tick cutEvery = 500;
   /// Share of the cap that long requests may fill.
-  double bulkShare = 0.75;
+  double bulkShare = 0.4;
   /// A prefix stays on its replica while that has at most this many more in flight than the fewest.
   int prefixSlack = 2;
   std::size_t prefixes = 20000;
--- a/rotor/include/corkward/rotor/plane.h
+++ b/rotor/include/corkward/rotor/plane.h
@@ -39,6 +39,8 @@
   Tick warmLease = 1400;
   double heldPerCap = 4.0;
   std::size_t heldLeast = 8;
+  /// A request is held for this many of its aims at the most.
+  double heldAims = 2.0;
   double nodeLimitPerReplica = 8.0;
   int resumes = 2;
   /// A stream in which nothing moves for this long is given up as broken.
@@ -244,8 +246,8 @@
   void breakOff(Commands& out, Tick now, CallId id);
   void unhold(CallId id);
   void retry(Commands& out, Tick now, CallId id, char const* why);
-  int comeBack(Credit const& c) const;
-  Tick expectedWait(Credit const& c) const;
+  int comeBack(Credit const& c, blueprint::Class cls) const;
+  Tick expectedWait(Credit const& c, blueprint::Class cls) const;
   void warmDuties(Commands& out, Tick now);
   bool warmHeld(Tick now, Index replica) const;
   void expireSeen(Tick now);
--- a/rotor/src/plane.cpp
+++ b/rotor/src/plane.cpp
@@ -477,14 +477,16 @@
   }
 }
 
-Tick Plane::expectedWait(Credit const& c) const {
-  if (c.heldCount() == 0) return 0;
+Tick Plane::expectedWait(Credit const& c, blueprint::Class cls) const {
+  std::size_t ahead = 0;
+  for (std::size_t l = 0; l <= lane(cls); ++l) ahead += c.held[l].size();
+  if (ahead == 0) return 0;
   double const rate = std::max(c.perSecond, 0.2);
-  return static_cast<Tick>(1000.0 * static_cast<double>(c.heldCount()) / rate);
+  return static_cast<Tick>(1000.0 * static_cast<double>(ahead) / rate);
 }
 
-int Plane::comeBack(Credit const& c) const {
-  return static_cast<int>(std::clamp<Tick>((expectedWait(c) + 999) / 1000, 1, 30));
+int Plane::comeBack(Credit const& c, blueprint::Class cls) const {
+  return static_cast<int>(std::clamp<Tick>((expectedWait(c, cls) + 999) / 1000, 1, 30));
 }
 
 void Plane::admit(Commands& out, Tick now, CallId id) {
@@ -502,13 +504,12 @@
     return;
   }
   std::size_t const bound = std::max(tuning_.heldLeast, static_cast<std::size_t>(tuning_.heldPerCap * c.scaler.cap()));
-  Tick const wait = c.scaler.part().empty() && ahead == 0 ? 0 : expectedWait(c);
   bool const none = c.scaler.part().empty();
-  bool const late = wait > 0 && now + wait + static_cast<Tick>(c.scaler.firstWordMean()) > call.until &&
-                    row.path.cls != blueprint::Class::urgent;
+  Tick const wait = expectedWait(c, row.path.cls);
+  bool const late = wait > static_cast<Tick>(tuning_.heldAims * static_cast<double>(row.path.aim)) || now + wait > call.until;
   bool const slow = c.scaler.allSlow() && ahead >= static_cast<std::size_t>(std::max(1.0, c.scaler.cap()));
   if (none || ahead >= bound || late || slow) {
-    deny(out, now, id, 503, none ? "no replica" : slow ? "all replicas slow" : "too much held", true, comeBack(c));
+    deny(out, now, id, 503, none ? "no replica" : slow ? "all replicas slow" : "too much held", true, comeBack(c, row.path.cls));
     return;
   }
   c.held[lane(row.path.cls)].push_back(id);
@@ -867,6 +868,8 @@
     if ((call.phase == Phase::asking && now - call.phaseAt > tuning_.seenWait) ||
         (call.phase == Phase::connecting && now - call.phaseAt > tuning_.connectLimit) ||
         (call.phase == Phase::streaming && now - call.phaseAt > tuning_.streamIdle) ||
+        (call.phase == Phase::held &&
+         now - call.arrived > static_cast<Tick>(2 * tuning_.heldAims * static_cast<double>(rows_[call.path].path.aim))) ||
         (call.phase != Phase::streaming && now >= call.until))
       late.push_back(c.first);
   }
@@ -878,10 +881,11 @@
       case Phase::asking:
         deny(out, now, id, 409, "another node cannot say whether an earlier attempt ran", false, 0);
         break;
-      case Phase::held:
-        if (now >= it->second.until)
-          deny(out, now, id, 503, "held too long", true, comeBack(credits_.at({rows_[it->second.path].pool, rows_[it->second.path].instance})));
+      case Phase::held: {
+        Row const& row = rows_[it->second.path];
+        deny(out, now, id, 503, "held too long", true, comeBack(credits_.at({row.pool, row.instance}), row.path.cls));
         break;
+      }
       case Phase::connecting: {
         out.calls.push_back(Abandon{id});
         Commands more = connectDenied(now, id);
