Let a prefix spill at one request over the fewest

Cause: on eight nodes a node has few requests in flight, so a slack of 2 kept a prefix with 30% of the traffic on one replica, whose eight slots then queue. Ruled out: the part (2.3 to 2.6 replicas either way) and prefix hits (95% for each slack).

--- a/governor/include/corkward/governor/governor.h
+++ b/governor/include/corkward/governor/governor.h
@@ -33,7 +33,7 @@
   /// Share of the cap that long requests may fill.
   double bulkShare = 0.4;
   /// A prefix stays on its replica while that has at most this many more in flight than the fewest.
-  int prefixSlack = 2;
+  int prefixSlack = 1;
   std::size_t prefixes = 20000;
   /// A replica's answer times weigh this much in the running mean.
   double mean = 0.2;
@@ -69,6 +69,7 @@
   int inFlight() const { return inFlight_; }
   int inFlightAt(Index replica) const;
   double limit() const { return limit_; }
+  Figures const& figuresUsed() const { return f_; }
   /// True when all of the part is slow and the last widening did not help.
   bool allSlow() const { return allSlow_; }
   double firstWordMean() const { return mean_; }
--- a/governor/src/governor.cpp
+++ b/governor/src/governor.cpp
@@ -150,7 +150,7 @@
   std::uint64_t bestOrder = 0;
   for (Candidate const& c : usable) {
     int const n = scaler.inFlightAt(c.replica);
-    if (static_cast<std::int64_t>(c.replica) == last && n <= fewest + figures.prefixSlack) return last;
+    if (static_cast<std::int64_t>(c.replica) == last && n <= fewest + scaler.figuresUsed().prefixSlack) return last;
     std::uint64_t const order = core::Rng(prefix ^ c.hash).next();
     if (n != fewest || (best >= 0 && order >= bestOrder)) continue;
     best = static_cast<std::int64_t>(c.replica);
