Let an operator declare a lost node gone, and count a refused node as not running

Cause: if every node of the roster before is lost for good, no majority of it can ever apply a change; nothing would be acknowledged as in force again, and the roster, which waits for that, could not change either. Ruled out: striking such nodes by time alone: cut off together they may stand by each other and serve, by design. Before: the argument allowed no way out; after: DELETE /v1/nodes/{link} records that the machine is off, and a node whose address refuses the connection after the change counts as one that cannot serve it. Conclusion: kept; a false declaration is the operator's risk and is documented.

--- a/core/include/corkward/core/journal.h
+++ b/core/include/corkward/core/journal.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <string>
 
 #include <corkward/core/types.h>
@@ -29,6 +30,8 @@
     for (Entry const& e : entries_) view = fold(std::move(view), e);
     return view;
   }
+  /// The standing view: how often each event has been appended, those included that the bound has let go.
+  std::map<std::string, std::uint64_t> const& counts() const { return counts_; }
   std::uint64_t last() const { return next_; }
   std::size_t size() const { return entries_.size(); }
 
@@ -36,6 +39,7 @@
   std::size_t bound_;
   std::uint64_t next_ = 0;
   std::deque<Entry> entries_;
+  std::map<std::string, std::uint64_t> counts_;
 };
 
 }  // namespace corkward::core
--- a/core/src/core.cpp
+++ b/core/src/core.cpp
@@ -39,6 +39,7 @@
 }
 
 void Journal::append(Tick at, std::string what, std::string about) {
+  ++counts_[what];
   entries_.push_back(Entry{++next_, at, std::move(what), std::move(about)});
   if (entries_.size() > bound_) entries_.pop_front();
 }
--- a/core/test/core_test.cpp
+++ b/core/test/core_test.cpp
@@ -42,4 +42,5 @@
   for (int i = 0; i < 100; ++i) j.append(i, "x", "y");
   CHECK(j.size() == 8);
   CHECK(j.fold(std::uint64_t{0}, [](std::uint64_t, core::Entry const& e) { return e.number; }) == 100);
+  CHECK(j.counts().at("x") == 100);
 }
--- a/ledger/test/ledger_test.cpp
+++ b/ledger/test/ledger_test.cpp
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <catch2/trompeloeil.hpp>
 
 #include <corkward/core/types.h>
 #include <corkward/ledger/ledger.h>
@@ -50,8 +51,56 @@
   }
 };
 
+/// Watches in which order a folder is used.
+class MockFolder : public ledger::Folder {
+ public:
+  MAKE_MOCK0(list, std::vector<std::string>(), override);
+  MAKE_MOCK1(read, std::string(std::string const&), override);
+  MAKE_MOCK2(append, void(std::string const&, std::string const&), override);
+  MAKE_MOCK1(sync, void(std::string const&), override);
+  MAKE_MOCK2(rename, void(std::string const&, std::string const&), override);
+  MAKE_MOCK1(remove, void(std::string const&), override);
+  MAKE_MOCK2(truncate, void(std::string const&, std::uint64_t), override);
+  MAKE_MOCK0(syncFolder, void(), override);
+};
+
 }  // namespace
 
+TEST_CASE("an image is whole and synced under its name before anything older goes") {
+  using trompeloeil::_;
+  std::string const segment = "segment-000000000001";
+  std::string const image = "image-000000000002";
+  MockFolder folder;
+  trompeloeil::sequence order;
+  REQUIRE_CALL(folder, list()).IN_SEQUENCE(order).RETURN(std::vector<std::string>{});
+  REQUIRE_CALL(folder, append(segment, _)).IN_SEQUENCE(order);
+  REQUIRE_CALL(folder, sync(segment)).IN_SEQUENCE(order);
+  REQUIRE_CALL(folder, syncFolder()).IN_SEQUENCE(order);
+  REQUIRE_CALL(folder, list()).IN_SEQUENCE(order).RETURN(std::vector<std::string>{segment});
+  REQUIRE_CALL(folder, append("image.new", _)).IN_SEQUENCE(order);
+  REQUIRE_CALL(folder, sync("image.new")).IN_SEQUENCE(order);
+  REQUIRE_CALL(folder, rename("image.new", image)).IN_SEQUENCE(order);
+  REQUIRE_CALL(folder, syncFolder()).IN_SEQUENCE(order);
+  REQUIRE_CALL(folder, list()).IN_SEQUENCE(order).RETURN(std::vector<std::string>{segment, image});
+  REQUIRE_CALL(folder, remove(segment)).IN_SEQUENCE(order);
+  ledger::Ledger log(folder, 10);
+  log.recover();
+  log.write({{"k", "long enough to roll"}});
+}
+
+TEST_CASE("after a failed sync the file is not touched again") {
+  using trompeloeil::_;
+  MockFolder folder;
+  REQUIRE_CALL(folder, list()).RETURN(std::vector<std::string>{});
+  REQUIRE_CALL(folder, append(_, _)).TIMES(1);
+  REQUIRE_CALL(folder, sync(_)).TIMES(1).THROW(ledger::Error("sync failed"));
+  ledger::Ledger log(folder);
+  log.recover();
+  CHECK_THROWS_AS(log.write({{"k", "v"}}), ledger::Error);
+  CHECK_THROWS_AS(log.write({{"k", "v"}}), ledger::Error);
+  CHECK(log.failed());
+}
+
 TEST_CASE("what was synced comes back after power loss, through rolls, images and torn tails") {
   for (std::uint64_t seed = 1; seed <= 200; ++seed) {
     core::Rng rng(seed);
--- a/mooring/src/mooring.cpp
+++ b/mooring/src/mooring.cpp
@@ -566,6 +566,7 @@
 Commands Mooring::clockEvent(Tick now) {
   Commands out;
   lastClock_ = now;
+  std::erase_if(newcomers_, [&](auto const& n) { return now - n.second.heard > tuning_.replaceDarkAfter; });
   watchDisk(out, now);
   if (now >= beatAt_) beat(out, now);
   if (empty_) found(out, now);
--- a/programs/cli/main.cpp
+++ b/programs/cli/main.cpp
@@ -36,6 +36,7 @@
     {"pool-get", "POOL", "read a pool's list"},
     {"pool-put", "POOL FILE", "give a pool's list, as the platform does"},
     {"change", "ID", "ask what became of a change"},
+    {"node-gone", "LINK", "declare that a lost node's machine is off for good"},
     {"fleet", "", "show the fleet as one substation sees it"}};
 
 struct ExitRow {
@@ -71,6 +72,7 @@
   if (c == "evacuate") return {"PUT", "/v1/evacuations/" + words[1], ""};
   if (c == "lift") return {"DELETE", "/v1/evacuations/" + words[1], ""};
   if (c == "evacuation") return {"GET", "/v1/evacuations/" + words[1], ""};
+  if (c == "node-gone") return {"DELETE", "/v1/nodes/" + words[1], ""};
   bool const body = method == "PUT" || method == "PATCH";
   if (c.rfind("pool-", 0) == 0) return {method, "/v1/platform/pools/" + words[1], body ? words[2] : ""};
   if (c.rfind("template-", 0) == 0) return {method, "/v1/templates/" + words[1], body ? words[2] : ""};
--- a/rotor/include/corkward/rotor/plane.h
+++ b/rotor/include/corkward/rotor/plane.h
@@ -252,7 +252,7 @@
   bool warmHeld(Tick now, Index replica) const;
   void expireSeen(Tick now);
   void note(Commands& out, Tick now, std::string event, std::map<std::string, std::string> fields = {});
-  void count(std::string const& what);
+  void count(Tick now, std::string const& what, std::string const& about = "");
   void on(Commands& out, Tick now, std::string const& from, signal::Shuffle const& m);
   void on(Commands& out, Tick now, std::string const& from, signal::News const& m);
   void on(Commands& out, Tick now, std::string const& from, signal::Confirm const& m);
@@ -268,7 +268,6 @@
   std::uint64_t seed_;
   lookout::Lookout lookout_;
   core::Journal journal_;
-  std::map<std::string, std::uint64_t> counters_;
   Tick started_ = 0;
   bool draining_ = false;
   bool whole_ = false;
--- a/rotor/src/plane.cpp
+++ b/rotor/src/plane.cpp
@@ -23,11 +23,10 @@
 Plane::Plane(signal::Contact self, std::vector<std::string> seeds, std::uint64_t seed, Tuning tuning)
     : tuning_(tuning), seed_(seed), lookout_(std::move(self), std::move(seeds), seed ^ 0x91) {}
 
-void Plane::count(std::string const& what) { ++counters_[what]; }
+void Plane::count(Tick now, std::string const& what, std::string const& about) { journal_.append(now, what, about); }
 
 void Plane::note(Commands& out, Tick now, std::string event, std::map<std::string, std::string> fields) {
-  journal_.append(now, event, fields.empty() ? "" : fields.begin()->second);
-  count(event);
+  count(now, event, fields.empty() ? "" : fields.begin()->second);
   out.notes.push_back(core::Note{std::move(event), std::move(fields)});
 }
 
@@ -348,7 +347,7 @@
 
 Commands Plane::request(Tick now, Request const& request) {
   Commands out;
-  count("requests");
+  count(now, "requests");
   CallId const id = request.call;
   Call call;
   call.request = request;
@@ -648,8 +647,7 @@
   CORKWARD_INVARIANT(call.phase != Phase::streaming);
   CORKWARD_INVARIANT(!notRun || call.phase != Phase::handed);
   unhold(id);
-  journal_.append(now, "denied", reason);
-  count("denied_" + std::to_string(status));
+  count(now, "denied_" + std::to_string(status), reason);
   out.calls.push_back(Deny{id, status, std::move(reason), notRun, retryAfter});
   Call gone = call;
   forget(now, id);
@@ -696,10 +694,10 @@
   call.dispatched = true;
   if (!call.request.id.empty()) seen_[call.request.instance + "|" + call.request.id].mayHaveRun = true;
   if (call.prefix != 0) {
-    count(prefixes_.last(call.prefix) == static_cast<std::int64_t>(call.replica) ? "prefix_kept" : "prefix_moved");
+    count(now, prefixes_.last(call.prefix) == static_cast<std::int64_t>(call.replica) ? "prefix_kept" : "prefix_moved");
     prefixes_.served(call.prefix, call.replica);
   }
-  count("handed_over");
+  count(now, "handed_over");
   out.calls.push_back(HandOver{id});
   return out;
 }
@@ -718,7 +716,7 @@
     deny(out, now, id, 503, std::string(why) + "; no retry left", true, 1);
     return;
   }
-  count(again ? "retried_dispatched" : "retried");
+  count(now, again ? "retried_dispatched" : "retried");
   CreditKey const key{rows_[call.path].pool, rows_[call.path].instance};
   if (tryConnect(out, now, id)) return;
   credits_.at(key).held[lane(rows_[call.path].path.cls)].push_front(id);
@@ -753,7 +751,7 @@
   if (!first) return out;
   CreditKey const key{row.pool, row.instance};
   credits_.at(key).scaler.firstWord(now, call.replica, now - call.handedAt, row.path.aim);
-  count("first_words");
+  count(now, "first_words");
   pump(out, now, key);
   return out;
 }
@@ -772,7 +770,7 @@
   bool const streaming = call.phase == Phase::streaming;
   CORKWARD_INVARIANT(call.phase == Phase::handed || streaming);
   if (end == End::whole) {
-    count("served");
+    count(now, "served");
     Call gone = call;
     forget(now, id);
     uncount(out, now, gone);
@@ -780,7 +778,7 @@
   }
   if (end == End::notRun && !streaming && call.resumes == 0) {
     if (!call.request.id.empty()) seen_[call.request.instance + "|" + call.request.id].mayHaveRun = false;
-    count("replica_not_run");
+    count(now, "replica_not_run");
     replicas_[call.replica].coolUntil = std::max(replicas_[call.replica].coolUntil, now + tuning_.busyFor);
     call.phase = Phase::connecting;
     retry(out, now, id, "replica said not run");
@@ -798,7 +796,7 @@
     ++call.resumes;
     call.phase = Phase::handed;
     call.phaseAt = now;
-    count("resumed");
+    count(now, "resumed");
     std::string const& name = replicaNames_.name(call.replica);
     out.calls.push_back(Connect{id, name.substr(name.find('|') + 1), row.path.path, true});
     return out;
@@ -813,7 +811,7 @@
 }
 
 void Plane::breakOff(Commands& out, Tick now, CallId id) {
-  count("broken");
+  count(now, "broken");
   out.calls.push_back(Abandon{id});
   out.calls.push_back(Abort{id});
   Call gone = calls_.at(id);
@@ -825,7 +823,7 @@
   Commands out;
   std::unordered_map<CallId, Call>::iterator const it = calls_.find(id);
   if (it == calls_.end()) return out;
-  count("caller_gone");
+  count(now, "caller_gone");
   if (it->second.counted) out.calls.push_back(Abandon{id});
   unhold(id);
   Call gone = it->second;
@@ -1012,7 +1010,7 @@
 
 std::string Plane::metrics(Tick now) const {
   std::string out = "# TYPE corkward_nacelle_events_total counter\n";
-  for (std::map<std::string, std::uint64_t>::value_type const& c : counters_)
+  for (std::map<std::string, std::uint64_t>::value_type const& c : journal_.counts())
     out += "corkward_nacelle_events_total{event=\"" + c.first + "\"} " + std::to_string(c.second) + "\n";
   out += "# TYPE corkward_nacelle_standing gauge\ncorkward_nacelle_standing " + std::string(standing(now) ? "1" : "0") + "\n";
   out += "# TYPE corkward_nacelle_in_hand gauge\ncorkward_nacelle_in_hand " + std::to_string(calls_.size()) + "\n";
--- /dev/null
+++ b/rotor/test/rotor_test.cpp
@@ -0,0 +1,185 @@
+#include <catch2/catch.hpp>
+
+#include <corkward/core/json.h>
+#include <corkward/rotor/plane.h>
+
+namespace core = corkward::core;
+namespace rotor = corkward::rotor;
+namespace signal = corkward::signal;
+
+namespace {
+
+/// One nacelle with a confirmed image, three replicas of one pool and two instances.
+struct Rig {
+  rotor::Plane plane;
+  core::Tick now = 100000;
+  std::uint64_t next = 1;
+
+  static signal::Contact self() {
+    signal::Contact c;
+    c.link = "n1";
+    c.role = "nacelle";
+    c.zone = "z1";
+    c.inc = 1;
+    return c;
+  }
+  Rig() : plane(self(), {"s1"}, 7) {
+    plane.started(0);
+    signal::News news;
+    news.number = 1;
+    news.whole = true;
+    news.items = {{"cohort", 1, core::parseJson(R"({"members":[{"id":"m1","link":"s1"}]})").toObject()},
+                  {"roster", 1, core::parseJson(R"({"nodes":[{"link":"n1"},{"link":"n2"},{"link":"n3"}]})").toObject()},
+                  {"pool:model", 1, pool(1, "serving")},
+                  {"family:desk", 1, core::parseJson(R"({"template":{"stamp":1,"spec":{"paths":[
+                     {"path":"a","pool":"model","class":"short"},{"path":"r","pool":"model","class":"short","resumable":true}]}},
+                     "instances":{"nord":{"stamp":1,"spec":{}},"sued":{"stamp":1,"spec":{}}}})").toObject()}};
+    plane.arrived(now, "s1", news);
+    confirm();
+  }
+  static QJsonObject pool(int generation, char const* state) {
+    return core::parseJson(R"({"generation":)" + std::to_string(generation) + R"(,"replicas":[{"address":"10.0.0.1:80","zone":"z1","state":")" + state +
+                           R"("},{"address":"10.0.0.2:80","zone":"z2","state":"serving"},{"address":"10.0.0.3:80","zone":"z2","state":"serving"}]})")
+        .toObject();
+  }
+  void confirm() {
+    signal::Confirm c;
+    c.tick = now;
+    c.inTouch = true;
+    plane.arrived(now, "s1", c);
+  }
+  rotor::Commands ask(std::string const& id, std::uint64_t attempt = 1, std::string const& instance = "desk.nord", std::string const& path = "a") {
+    rotor::Request r;
+    r.call = next++;
+    r.instance = instance;
+    r.path = path;
+    r.id = id;
+    r.attempt = attempt;
+    r.earlierNotRun = attempt > 1;
+    return plane.request(now, r);
+  }
+  template <class T>
+  static T const* find(rotor::Commands const& c) {
+    for (auto const& v : c.calls)
+      if (T const* const m = std::get_if<T>(&v)) return m;
+    return nullptr;
+  }
+};
+
+}  // namespace
+
+TEST_CASE("a nacelle whose confirmation has grown old hands nothing over, even on an open connection") {
+  Rig rig;
+  rotor::Commands const c = rig.ask("x");
+  REQUIRE(Rig::find<rotor::Connect>(c) != nullptr);
+  rig.now += 1501;
+  rotor::Commands const late = rig.plane.connected(rig.now, 1);
+  CHECK(Rig::find<rotor::HandOver>(late) == nullptr);
+  REQUIRE(Rig::find<rotor::Deny>(late) != nullptr);
+  CHECK(Rig::find<rotor::Deny>(late)->notRun);
+  CHECK(Rig::find<rotor::Deny>(late)->retryAfter > 0);
+  CHECK(Rig::find<rotor::Deny>(rig.ask("y")) != nullptr);
+}
+
+TEST_CASE("a confirmation that knows more than this nacelle does not count") {
+  Rig rig;
+  rig.now += 1000;
+  signal::Confirm c;
+  c.tick = rig.now;
+  c.inTouch = true;
+  c.stamps = {{"family:desk", 2}};
+  rig.plane.arrived(rig.now, "s1", c);
+  rig.now += 600;
+  CHECK_FALSE(rig.plane.standing(rig.now));
+  signal::News news;
+  news.number = 2;
+  news.items = {{"family:desk", 2, rig.plane.valueOf("family:desk")}};
+  rig.plane.arrived(rig.now, "s1", news);
+  CHECK(rig.plane.standing(rig.now));
+}
+
+TEST_CASE("contacts with a majority of the roster are standing enough") {
+  Rig rig;
+  rig.now += 2000;
+  CHECK_FALSE(rig.plane.standing(rig.now));
+  signal::Touch t;
+  t.tick = rig.now;
+  t.echo = true;
+  t.whole = true;
+  t.link = "n2";
+  t.stamps = {{"family:desk", 1}};
+  rig.plane.arrived(rig.now + 5, "n2", t);
+  CHECK(rig.plane.standing(rig.now + 5));
+  CHECK_FALSE(rig.plane.standing(rig.now + 1600));
+}
+
+TEST_CASE("older news never undoes newer") {
+  Rig rig;
+  signal::News news;
+  news.items = {{"zone:z2", 5, core::parseJson(R"({"evacuated":true})").toObject()}};
+  rig.plane.arrived(rig.now, "s1", news);
+  news.items = {{"zone:z2", 4, core::parseJson(R"({"evacuated":false})").toObject()}};
+  rig.plane.arrived(rig.now, "s1", news);
+  for (int i = 0; i < 3; ++i) {
+    rotor::Commands const c = rig.ask("x" + std::to_string(i));
+    REQUIRE(Rig::find<rotor::Connect>(c) != nullptr);
+    CHECK(Rig::find<rotor::Connect>(c)->address == "10.0.0.1:80");
+  }
+}
+
+TEST_CASE("a replica that is shown leaving between connect and hand-over is not reached") {
+  Rig rig;
+  rotor::Commands const c = rig.ask("x");
+  REQUIRE(Rig::find<rotor::Connect>(c) != nullptr);
+  std::string const address = Rig::find<rotor::Connect>(c)->address;
+  rig.plane.arrived(rig.now, "s1", signal::Hint{"model", 2, {address}});
+  rotor::Commands const after = rig.plane.connected(rig.now, 1);
+  CHECK(Rig::find<rotor::HandOver>(after) == nullptr);
+  REQUIRE(Rig::find<rotor::Connect>(after) != nullptr);
+  CHECK(Rig::find<rotor::Connect>(after)->address != address);
+}
+
+TEST_CASE("an outcome that was lost is unknown, and its id does not run again") {
+  Rig rig;
+  rig.ask("x");
+  REQUIRE(Rig::find<rotor::HandOver>(rig.plane.connected(rig.now, 1)) != nullptr);
+  rotor::Commands const lost = rig.plane.ended(rig.now, 1, rotor::End::broken);
+  REQUIRE(Rig::find<rotor::Deny>(lost) != nullptr);
+  CHECK_FALSE(Rig::find<rotor::Deny>(lost)->notRun);
+  CHECK(Rig::find<rotor::Deny>(lost)->status == 502);
+  CHECK(Rig::find<rotor::Deny>(rig.ask("x", 2))->status == 409);
+}
+
+TEST_CASE("a held request gives way to its own echo, and echoes do not widen the part") {
+  Rig rig;
+  for (int i = 0; i < 200; ++i) rig.ask("fill" + std::to_string(i));
+  std::size_t const part = rig.plane.parts("model").front().first;
+  std::size_t const held = rig.plane.parts("model").front().second;
+  REQUIRE(held > 0);
+  rig.ask("echo");
+  std::size_t const before = rig.plane.parts("model").front().second;
+  for (std::uint64_t a = 2; a < 30; ++a) rig.ask("echo", a);
+  CHECK(rig.plane.parts("model").front().second <= before);
+  CHECK(rig.plane.parts("model").front().first == part);
+}
+
+TEST_CASE("one tenant's crowd leaves room for another") {
+  Rig rig;
+  for (int i = 0; i < 300; ++i) rig.ask("crowd" + std::to_string(i));
+  rotor::Commands const c = rig.ask("other", 1, "desk.sued");
+  CHECK(Rig::find<rotor::Connect>(c) != nullptr);
+}
+
+TEST_CASE("a stream in which nothing moves is given up as broken") {
+  Rig rig;
+  rig.ask("x");
+  rig.plane.connected(rig.now, 1);
+  rig.plane.firstWord(rig.now, 1, true);
+  rig.now += 9000;
+  rig.plane.moving(rig.now, 1);
+  rig.now += 9000;
+  CHECK(Rig::find<rotor::Abort>(rig.plane.clockEvent(rig.now)) == nullptr);
+  rig.now += 1500;
+  CHECK(Rig::find<rotor::Abort>(rig.plane.clockEvent(rig.now)) != nullptr);
+  CHECK(rig.plane.inHand() == 0);
+}
--- a/substation/include/corkward/substation/plane.h
+++ b/substation/include/corkward/substation/plane.h
@@ -135,7 +135,6 @@
   lookout::Lookout lookout_;
   mooring::Mooring mooring_;
   core::Journal journal_;
-  std::map<std::string, std::uint64_t> counters_;
   std::uint64_t nextCall_ = 1;
   std::map<std::uint64_t, CallState> calls_;
   std::vector<Force> forces_;
--- a/substation/src/judge.cpp
+++ b/substation/src/judge.cpp
@@ -185,7 +185,27 @@
   return v;
 }
 
+Verdict declareGone(std::uint64_t stamp, QJsonObject const& current, signal::Call const& call) {
+  QString const link = core::qstr(targetOf(call.path)->instance);
+  QJsonArray gone = current.value("gone").toArray();
+  if (gone.contains(link)) return replay(200, stamp, call.changeId);
+  QJsonArray nodes;
+  for (QJsonValue const n : current.value("nodes").toArray())
+    if (n.toObject().value("link").toString() != link) nodes.append(n);
+  bool known = nodes.size() < current.value("nodes").toArray().size();
+  for (QJsonValue const n : current.value("previous").toArray()) known = known || n.toObject().value("link").toString() == link;
+  if (!known) return deny(404, "not found", "no such node on the roster");
+  gone.append(link);
+  while (gone.size() > 64) gone.removeFirst();
+  Verdict v;
+  v.change = !call.dryRun;
+  v.value = QJsonObject{{"nodes", nodes}, {"gone", gone}, {"previous", current.value("nodes").toArray()}};
+  v.body = QJsonObject{{"changeId", core::qstr(call.changeId)}, {"stamp", static_cast<qint64>(stamp) + 1}};
+  return v;
+}
+
 Verdict judgeRoster(std::uint64_t stamp, QJsonObject const& current, signal::Call const& call) {
+  if (call.method == "DELETE") return declareGone(stamp, current, call);
   if (bare(call.ifMatch) != std::to_string(stamp)) return deny(412, "stale stamp", "the roster has moved on");
   Verdict v;
   v.change = true;
@@ -209,6 +229,7 @@
   if (parts[1] == "platform" && parts.size() == 4 && parts[2] == "pools" && blueprint::validName(parts[3]))
     return Target{"pool:" + parts[3], "", ""};
   if (parts[1] == "roster" && parts.size() == 3) return Target{"roster", "", ""};
+  if (parts[1] == "nodes" && parts.size() == 3 && !parts[2].empty() && parts[2].size() < 64) return Target{"roster", "", parts[2]};
   return std::nullopt;
 }
 
--- a/substation/src/plane.cpp
+++ b/substation/src/plane.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr char const* rosterKey = "roster";
+constexpr char const* rosterMethod = "ROSTER";
 constexpr std::size_t maxCalls = 4096;
 
 bool isChange(std::string const& method) { return method == "PUT" || method == "PATCH" || method == "DELETE"; }
@@ -42,12 +43,10 @@
   std::move(from.persists.begin(), from.persists.end(), std::back_inserter(out.persists));
   for (core::Note& n : from.notes) {
     journal_.append(now, n.event, n.fields.count("key") > 0 ? n.fields["key"] : "");
-    ++counters_[n.event];
     out.notes.push_back(std::move(n));
   }
   for (mooring::Committed const& c : from.commits) {
     journal_.append(now, "committed", c.key);
-    ++counters_["committed"];
     if (c.key == rosterKey) rosterCommittedAt_ = now;
     out.notes.push_back(core::Note{"committed", {{"key", c.key}, {"stamp", std::to_string(c.stamp)}}});
   }
@@ -81,10 +80,9 @@
   if (it == calls_.end()) return;
   CallState const state = std::move(it->second);
   calls_.erase(it);
-  if (state.key == rosterKey) rosterCalling_ = false;
+  if (state.call.method == rosterMethod) rosterCalling_ = false;
   if (!body.contains("changeId") && isChange(state.call.method)) body.insert("changeId", core::qstr(state.call.changeId));
-  journal_.append(now, "answered", std::to_string(status));
-  ++counters_["answered_" + std::to_string(status)];
+  journal_.append(now, "answered_" + std::to_string(status), state.call.path);
   if (isChange(state.call.method))
     out.notes.push_back(core::Note{"change", {{"path", state.call.path}, {"status", std::to_string(status)}, {"change-id", state.call.changeId}}});
   if (!state.from.empty())
@@ -105,7 +103,8 @@
   bool const zoneOrPool = target && (target->key.rfind("zone:", 0) == 0 || target->key.rfind("pool:", 0) == 0);
   bool const known = call.method == "GET" || call.method == "PUT" || call.method == "DELETE" ||
                      (call.method == "PATCH" && !zoneOrPool) || call.method == "CHANGE";
-  if (!target || target->key == rosterKey) {
+  bool const node = target && target->key == rosterKey;
+  if (!target || (node && (target->instance.empty() || call.method != "DELETE"))) {
     out.answers.push_back(Answer{call.token, 404, {{"error", "not found"}, {"reason", "no such page"}}});
   } else if (!known || (call.method == "DELETE" && target->key.rfind("pool:", 0) == 0)) {
     out.answers.push_back(Answer{call.token, 405, {{"error", "method not allowed"}}});
@@ -274,7 +273,7 @@
   if (news.items.empty() && !whole) return;
   news.number = ++n.number;
   if (whole) n.wantWhole = -1;
-  ++counters_["news_pushed"];
+  journal_.append(now, "news_pushed", link);
   out.sends.push_back(signal::Send{link, std::move(news)});
 }
 
@@ -288,7 +287,7 @@
   std::map<std::string, mooring::Committed>::const_iterator const it = mooring_.committed().find(rosterKey);
   if (it == mooring_.committed().end()) return out;
   for (QJsonValue const v : it->second.value.value(QLatin1String(field)).toArray())
-    out.insert(core::str(v.toObject().value("link").toString()));
+    out.insert(core::str(v.isString() ? v.toString() : v.toObject().value("link").toString()));
   return out;
 }
 
@@ -303,6 +302,7 @@
   Tick const age = mooring_.majorityAge(now);
   if (age < 0 || now - age < since) return InForce::no;
   std::uint64_t const roster = committedStamp(rosterKey);
+  std::set<std::string> const declaredGone = rosterLinks("gone");
   bool all = true;
   bool settled = true;
   for (char const* field : {"nodes", "previous"}) {
@@ -311,17 +311,12 @@
     std::size_t onRoster = 0;
     for (std::string const& link : links) {
       std::map<std::string, Nacelle>::const_iterator const it = nacelles_.find(link);
-      if (it == nacelles_.end()) {
-        all = all && field != std::string("nodes");
-        continue;
-      }
-      signal::Stamps::const_iterator const have = it->second.stamps.find(key);
-      signal::Stamps::const_iterator const r = it->second.stamps.find(rosterKey);
-      bool const has = have != it->second.stamps.end() && have->second >= stamp;
-      bool const gone = it->second.refusedAt > since;
+      bool const known = it != nacelles_.end();
+      bool const gone = declaredGone.count(link) > 0 || (known && it->second.refusedAt > since);
+      bool const has = gone || (known && it->second.stamps.count(key) > 0 && it->second.stamps.at(key) >= stamp);
       yes += has ? 1 : 0;
-      onRoster += r != it->second.stamps.end() && r->second >= roster ? 1 : 0;
-      if (field == std::string("nodes")) all = all && (has || gone);
+      onRoster += gone || (known && it->second.stamps.count(rosterKey) > 0 && it->second.stamps.at(rosterKey) >= roster) ? 1 : 0;
+      if (field == std::string("nodes")) all = all && has;
     }
     if (links.empty()) continue;
     if (field == std::string("nodes"))
@@ -378,6 +373,7 @@
     for (QJsonValue const v : it->second.value.value("nodes").toArray())
       nodes[core::str(v.toObject().value("link").toString())] = v.toObject();
   bool changed = false;
+  std::set<std::string> gone = rosterLinks("gone");
   for (std::map<std::string, Nacelle>::value_type const& n : nacelles_) {
     if (n.second.heard < 0 || now - n.second.heard > 2000 || n.second.contact.role != "nacelle" || n.second.contact.draining ||
         nodes.count(n.first) > 0)
@@ -385,6 +381,7 @@
     nodes[n.first] = QJsonObject{{"link", core::qstr(n.first)},
                                  {"http", core::qstr(n.second.contact.http)},
                                  {"zone", core::qstr(n.second.contact.zone)}};
+    gone.erase(n.first);
     changed = true;
   }
   if (now - started_ > tuning_.strikeAfter) {
@@ -400,14 +397,16 @@
   if (!changed) return;
   QJsonArray list;
   for (std::map<std::string, QJsonObject>::value_type const& n : nodes) list.append(n.second);
+  QJsonArray goneList;
+  for (std::string const& link : gone) goneList.append(core::qstr(link));
   std::uint64_t const id = nextCall_++;
   CallState state;
   state.key = rosterKey;
   state.call.token = id;
-  state.call.method = "ROSTER";
+  state.call.method = rosterMethod;
   state.call.path = "/v1/roster/nodes";
   state.call.ifMatch = std::to_string(committedStamp(rosterKey));
-  state.call.body = core::jsonText(QJsonObject{{"nodes", list}});
+  state.call.body = core::jsonText(QJsonObject{{"nodes", list}, {"gone", goneList}});
   state.since = now;
   calls_[id] = state;
   rosterCalling_ = true;
@@ -457,7 +456,7 @@
       late.push_back(c.first);
     else if (c.second.relayed && now - c.second.sentAt > tuning_.resendEvery)
       again.push_back(c.first);
-    else if (c.second.from.empty() && !c.second.relayed && !forcing && c.second.key != rosterKey && !mooring_.owns(c.second.key) &&
+    else if (c.second.from.empty() && !c.second.relayed && !forcing && c.second.call.method != rosterMethod && !mooring_.owns(c.second.key) &&
              mooring_.ownerLink(c.second.key, now) != "")
       again.push_back(c.first);
   }
@@ -562,7 +561,7 @@
 
 std::string Plane::metrics(Tick now) const {
   std::string out = "# TYPE corkward_substation_events_total counter\n";
-  for (std::map<std::string, std::uint64_t>::value_type const& c : counters_)
+  for (std::map<std::string, std::uint64_t>::value_type const& c : journal_.counts())
     out += "corkward_substation_events_total{event=\"" + c.first + "\"} " + std::to_string(c.second) + "\n";
   out += "# TYPE corkward_substation_ready gauge\ncorkward_substation_ready " + std::string(ready(now) ? "1" : "0") + "\n";
   out += "# TYPE corkward_substation_majority_age_ms gauge\ncorkward_substation_majority_age_ms " +
