--- /dev/null
+++ b/door/test/door_test.cpp
@@ -0,0 +1,172 @@
+#include <catch2/catch.hpp>
+
+#include <QCoreApplication>
+#include <QEventLoop>
+#include <QHostAddress>
+#include <QTcpServer>
+#include <QTcpSocket>
+#include <QTimer>
+
+#include <corkward/core/types.h>
+#include <corkward/door/relay.h>
+#include <corkward/door/server.h>
+
+namespace core = corkward::core;
+namespace door = corkward::door;
+
+namespace {
+
+void application() {
+  static int argc = 0;
+  static QCoreApplication app(argc, nullptr);
+}
+
+/// Turns the event loop until the condition holds; false when it never does.
+template <class Condition>
+bool until(Condition condition) {
+  for (int turns = 0; turns < 200000; ++turns) {
+    if (condition()) return true;
+    QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents | QEventLoop::AllEvents, 50);
+  }
+  return false;
+}
+
+/// A replica that says exactly the given bytes and then closes, or stays.
+class Raw {
+ public:
+  Raw(std::string bytes, bool close) {
+    server_.listen(QHostAddress::LocalHost, 0);
+    QObject::connect(&server_, &QTcpServer::newConnection, &server_, [this, bytes, close] {
+      QTcpSocket* const s = server_.nextPendingConnection();
+      QObject::connect(s, &QTcpSocket::readyRead, s, [s, bytes, close] {
+        s->readAll();
+        s->write(QByteArray::fromStdString(bytes));
+        if (close) s->disconnectFromHost();
+      });
+    });
+  }
+  std::string address() const { return "127.0.0.1:" + std::to_string(server_.serverPort()); }
+
+ private:
+  QTcpServer server_;
+};
+
+struct Got {
+  int status = 0;
+  std::string body;
+  int ended = -1;
+  bool denied = false;
+};
+
+Got relayed(std::string const& address) {
+  Got got;
+  QObject owner;
+  door::Relay* relay = nullptr;
+  door::Relay::Events e;
+  e.connected = [&] { relay->send("x", {}, "{}"); };
+  e.denied = [&] { got.denied = true; };
+  e.head = [&](door::ReplicaHead h) { got.status = h.status; };
+  e.piece = [&](std::string bytes) { got.body += bytes; };
+  e.ended = [&](bool whole) { got.ended = whole ? 1 : 0; };
+  relay = new door::Relay(address, std::move(e), &owner);
+  REQUIRE(until([&] { return got.denied || got.ended >= 0; }));
+  return got;
+}
+
+}  // namespace
+
+TEST_CASE("a body counts as whole only when the replica's own end was seen") {
+  application();
+  struct Row {
+    char const* bytes;
+    int ended;
+    char const* body;
+  };
+  constexpr Row rows[] = {{"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", 1, "hello"},
+                          {"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nhello", 0, "hello"},
+                          {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", 1, "hello"},
+                          {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n", 0, "hello"},
+                          {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nhello", 0, nullptr},
+                          {"HTTP/1.1 200 OK\r\n\r\nhello", 0, "hello"},
+                          {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", 1, ""},
+                          {"nonsense\r\n\r\n", 0, ""},
+                          {"", 0, ""}};
+  for (Row const& r : rows) {
+    INFO(r.bytes);
+    Raw const raw(r.bytes, true);
+    Got const got = relayed(raw.address());
+    CHECK(got.ended == r.ended);
+    if (r.body != nullptr) CHECK(got.body == r.body);
+  }
+  CHECK(relayed("127.0.0.1:1").denied);
+}
+
+TEST_CASE("a paused relay stops reading, so a slow caller holds its replica back") {
+  application();
+  std::string const body(8 << 20, 'x');
+  Raw const raw("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body, true);
+  QObject owner;
+  door::Relay* relay = nullptr;
+  std::size_t got = 0;
+  int ended = -1;
+  bool paused = false;
+  door::Relay::Events e;
+  e.connected = [&] { relay->send("x", {}, "{}"); };
+  e.denied = [] {};
+  e.head = [](door::ReplicaHead) {};
+  e.piece = [&](std::string bytes) {
+    got += bytes.size();
+    if (got > (1 << 20) && !paused) {
+      paused = true;
+      relay->pause(true);
+    }
+  };
+  e.ended = [&](bool whole) { ended = whole ? 1 : 0; };
+  relay = new door::Relay(raw.address(), std::move(e), &owner);
+  REQUIRE(until([&] { return paused; }));
+  std::size_t const at = got;
+  for (int i = 0; i < 200; ++i) QCoreApplication::processEvents();
+  CHECK(got == at);
+  CHECK(ended == -1);
+  relay->pause(false);
+  REQUIRE(until([&] { return ended >= 0; }));
+  CHECK(ended == 1);
+  CHECK(got == body.size());
+}
+
+TEST_CASE("random and damaged requests get an answer or an end, and the door goes on") {
+  application();
+  std::size_t served = 0;
+  door::Server* door = nullptr;
+  door::Server::Events e;
+  e.request = [&](door::Request r) {
+    ++served;
+    door->answer(r.id, 200, {}, "ok");
+  };
+  door::Server server("127.0.0.1:0", door::Limits{.head = 2048, .body = 4096, .headMs = 100, .idleMs = 100}, std::move(e));
+  door = &server;
+  std::pair<std::string, std::uint16_t> const at = door::splitAddress(server.address());
+  std::string const good = "POST /v1/a/b HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbody";
+  core::Rng rng(11);
+  for (int round = 0; round < 400; ++round) {
+    std::string bytes = good;
+    if (round % 3 == 0) {
+      bytes.assign(rng.below(3000), '\0');
+      for (char& c : bytes) c = static_cast<char>(rng.next());
+    } else if (round % 3 == 1) {
+      for (int i = 0; i < 2; ++i) bytes[rng.below(bytes.size())] = static_cast<char>(rng.next());
+    } else {
+      bytes.resize(rng.below(bytes.size()));
+    }
+    QTcpSocket socket;
+    socket.connectToHost(QHostAddress(QString::fromStdString(at.first)), at.second);
+    socket.write(QByteArray::fromStdString(bytes));
+    REQUIRE(until([&] { return socket.bytesAvailable() > 0 || (socket.state() == QAbstractSocket::UnconnectedState); }));
+  }
+  std::size_t const before = served;
+  QTcpSocket socket;
+  socket.connectToHost(QHostAddress(QString::fromStdString(at.first)), at.second);
+  socket.write(QByteArray::fromStdString(good + good));
+  REQUIRE(until([&] { return served == before + 2; }));
+  CHECK(server.malformed() > 100);
+}
--- a/signal/include/corkward/signal/link.h
+++ b/signal/include/corkward/signal/link.h
@@ -26,8 +26,6 @@
   std::string const& address() const { return address_; }
   /// Queues a message; never blocks.
   void send(std::string const& to, Message const& message);
-  /// Closes the connection to a process that is gone for good.
-  void forget(std::string const& to);
   /// Frames that were not an envelope.
   std::uint64_t garbage() const { return garbage_; }
 
--- a/signal/src/link.cpp
+++ b/signal/src/link.cpp
@@ -86,11 +86,4 @@
   nng_send(socketOf(it->second), bytes.data(), bytes.size(), NNG_FLAG_NONBLOCK);
 }
 
-void Link::forget(std::string const& to) {
-  std::map<std::string, std::uint32_t>::iterator const it = out_.find(to);
-  if (it == out_.end()) return;
-  nng_close(socketOf(it->second));
-  out_.erase(it);
-}
-
 }  // namespace corkward::signal
