--- a/core/include/corkward/core/types.h
+++ b/core/include/corkward/core/types.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -12,16 +11,6 @@
 /// Milliseconds on a monotonic clock that goes on counting while the machine is suspended.
 using Tick = std::int64_t;
 
-/// A number that only compares with its own kind.
-template <class Tag>
-struct Strong {
-  std::uint64_t n = 0;
-  auto operator<=>(Strong const&) const = default;
-};
-
-/// Version of one key's value; rises by one with each accepted change.
-using Stamp = Strong<struct StampTag>;
-
 /// Dense index of a name, given out at the door.
 using Index = std::uint32_t;
 
@@ -62,10 +51,7 @@
   std::map<std::string, std::string> fields;
 };
 
-/// An error of the core layer.
-class Error;
-
-/// Thrown by a broken invariant.
+/// Throws InvariantError.
 [[noreturn]] void broken(char const* what, char const* file, int line);
 
 }  // namespace corkward::core
--- /dev/null
+++ b/programs/common/process.cpp
@@ -0,0 +1,44 @@
+#include "process.h"
+
+namespace corkward::programs {
+
+namespace {
+
+constexpr core::Tick leastDrain = 300;
+
+}  // namespace
+
+std::string pathOf(door::Request const& request) { return request.target.substr(0, request.target.find('?')); }
+
+bool plainPage(door::Server& server, door::Request const& request, std::function<bool()> const& ready,
+               std::function<std::string()> const& metrics) {
+  std::string const path = pathOf(request);
+  if (path == "/healthz") {
+    server.answer(request.id, 200, {{"content-type", "text/plain"}}, "ok\n");
+  } else if (path == "/readyz") {
+    bool const yes = ready();
+    server.answer(request.id, yes ? 200 : 503, {{"content-type", "text/plain"}}, yes ? "ready\n" : "not ready\n");
+  } else if (path == "/metrics") {
+    server.answer(request.id, 200, {{"content-type", "text/plain; version=0.0.4"}},
+                  metrics() + "# TYPE corkward_malformed_requests_total counter\ncorkward_malformed_requests_total " +
+                      std::to_string(server.malformed()) + "\n");
+  } else {
+    return false;
+  }
+  return true;
+}
+
+bool Drain::begin() {
+  if (until_ != 0) return false;
+  until_ = now() + limitSeconds_ * 1000;
+  least_ = now() + leastDrain;
+  return true;
+}
+
+void Drain::look(std::size_t inHand) {
+  if (until_ == 0 || (now() < until_ && (inHand > 0 || now() < least_))) return;
+  core::writeLog(core::Note{"stopped", {{"in-hand", std::to_string(inHand)}}});
+  QCoreApplication::exit(0);
+}
+
+}  // namespace corkward::programs
--- /dev/null
+++ b/programs/common/process.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <QCoreApplication>
+#include <functional>
+#include <iostream>
+#include <string>
+
+#include <corkward/core/log.h>
+#include <corkward/door/server.h>
+
+#include "clock.h"
+#include "settings.h"
+
+namespace corkward::programs {
+
+/// Answers /healthz, /readyz and /metrics; false when the request is for another page.
+bool plainPage(door::Server& server, door::Request const& request, std::function<bool()> const& ready,
+               std::function<std::string()> const& metrics);
+
+/// Path of a request without its query.
+std::string pathOf(door::Request const& request);
+
+/// The end of a process after SIGTERM: when nothing is in hand, or at the limit.
+class Drain {
+ public:
+  explicit Drain(int limitSeconds) : limitSeconds_(limitSeconds) {}
+  /// True at the first call only.
+  bool begin();
+  /// Ends the event loop when it is time.
+  void look(std::size_t inHand);
+
+ private:
+  int limitSeconds_;
+  core::Tick until_ = 0;
+  core::Tick least_ = 0;
+};
+
+/// Reads the settings, starts the log and runs the node. Exit codes: 0, 1 for an error, 2 for a setting.
+template <class Node>
+int runProgram(char const* name, Role role, int argc, char** argv) {
+  QCoreApplication app(argc, argv);
+  try {
+    std::optional<Settings> const settings = readSettings(argc, argv, role);
+    if (!settings) return 0;
+    core::startLog(settings->link, settings->logFile, settings->logLevel);
+    Node node(*settings);
+    return QCoreApplication::exec();
+  } catch (SettingsError const& e) {
+    std::cerr << name << ": " << e.what() << "\n";
+    return 2;
+  } catch (core::Error const& e) {
+    std::cerr << name << ": " << e.what() << "\n";
+    return 1;
+  }
+}
+
+}  // namespace corkward::programs
--- a/programs/nacelle/main.cpp
+++ b/programs/nacelle/main.cpp
@@ -1,7 +1,6 @@
 #include <QCoreApplication>
 #include <QDateTime>
 #include <QTimer>
-#include <iostream>
 #include <unordered_map>
 
 #include <corkward/core/json.h>
@@ -13,6 +12,7 @@
 #include <corkward/signal/link.h>
 
 #include "clock.h"
+#include "process.h"
 #include "settings.h"
 
 namespace corkward::programs {
@@ -29,6 +29,7 @@
  public:
   explicit Nacelle(Settings const& s)
       : settings_(s),
+        drain_(s.drainLimit),
         plane_(contact(s), s.seeds, freshSeed()),
         link_(this, s.link, [this](signal::Envelope e) { run(plane_.arrived(now(), e.from, e.message)); }),
         server_(s.http, door::Limits{}, events()) {
@@ -81,17 +82,13 @@
   }
 
   void serve(door::Request request) {
-    std::string const path = request.target.substr(0, request.target.find('?'));
-    if (path == "/healthz") {
-      server_.answer(request.id, 200, {{"content-type", "text/plain"}}, "ok\n");
-    } else if (path == "/readyz") {
-      bool const ready = plane_.ready(now());
-      server_.answer(request.id, ready ? 200 : 503, {{"content-type", "text/plain"}}, ready ? "ready\n" : "not ready\n");
-    } else if (path == "/metrics") {
-      server_.answer(request.id, 200, {{"content-type", "text/plain; version=0.0.4"}},
-                     plane_.metrics(now()) + "# TYPE corkward_garbage_frames_total counter\ncorkward_garbage_frames_total " +
-                         std::to_string(link_.garbage()) + "\n");
-    } else if (path == "/v1/state" && request.method == "GET") {
+    if (plainPage(server_, request, [this] { return plane_.ready(now()); },
+                  [this] {
+                    return plane_.metrics(now()) + "# TYPE corkward_garbage_frames_total counter\ncorkward_garbage_frames_total " +
+                           std::to_string(link_.garbage()) + "\n";
+                  }))
+      return;
+    if (pathOf(request) == "/v1/state" && request.method == "GET") {
       server_.answer(request.id, 200, {{"content-type", "application/json"}}, core::jsonText(plane_.state(now())) + "\n");
     } else {
       door::CallerRequest const caller = door::callerRequest(request);
@@ -258,49 +255,28 @@
   void clockEvent() {
     watchPaused();
     run(plane_.clockEvent(now()));
-    if (drainUntil_ != 0 && ((plane_.inHand() == 0 && now() >= drainLeast_) || now() >= drainUntil_)) {
-      core::writeLog(core::Note{"stopped", {{"in-hand", std::to_string(plane_.inHand())}}});
-      QCoreApplication::exit(0);
-    }
+    drain_.look(plane_.inHand());
   }
 
   void drain() {
-    if (drainUntil_ != 0) return;
-    drainUntil_ = now() + settings_.drainLimit * 1000;
-    drainLeast_ = now() + 300;
+    if (!drain_.begin()) return;
     run(plane_.drain(now()));
   }
 
   Settings settings_;
+  Drain drain_;
   rotor::Plane plane_;
   std::unordered_map<std::uint64_t, Call> calls_;
   signal::Link link_;
   door::Server server_;
   QTimer clock_;
   core::Tick pausedLookAt_ = 0;
-  core::Tick drainUntil_ = 0;
-  core::Tick drainLeast_ = 0;
 };
 
 }  // namespace
 
-int runNacelle(int argc, char** argv) {
-  QCoreApplication app(argc, argv);
-  try {
-    std::optional<Settings> const settings = readSettings(argc, argv, Role::nacelle);
-    if (!settings) return 0;
-    core::startLog(settings->link, settings->logFile, settings->logLevel);
-    Nacelle node(*settings);
-    return QCoreApplication::exec();
-  } catch (SettingsError const& e) {
-    std::cerr << "corkward-nacelle: " << e.what() << "\n";
-    return 2;
-  } catch (core::Error const& e) {
-    std::cerr << "corkward-nacelle: " << e.what() << "\n";
-    return 1;
-  }
-}
-
 }  // namespace corkward::programs
 
-int main(int argc, char** argv) { return corkward::programs::runNacelle(argc, argv); }
+int main(int argc, char** argv) {
+  return corkward::programs::runProgram<corkward::programs::Nacelle>("corkward-nacelle", corkward::programs::Role::nacelle, argc, argv);
+}
--- a/programs/substation/main.cpp
+++ b/programs/substation/main.cpp
@@ -4,7 +4,6 @@
 #include <QTcpSocket>
 #include <QTimer>
 #include <fcntl.h>
-#include <iostream>
 #include <sys/file.h>
 #include <unistd.h>
 
@@ -18,6 +17,7 @@
 #include <corkward/substation/plane.h>
 
 #include "clock.h"
+#include "process.h"
 #include "settings.h"
 
 namespace corkward::programs {
@@ -32,6 +32,7 @@
  public:
   explicit Substation(Settings const& s)
       : settings_(s),
+        drain_(s.drainLimit),
         seed_(freshSeed()),
         folder_(ledger::openFolder(s.data)),
         log_(std::make_unique<ledger::Ledger>(*folder_)),
@@ -84,19 +85,13 @@
   }
 
   void serve(door::Request request) {
-    std::string const path = request.target.substr(0, request.target.find('?'));
-    if (path == "/healthz") {
-      server_.answer(request.id, 200, {{"content-type", "text/plain"}}, "ok\n");
-    } else if (path == "/readyz") {
-      bool const ready = plane_.ready(now());
-      server_.answer(request.id, ready ? 200 : 503, {{"content-type", "text/plain"}}, ready ? "ready\n" : "not ready\n");
-    } else if (path == "/metrics") {
-      server_.answer(request.id, 200, {{"content-type", "text/plain; version=0.0.4"}},
-                     plane_.metrics(now()) + "# TYPE corkward_garbage_frames_total counter\ncorkward_garbage_frames_total " +
-                         std::to_string(link_.garbage()) + "\n");
-    } else {
-      run(plane_.operatorCall(now(), door::operatorCall(request, freshName())));
-    }
+    if (plainPage(server_, request, [this] { return plane_.ready(now()); },
+                  [this] {
+                    return plane_.metrics(now()) + "# TYPE corkward_garbage_frames_total counter\ncorkward_garbage_frames_total " +
+                           std::to_string(link_.garbage()) + "\n";
+                  }))
+      return;
+    run(plane_.operatorCall(now(), door::operatorCall(request, freshName())));
   }
 
   void run(substation::Commands&& commands) {
@@ -152,21 +147,17 @@
 
   void clockEvent() {
     run(plane_.clockEvent(now()));
-    if (drainUntil_ != 0 && ((plane_.inHand() == 0 && now() >= drainLeast_) || now() >= drainUntil_)) {
-      core::writeLog(core::Note{"stopped", {{"in-hand", std::to_string(plane_.inHand())}}});
-      QCoreApplication::exit(0);
-    }
+    drain_.look(plane_.inHand());
   }
 
   void drain() {
-    if (drainUntil_ != 0) return;
+    if (!drain_.begin()) return;
     core::writeLog(core::Note{"draining", {{"in-hand", std::to_string(plane_.inHand())}}});
-    drainUntil_ = now() + settings_.drainLimit * 1000;
-    drainLeast_ = now() + 300;
     run(plane_.drain(now()));
   }
 
   Settings settings_;
+  Drain drain_;
   std::uint64_t seed_;
   std::unique_ptr<ledger::Folder> folder_;
   std::unique_ptr<ledger::Ledger> log_;
@@ -174,30 +165,13 @@
   signal::Link link_;
   door::Server server_;
   QTimer clock_;
-  core::Tick drainUntil_ = 0;
-  core::Tick drainLeast_ = 0;
   core::Workers disk_;
 };
 
 }  // namespace
 
-int runSubstation(int argc, char** argv) {
-  QCoreApplication app(argc, argv);
-  try {
-    std::optional<Settings> const settings = readSettings(argc, argv, Role::substation);
-    if (!settings) return 0;
-    core::startLog(settings->link, settings->logFile, settings->logLevel);
-    Substation node(*settings);
-    return QCoreApplication::exec();
-  } catch (SettingsError const& e) {
-    std::cerr << "corkward-substation: " << e.what() << "\n";
-    return 2;
-  } catch (core::Error const& e) {
-    std::cerr << "corkward-substation: " << e.what() << "\n";
-    return 1;
-  }
-}
-
 }  // namespace corkward::programs
 
-int main(int argc, char** argv) { return corkward::programs::runSubstation(argc, argv); }
+int main(int argc, char** argv) {
+  return corkward::programs::runProgram<corkward::programs::Substation>("corkward-substation", corkward::programs::Role::substation, argc, argv);
+}
