Repeat leaving hints while control cannot take the list; answer callers over the bound

Cause: a leaving hint lapsed after 10 s however often the platform repeated it, so with no majority of the disks a replica shown leaving was used again; a caller over the bound of connections was reset without a word, and a leaving node did not tell callers that their kept connection ends. Before: rotor's and door's new tests fail; after: they pass.

--- a/door/include/corkward/door/server.h
+++ b/door/include/corkward/door/server.h
@@ -67,8 +67,8 @@
   void abort(std::uint64_t id);
   /// Bytes that wait to be written for the request.
   std::int64_t waiting(std::uint64_t id) const;
-  /// Takes no new connections and closes each one when its request is answered.
-  void close();
+  /// From here on each answer says that its connection is closed after it.
+  void leave() { leaving_ = true; }
   std::size_t connections() const { return conns_.size(); }
   std::uint64_t malformed() const { return malformed_; }
 
@@ -87,7 +87,7 @@
   QTcpServer* server_;
   std::uint64_t next_ = 1;
   std::uint64_t malformed_ = 0;
-  bool closing_ = false;
+  bool leaving_ = false;
   std::map<Conn const*, std::shared_ptr<Conn>> conns_;
   std::map<std::uint64_t, std::shared_ptr<Conn>> byId_;
 };
--- a/door/src/server.cpp
+++ b/door/src/server.cpp
@@ -78,7 +78,7 @@
 
 void Server::accept() {
   while (QTcpSocket* const socket = server_->nextPendingConnection()) {
-    if (closing_ || static_cast<int>(conns_.size()) >= limits_.connections) {
+    if (static_cast<int>(conns_.size()) >= 2 * limits_.connections) {
       socket->abort();
       socket->deleteLater();
       continue;
@@ -107,7 +107,10 @@
       if (c && c->id != 0 && c->begun && events_.room) events_.room(c->id);
     });
     conn->timer->start(limits_.headMs);
-    readable(conn);
+    if (static_cast<int>(conns_.size()) > limits_.connections)
+      fault(conn, 503, "too many connections");
+    else
+      readable(conn);
   }
 }
 
@@ -173,7 +176,8 @@
   message.body() = "{\"error\":\"malformed\",\"reason\":\"" + reason + "\"}";
   message.set(http::field::content_type, "application/json");
   message.set(http::field::connection, "close");
-  setFields(message, {});
+  setFields(message, {{"corkward-outcome", "not-run"}});
+  if (status == 503) message.set(http::field::retry_after, "1");
   message.prepare_payload();
   std::ostringstream text;
   text << message;
@@ -195,7 +199,7 @@
   setFields(message, fields);
   message.body() = body;
   message.prepare_payload();
-  if (!conn->keep || closing_) message.set(http::field::connection, "close");
+  if (!conn->keep || leaving_) message.set(http::field::connection, "close");
   std::ostringstream text;
   text << message;
   conn->socket->write(QByteArray::fromStdString(text.str()));
@@ -213,7 +217,7 @@
     message.chunked(true);
   else
     message.content_length(static_cast<std::uint64_t>(length));
-  if (!conn->keep || closing_) message.set(http::field::connection, "close");
+  if (!conn->keep || leaving_) message.set(http::field::connection, "close");
   std::ostringstream text;
   text << message.base();
   conn->socket->write(QByteArray::fromStdString(text.str()));
@@ -239,7 +243,7 @@
   byId_.erase(conn->id);
   conn->id = 0;
   conn->begun = false;
-  if (!conn->keep || closing_) {
+  if (!conn->keep || leaving_) {
     conn->socket->disconnectFromHost();
     return;
   }
@@ -277,14 +281,4 @@
   return conn == nullptr ? 0 : conn->socket->bytesToWrite();
 }
 
-void Server::close() {
-  closing_ = true;
-  server_->close();
-  std::vector<std::shared_ptr<Conn>> idle;
-  for (std::map<Conn const*, std::shared_ptr<Conn>>::value_type const& c : conns_)
-    if (c.second->id == 0 && !c.second->parser && c.second->buffer.isEmpty() && c.second->socket->bytesAvailable() == 0)
-      idle.push_back(c.second);
-  for (std::shared_ptr<Conn> const& c : idle) c->socket->disconnectFromHost();
-}
-
 }  // namespace corkward::door
--- a/door/test/door_test.cpp
+++ b/door/test/door_test.cpp
@@ -170,3 +170,24 @@
   REQUIRE(until([&] { return served == before + 2; }));
   CHECK(server.malformed() > 100);
 }
+
+TEST_CASE("a caller over the bound of connections is told at once when to come back") {
+  application();
+  door::Server::Events e;
+  e.request = [](door::Request) {};
+  door::Server server("127.0.0.1:0", door::Limits{.connections = 2}, std::move(e));
+  std::pair<std::string, std::uint16_t> const at = door::splitAddress(server.address());
+  QTcpSocket first;
+  QTcpSocket second;
+  QTcpSocket third;
+  for (QTcpSocket* const s : {&first, &second, &third}) {
+    s->connectToHost(QHostAddress(QString::fromStdString(at.first)), at.second);
+    REQUIRE(until([&] { return s->state() == QAbstractSocket::ConnectedState; }));
+  }
+  REQUIRE(until([&] { return third.bytesAvailable() > 0; }));
+  std::string const got = third.readAll().toStdString();
+  CHECK(got.find(" 503 ") != std::string::npos);
+  CHECK(got.find("Retry-After: 1") != std::string::npos);
+  CHECK(got.find("corkward-outcome: not-run") != std::string::npos);
+  CHECK(first.bytesAvailable() == 0);
+}
--- a/programs/common/process.cpp
+++ b/programs/common/process.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-constexpr core::Tick leastDrain = 300;
+constexpr core::Tick leastDrain = 1000;
 
 }  // namespace
 
--- a/programs/nacelle/main.cpp
+++ b/programs/nacelle/main.cpp
@@ -260,6 +260,7 @@
 
   void drain() {
     if (!drain_.begin()) return;
+    server_.leave();
     run(plane_.drain(now()));
   }
 
--- a/programs/substation/main.cpp
+++ b/programs/substation/main.cpp
@@ -152,6 +152,7 @@
 
   void drain() {
     if (!drain_.begin()) return;
+    server_.leave();
     core::writeLog(core::Note{"draining", {{"in-hand", std::to_string(plane_.inHand())}}});
     run(plane_.drain(now()));
   }
--- a/rotor/include/corkward/rotor/plane.h
+++ b/rotor/include/corkward/rotor/plane.h
@@ -34,7 +34,8 @@
   Tick coolFor = 1500;
   /// Rest of a replica that said "not run".
   Tick busyFor = 300;
-  Tick hintFor = 10000;
+  /// How long a hint of a leaving replica holds without its list; the platform's next try renews it.
+  Tick hintFor = 30000;
   Tick warmEvery = 400;
   Tick warmLease = 1400;
   double heldPerCap = 4.0;
--- a/rotor/src/plane.cpp
+++ b/rotor/src/plane.cpp
@@ -294,7 +294,7 @@
   for (std::string const& address : m.leaving) {
     std::pair<std::uint64_t, Tick>& h = view.hinted[address];
     fresh = fresh || h.first < m.generation;
-    if (h.first < m.generation) h = {m.generation, now};
+    if (h.first <= m.generation) h = {m.generation, now};
   }
   if (!fresh) return;
   note(out, now, "leaving-hint", {{"pool", m.pool}});
--- a/rotor/test/rotor_test.cpp
+++ b/rotor/test/rotor_test.cpp
@@ -1,5 +1,7 @@
 #include <catch2/catch.hpp>
 
+#include <functional>
+
 #include <corkward/core/json.h>
 #include <corkward/rotor/plane.h>
 
@@ -139,6 +141,34 @@
   CHECK(Rig::find<rotor::Connect>(after)->address != address);
 }
 
+TEST_CASE("a leaving hint holds while the platform repeats it, and no longer than its list") {
+  Rig rig;
+  std::function<std::set<std::string>()> const used = [&] {
+    std::set<std::string> out;
+    for (int i = 0; i < 40; ++i) {
+      rotor::Commands const c = rig.ask("u" + std::to_string(rig.next));
+      if (rotor::Connect const* const m = Rig::find<rotor::Connect>(c)) out.insert(m->address);
+      rig.plane.callerGone(rig.now, rig.next - 1);
+    }
+    return out;
+  };
+  std::set<std::string> const before = used();
+  REQUIRE_FALSE(before.empty());
+  std::string const address = *before.begin();
+  for (int i = 0; i < 4; ++i) {
+    rig.plane.arrived(rig.now, "s1", signal::Hint{"model", 2, {address}});
+    rig.now += 20000;
+    rig.confirm();
+    rig.plane.clockEvent(rig.now);
+    CHECK(used().count(address) == 0);
+  }
+  signal::News news;
+  news.items = {{"pool:model", 2, Rig::pool(2, "serving")}};
+  rig.plane.arrived(rig.now, "s1", news);
+  rig.plane.arrived(rig.now, "s1", signal::Hint{"model", 2, {address}});
+  CHECK_FALSE(used().empty());
+}
+
 TEST_CASE("an outcome that was lost is unknown, and its id does not run again") {
   Rig rig;
   rig.ask("x");
