Keep a connection alive while its answer ends

Cause: done() took its shared pointer by reference out of the table that it then erases it from; what followed read freed memory. Found by the address sanitizer at the first answer of a real fleet; the plain build had never shown it. Ruled out: drop() and abort(), which hold pointers of their own.

--- a/door/include/corkward/door/server.h
+++ b/door/include/corkward/door/server.h
@@ -77,7 +77,7 @@
   void accept();
   void readable(std::shared_ptr<Conn> const& conn);
   void fault(std::shared_ptr<Conn> const& conn, int status, std::string const& reason);
-  void done(std::shared_ptr<Conn> const& conn);
+  void done(std::shared_ptr<Conn> conn);
   void drop(std::shared_ptr<Conn> const& conn);
   Conn* find(std::uint64_t id) const;
 
--- a/door/src/server.cpp
+++ b/door/src/server.cpp
@@ -239,7 +239,7 @@
   done(byId_.at(id));
 }
 
-void Server::done(std::shared_ptr<Conn> const& conn) {
+void Server::done(std::shared_ptr<Conn> conn) {
   byId_.erase(conn->id);
   conn->id = 0;
   conn->begun = false;
