Look behind a torn record without copying the rest of the log at each byte

Cause: recovery tries every place behind a bad record for a whole one, and copied the rest of the segment for each try. A torn record of a large template (3 MiB) kept a substation from starting; found while moving that code. Ruled out: the checksum (it is computed only for lengths that fit).

--- a/ledger/src/ledger.cpp
+++ b/ledger/src/ledger.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstdio>
 #include <cstring>
+#include <string_view>
 
 namespace corkward::ledger {
 
@@ -39,7 +40,7 @@
 }
 
 /// Reads framed records; returns how many bytes were whole and sound.
-std::size_t readAll(std::string const& bytes, std::map<std::string, std::string>& slots) {
+std::size_t readAll(std::string_view bytes, std::map<std::string, std::string>& slots) {
   std::size_t at = 0;
   while (bytes.size() - at >= headBytes) {
     std::uint32_t const size = getNumber(bytes.data() + at);
@@ -54,6 +55,14 @@
   return at;
 }
 
+/// True when whole records stand behind the bad place: then the damage is not the tear of a last write.
+bool wholeBehind(std::string_view bytes, std::size_t bad) {
+  std::map<std::string, std::string> behind;
+  for (std::size_t at = bad + 1; at + headBytes < bytes.size(); ++at)
+    if (readAll(bytes.substr(at), behind) > 0) return true;
+  return false;
+}
+
 std::string numbered(char const* kind, std::uint64_t n) {
   std::array<char, 40> name{};
   std::snprintf(name.data(), name.size(), "%s-%012llu", kind, static_cast<unsigned long long>(n));
@@ -118,13 +127,7 @@
     std::string const bytes = folder_.read(name);
     std::size_t const good = readAll(bytes, slots_);
     if (good != bytes.size()) {
-      // A torn record can only be the last write of the last segment; whatever was whole behind the bad place
-      // shows that the damage is not a tear.
-      std::map<std::string, std::string> behind;
-      bool whole = n != segments.back();
-      for (std::size_t at = good + 1; !whole && at + headBytes < bytes.size(); ++at)
-        whole = readAll(bytes.substr(at), behind) > 0;
-      if (whole) {
+      if (n != segments.back() || wholeBehind(bytes, good)) {
         out.damaged = true;
         out.damage = name + " at byte " + std::to_string(good);
       } else {
--- a/ledger/test/ledger_test.cpp
+++ b/ledger/test/ledger_test.cpp
@@ -119,7 +119,6 @@
           CHECK_THROWS_AS(log.write({r}), ledger::Error);
           folder.failSync = false;
           CHECK_THROWS_AS(log.write({r}), ledger::Error);
-          // It may or may not be there after the restart: drop it from what is sure.
           sure.erase(r.key);
           break;
         }
@@ -150,6 +149,22 @@
   }
 }
 
+TEST_CASE("a torn record of some megabytes is cut, not searched for ever") {
+  LossyFolder folder;
+  ledger::Ledger log(folder);
+  log.recover();
+  log.write({{"k", "kept"}});
+  std::string big(3 << 20, ' ');
+  core::Rng rng(5);
+  for (char& c : big) c = static_cast<char>(32 + rng.below(90));
+  std::string const torn = ledger::frame({"big", big});
+  folder.files.begin()->second.bytes += torn.substr(0, torn.size() - 10);
+  ledger::Recovered const got = ledger::Ledger(folder).recover();
+  CHECK(got.tornTail);
+  CHECK_FALSE(got.damaged);
+  CHECK(got.slots.at("k") == "kept");
+}
+
 TEST_CASE("a ledger on the real disk survives reopening") {
   std::string path = std::filesystem::temp_directory_path().string() + "/corkward-ledger-XXXXXX";
   REQUIRE(::mkdtemp(path.data()) != nullptr);
--- a/lookout/src/lookout.cpp
+++ b/lookout/src/lookout.cpp
@@ -20,7 +20,9 @@
   seen.at = at;
   if (view_.size() <= viewBound) return;
   std::map<std::string, Seen>::iterator const oldest =
-      std::min_element(view_.begin(), view_.end(), [](auto const& a, auto const& b) { return a.second.at < b.second.at; });
+      std::min_element(view_.begin(), view_.end(), [](std::map<std::string, Seen>::value_type const& a, std::map<std::string, Seen>::value_type const& b) {
+        return a.second.at < b.second.at;
+      });
   view_.erase(oldest);
 }
 
--- a/mooring/src/mooring.cpp
+++ b/mooring/src/mooring.cpp
@@ -96,7 +96,7 @@
 }
 
 std::size_t Mooring::ownedCount() const {
-  return static_cast<std::size_t>(std::count_if(regs_.begin(), regs_.end(), [](auto const& r) {
+  return static_cast<std::size_t>(std::count_if(regs_.begin(), regs_.end(), [](std::map<std::string, Reg>::value_type const& r) {
     return r.second.role == Role::owner;
   }));
 }
@@ -566,7 +566,7 @@
 Commands Mooring::clockEvent(Tick now) {
   Commands out;
   lastClock_ = now;
-  std::erase_if(newcomers_, [&](auto const& n) { return now - n.second.heard > tuning_.replaceDarkAfter; });
+  std::erase_if(newcomers_, [&](std::map<std::string, Newcomer>::value_type const& n) { return now - n.second.heard > tuning_.replaceDarkAfter; });
   watchDisk(out, now);
   if (now >= beatAt_) beat(out, now);
   if (empty_) found(out, now);
--- a/programs/nacelle/main.cpp
+++ b/programs/nacelle/main.cpp
@@ -109,7 +109,7 @@
   void run(rotor::Commands&& commands) {
     for (signal::Send const& s : commands.sends) link_.send(s.to, s.message);
     for (core::Note const& n : commands.notes) core::writeLog(n);
-    for (std::variant<rotor::Connect, rotor::HandOver, rotor::Abandon, rotor::Deny, rotor::Abort> const& c : commands.calls)
+    for (rotor::CallCommand const& c : commands.calls)
       std::visit([this](auto const& m) { this->act(m); }, c);
   }
 
--- a/rotor/include/corkward/rotor/plane.h
+++ b/rotor/include/corkward/rotor/plane.h
@@ -107,10 +107,12 @@
   CallId call = 0;
 };
 
+using CallCommand = std::variant<Connect, HandOver, Abandon, Deny, Abort>;
+
 /// Commands of one event, in order.
 struct Commands {
   std::vector<signal::Send> sends;
-  std::vector<std::variant<Connect, HandOver, Abandon, Deny, Abort>> calls;
+  std::vector<CallCommand> calls;
   std::vector<core::Note> notes;
 };
 
--- a/rotor/test/rotor_test.cpp
+++ b/rotor/test/rotor_test.cpp
@@ -62,7 +62,7 @@
   }
   template <class T>
   static T const* find(rotor::Commands const& c) {
-    for (auto const& v : c.calls)
+    for (rotor::CallCommand const& v : c.calls)
       if (T const* const m = std::get_if<T>(&v)) return m;
     return nullptr;
   }
--- a/signal/include/corkward/signal/message.h
+++ b/signal/include/corkward/signal/message.h
@@ -61,8 +61,6 @@
   void each(F& f) { f("c", contacts); f("r", reply); }
 };
 
-// Mooring ------------------------------------------------------------------
-
 /// Asks a member to promise an epoch of a key.
 struct Prepare {
   std::string key;
@@ -186,8 +184,6 @@
   void each(F& f) { f("m", member); f("s", slots); }
 };
 
-// Operators' calls between substations --------------------------------------
-
 struct Call {
   std::uint64_t token = 0;
   std::string method;
@@ -208,8 +204,6 @@
   void each(F& f) { f("t", token); f("s", status); f("b", body); }
 };
 
-// News ----------------------------------------------------------------------
-
 /// A numbered push of changes down one link.
 struct News {
   std::uint64_t number = 0;
--- a/yard/sim/world.cpp
+++ b/yard/sim/world.cpp
@@ -303,7 +303,7 @@
 
 void World::run(Node& n, rotor::Commands&& c) {
   for (signal::Send const& s : c.sends) send(n.link, s);
-  for (std::variant<rotor::Connect, rotor::HandOver, rotor::Abandon, rotor::Deny, rotor::Abort> const& v : c.calls) {
+  for (rotor::CallCommand const& v : c.calls) {
     if (rotor::Connect const* const m = std::get_if<rotor::Connect>(&v)) {
       connect(n, *m);
     } else if (rotor::HandOver const* const h = std::get_if<rotor::HandOver>(&v)) {
