--- a/yard/fleet/fleet.h
+++ b/yard/fleet/fleet.h
@@ -80,7 +80,7 @@
   void wipe(Node& node);
 
   /// Runs the event loop until the condition holds; throws FleetError after the limit.
-  void until(std::string const& what, std::function<bool()> const& condition, int limitMs = 30000);
+  void until(std::string const& what, std::function<bool()> const& condition, int limitMs = 90000);
   /// Runs the event loop for the time that the traffic takes.
   void runFor(int ms);
 
--- a/yard/test/fleet_test.cpp
+++ b/yard/test/fleet_test.cpp
@@ -361,6 +361,12 @@
   std::vector<std::string> check = good;
   check.push_back("--check");
   CHECK(fleet.tool("corkward-nacelle", check).code == 0);
+  for (char const* const program : {"corkward-nacelle", "corkward-substation"}) {
+    std::string const example = CORKWARD_SOURCE "/examples/settings/" + std::string(program).substr(9) + ".conf";
+    CHECK(fleet.tool(program, {"--settings", example, "--check"}).code == 0);
+    CHECK(fleet.tool(program, {"--help"}).out.find("--drain-limit") != std::string::npos);
+    CHECK(fleet.tool(program, {"--version"}).out.find("0.1.0") != std::string::npos);
+  }
   QFile file(core::qstr(conf));
   REQUIRE(file.open(QIODevice::WriteOnly));
   file.write("link = 127.0.0.1:1\nbogus = 3\n");
