Serve only while on the roster, so that others ask about earlier attempts

Cause: a nacelle with a confirmed image served before the roster named it, and after it was struck off; the others asked only rostered nacelles whether an attempt had run. Ruled out: asking every node of the partial view instead (it may be incomplete, and a dead seed would make all 409).

--- a/rotor/src/plane.cpp
+++ b/rotor/src/plane.cpp
@@ -98,12 +98,12 @@
 }
 
 bool Plane::standing(Tick now) const {
-  if (!whole_) return false;
-  for (std::map<std::string, Confirmation>::value_type const& c : confirmations_)
-    if (c.second.good >= 0 && now - c.second.good <= tuning_.confirmFor) return true;
   std::vector<std::string> const others = rosterOthers();
   std::size_t const size = rosterSize();
-  if (size < tuning_.leastRoster || others.size() == size) return false;
+  if (!whole_ || others.size() == size) return false;
+  for (std::map<std::string, Confirmation>::value_type const& c : confirmations_)
+    if (c.second.good >= 0 && now - c.second.good <= tuning_.confirmFor) return true;
+  if (size < tuning_.leastRoster) return false;
   std::size_t fresh = 1;
   for (std::string const& link : others) {
     std::map<std::string, Confirmation>::const_iterator const it = touches_.find(link);
--- a/rotor/test/rotor_test.cpp
+++ b/rotor/test/rotor_test.cpp
@@ -100,6 +100,16 @@
   CHECK(rig.plane.standing(rig.now));
 }
 
+TEST_CASE("a nacelle that is not on its roster does not serve: nobody would ask it about earlier attempts") {
+  Rig rig;
+  REQUIRE(rig.plane.standing(rig.now));
+  signal::News news;
+  news.items = {{"roster", 2, core::parseJson(R"({"nodes":[{"link":"n2"},{"link":"n3"},{"link":"n4"}]})").toObject()}};
+  rig.plane.arrived(rig.now, "s1", news);
+  rig.confirm();
+  CHECK_FALSE(rig.plane.standing(rig.now));
+}
+
 TEST_CASE("contacts with a majority of the roster are standing enough") {
   Rig rig;
   rig.now += 2000;
