--- a/mooring/include/corkward/mooring/mooring.h
+++ b/mooring/include/corkward/mooring/mooring.h
@@ -218,7 +218,6 @@
   bool voting_ = false;
   bool diskFailed_ = false;
   bool stalled_ = false;
-  Tick started_ = -1;
   Tick beatAt_ = 0;
   Tick copyAskedAt_ = 0;
   Tick lastClock_ = 0;
--- a/programs/common/process.cpp
+++ b/programs/common/process.cpp
@@ -1,5 +1,7 @@
 #include "process.h"
 
+#include <QDateTime>
+
 namespace corkward::programs {
 
 namespace {
@@ -8,6 +10,16 @@
 
 }  // namespace
 
+signal::Contact contactOf(Settings const& settings, char const* role) {
+  signal::Contact c;
+  c.link = settings.link;
+  c.http = settings.http;
+  c.role = role;
+  c.zone = settings.zone;
+  c.inc = static_cast<std::uint64_t>(QDateTime::currentMSecsSinceEpoch());
+  return c;
+}
+
 std::string pathOf(door::Request const& request) { return request.target.substr(0, request.target.find('?')); }
 
 bool plainPage(door::Server& server, door::Request const& request, std::function<bool()> const& ready,
--- a/programs/common/process.h
+++ b/programs/common/process.h
@@ -7,6 +7,7 @@
 
 #include <corkward/core/log.h>
 #include <corkward/door/server.h>
+#include <corkward/signal/message.h>
 
 #include "clock.h"
 #include "settings.h"
@@ -17,6 +18,9 @@
 bool plainPage(door::Server& server, door::Request const& request, std::function<bool()> const& ready,
                std::function<std::string()> const& metrics);
 
+/// How a process names itself to the others; the incarnation is a first guess from the wall clock.
+signal::Contact contactOf(Settings const& settings, char const* role);
+
 /// Path of a request without its query.
 std::string pathOf(door::Request const& request);
 
--- a/programs/nacelle/main.cpp
+++ b/programs/nacelle/main.cpp
@@ -1,5 +1,4 @@
 #include <QCoreApplication>
-#include <QDateTime>
 #include <QTimer>
 #include <unordered_map>
 
@@ -30,7 +29,7 @@
   explicit Nacelle(Settings const& s)
       : settings_(s),
         drain_(s.drainLimit),
-        plane_(contact(s), s.seeds, freshSeed()),
+        plane_(contactOf(s, "nacelle"), s.seeds, freshSeed()),
         link_(this, s.link, [this](signal::Envelope e) { run(plane_.arrived(now(), e.from, e.message)); }),
         server_(s.http, door::Limits{}, events()) {
     run(plane_.started(now()));
@@ -58,16 +57,6 @@
     bool resuming = false;
   };
 
-  static signal::Contact contact(Settings const& s) {
-    signal::Contact c;
-    c.link = s.link;
-    c.http = s.http;
-    c.role = "nacelle";
-    c.zone = s.zone;
-    c.inc = static_cast<std::uint64_t>(QDateTime::currentMSecsSinceEpoch());
-    return c;
-  }
-
   door::Server::Events events() {
     door::Server::Events e;
     e.request = [this](door::Request request) { serve(std::move(request)); };
--- a/programs/substation/main.cpp
+++ b/programs/substation/main.cpp
@@ -1,5 +1,4 @@
 #include <QCoreApplication>
-#include <QDateTime>
 #include <QHostAddress>
 #include <QTcpSocket>
 #include <QTimer>
@@ -36,7 +35,7 @@
         seed_(freshSeed()),
         folder_(ledger::openFolder(s.data)),
         log_(std::make_unique<ledger::Ledger>(*folder_)),
-        plane_(contact(s), freshName(), s.seeds, s.founders, seed_),
+        plane_(contactOf(s, "substation"), freshName(), s.seeds, s.founders, seed_),
         link_(this, s.link, [this](signal::Envelope e) { run(plane_.arrived(now(), e.from, e.message)); }),
         server_(s.http, door::Limits{.body = 2U << 20}, events()),
         disk_(1) {
@@ -55,16 +54,6 @@
   }
 
  private:
-  static signal::Contact contact(Settings const& s) {
-    signal::Contact c;
-    c.link = s.link;
-    c.http = s.http;
-    c.role = "substation";
-    c.zone = s.zone;
-    c.inc = static_cast<std::uint64_t>(QDateTime::currentMSecsSinceEpoch());
-    return c;
-  }
-
   door::Server::Events events() {
     door::Server::Events e;
     e.request = [this](door::Request request) { serve(std::move(request)); };
--- a/rotor/include/corkward/rotor/plane.h
+++ b/rotor/include/corkward/rotor/plane.h
@@ -205,7 +205,6 @@
   };
   struct Warm {
     Tick until = -1;
-    Tick askedAt = -1;
     Tick coveredUntil = 0;
     Tick wantedSince = -1;
     std::map<Tick, std::set<std::string>> grants;
@@ -213,7 +212,6 @@
   };
   struct Seen {
     Tick at = 0;
-    std::uint64_t attempt = 0;
     bool mayHaveRun = false;
     std::uint64_t promisedAway = 0;
     CallId call = 0;
@@ -246,6 +244,9 @@
   void uncount(Commands& out, Tick now, Call& call);
   void deny(Commands& out, Tick now, CallId id, int status, std::string reason, bool notRun, int retryAfter);
   void forget(Tick now, CallId id);
+  void drop(Commands& out, Tick now, CallId id);
+  Seen& remember(Tick now, std::string const& key);
+  std::string addressOf(Index replica) const;
   void breakOff(Commands& out, Tick now, CallId id);
   void unhold(CallId id);
   void retry(Commands& out, Tick now, CallId id, char const* why);
@@ -274,7 +275,6 @@
   Tick started_ = 0;
   bool draining_ = false;
   bool whole_ = false;
-  std::uint64_t number_ = 0;
   std::map<std::string, Key> keys_;
   core::Names instances_;
   core::Names pools_;
@@ -288,9 +288,8 @@
   std::map<std::string, Confirmation> confirmations_;
   std::map<std::string, Confirmation> touches_;
   std::map<std::string, Tick> fetchedAt_;
-  std::map<std::string, std::string> wholeFrom_;
+  std::set<std::string> wholeFrom_;
   std::map<CreditKey, Credit> credits_;
-  std::map<Index, int> poolInFlight_;
   std::map<Index, Warm> warm_;
   governor::Prefixes prefixes_;
   governor::RetryBudget budget_;
--- a/rotor/src/plane.cpp
+++ b/rotor/src/plane.cpp
@@ -195,12 +195,15 @@
   for (std::unordered_map<CallId, Call>::value_type& c : calls_) c.second.path = moved[c.second.path];
 }
 
+std::string Plane::addressOf(Index replica) const {
+  std::string const& name = replicaNames_.name(replica);
+  return name.substr(name.find('|') + 1);
+}
+
 bool Plane::usable(Tick now, Index replica) const {
   Replica const& r = replicas_[replica];
   if (!r.listed || r.state == blueprint::ReplicaState::leaving || evacuated(r.zone) || now < r.coolUntil) return false;
-  std::string const& name = replicaNames_.name(replica);
-  PoolView const& view = poolViews_[r.pool];
-  if (view.hinted.count(name.substr(name.find('|') + 1)) > 0) return false;
+  if (poolViews_[r.pool].hinted.count(addressOf(replica)) > 0) return false;
   return r.state == blueprint::ReplicaState::serving || warmHeld(now, replica);
 }
 
@@ -257,7 +260,7 @@
       whole_ = true;
       note(out, now, "whole-image", {{"from", from}});
     } else {
-      wholeFrom_[from] = from;
+      wholeFrom_.insert(from);
       std::size_t n = 0;
       for (std::string const& link : rosterOthers()) n += wholeFrom_.count(link);
       if (rosterSize() >= tuning_.leastRoster && n >= majorityOf(rosterSize())) {
@@ -273,7 +276,7 @@
   for (std::string const& s : to) out.sends.push_back(signal::Send{s, ack});
 }
 
-void Plane::on(Commands& out, Tick, std::string const& from, signal::Confirm const& m) {
+void Plane::on(Commands&, Tick, std::string const& from, signal::Confirm const& m) {
   if (!m.inTouch || m.age < 0) return;
   Confirmation& c = confirmations_[from];
   Tick const at = m.tick - m.age;
@@ -282,7 +285,6 @@
     c.stamps = m.stamps;
   }
   refreshStanding();
-  (void)out;
 }
 
 void Plane::on(Commands& out, Tick now, std::string const&, signal::Hint const& m) {
@@ -399,11 +401,7 @@
         }
       }
     }
-    Seen& s = seen_[key];
-    if (s.at == 0) seenOrder_.emplace_back(now, key);
-    s.at = now;
-    s.attempt = std::max(s.attempt, request.attempt);
-    s.call = id;
+    remember(now, key).call = id;
   }
   if (request.attempt > 1 && !request.earlierNotRun && !row.path.resumable) {
     if (request.id.empty()) {
@@ -438,9 +436,7 @@
         clear = false;
     }
   }
-  Seen& s = seen_[m.id];
-  if (s.at == 0) seenOrder_.emplace_back(now, m.id);
-  s.at = now;
+  Seen& s = remember(now, m.id);
   s.promisedAway = std::max(s.promisedAway, m.attempt);
   out.sends.push_back(signal::Send{from, signal::SeenEcho{m.token, lookout_.self().link, clear}});
 }
@@ -455,12 +451,14 @@
 }
 
 void Plane::on(Commands&, Tick now, std::string const&, signal::SeenLeft const& m) {
-  for (std::string const& id : m.ids) {
-    Seen& s = seen_[id];
-    if (s.at == 0) seenOrder_.emplace_back(now, id);
-    s.at = now;
-    s.mayHaveRun = true;
-  }
+  for (std::string const& id : m.ids) remember(now, id).mayHaveRun = true;
+}
+
+Plane::Seen& Plane::remember(Tick now, std::string const& key) {
+  Seen& s = seen_[key];
+  if (s.at == 0) seenOrder_.emplace_back(now, key);
+  s.at = now;
+  return s;
 }
 
 void Plane::expireSeen(Tick now) {
@@ -579,9 +577,7 @@
   call.replica = replica;
   call.counted = true;
   c.scaler.sent(replica, row.path.cls == blueprint::Class::bulk);
-  ++poolInFlight_[row.pool];
-  std::string const& name = replicaNames_.name(replica);
-  out.calls.push_back(Connect{id, name.substr(name.find('|') + 1), row.path.path, false});
+  out.calls.push_back(Connect{id, addressOf(replica), row.path.path, false});
   return true;
 }
 
@@ -622,8 +618,6 @@
   CreditKey const key{row.pool, row.instance};
   Credit& c = credits_.at(key);
   c.scaler.ended(call.replica, row.path.cls == blueprint::Class::bulk);
-  --poolInFlight_[row.pool];
-  CORKWARD_INVARIANT(poolInFlight_[row.pool] >= 0);
   ++c.endedSince;
   look(out, now, key);
   pump(out, now, key);
@@ -642,6 +636,12 @@
   calls_.erase(it);
 }
 
+void Plane::drop(Commands& out, Tick now, CallId id) {
+  Call gone = calls_.at(id);
+  forget(now, id);
+  uncount(out, now, gone);
+}
+
 void Plane::deny(Commands& out, Tick now, CallId id, int status, std::string reason, bool notRun, int retryAfter) {
   Call& call = calls_.at(id);
   CORKWARD_INVARIANT(call.phase != Phase::streaming);
@@ -649,9 +649,7 @@
   unhold(id);
   count(now, "denied_" + std::to_string(status), reason);
   out.calls.push_back(Deny{id, status, std::move(reason), notRun, retryAfter});
-  Call gone = call;
-  forget(now, id);
-  uncount(out, now, gone);
+  drop(out, now, id);
 }
 
 Commands Plane::connected(Tick now, CallId id) {
@@ -771,9 +769,7 @@
   CORKWARD_INVARIANT(call.phase == Phase::handed || streaming);
   if (end == End::whole) {
     count(now, "served");
-    Call gone = call;
-    forget(now, id);
-    uncount(out, now, gone);
+    drop(out, now, id);
     return out;
   }
   if (end == End::notRun && !streaming && call.resumes == 0) {
@@ -797,8 +793,7 @@
     call.phase = Phase::handed;
     call.phaseAt = now;
     count(now, "resumed");
-    std::string const& name = replicaNames_.name(call.replica);
-    out.calls.push_back(Connect{id, name.substr(name.find('|') + 1), row.path.path, true});
+    out.calls.push_back(Connect{id, addressOf(call.replica), row.path.path, true});
     return out;
   }
   if (streaming || call.resumes > 0) {
@@ -814,9 +809,7 @@
   count(now, "broken");
   out.calls.push_back(Abandon{id});
   out.calls.push_back(Abort{id});
-  Call gone = calls_.at(id);
-  forget(now, id);
-  uncount(out, now, gone);
+  drop(out, now, id);
 }
 
 Commands Plane::callerGone(Tick now, CallId id) {
@@ -826,9 +819,7 @@
   count(now, "caller_gone");
   if (it->second.counted) out.calls.push_back(Abandon{id});
   unhold(id);
-  Call gone = it->second;
-  forget(now, id);
-  uncount(out, now, gone);
+  drop(out, now, id);
   return out;
 }
 
@@ -951,7 +942,6 @@
       bool const held = now < w.until;
       Tick const openSince = std::max(w.wantedSince, w.coveredUntil);
       if (!held && now - openSince < rank * 2 * tuning_.warmEvery) continue;
-      w.askedAt = now;
       if (w.grants.size() > 8) w.grants.erase(w.grants.begin());
       for (std::string const& s : subs)
         out.sends.push_back(signal::Send{s, signal::WarmAsk{now, name, lookout_.self().link, lookout_.self().inc, false, ""}});
--- a/yard/sim/world.cpp
+++ b/yard/sim/world.cpp
@@ -813,7 +813,6 @@
 }
 
 void World::cause(Fault f) {
-  ++caused_[f];
   for (FaultRow const& row : faultTable)
     if (row.fault == f) result_.timeline.push_back(std::to_string(now_) + " " + row.name);
   ++result_.counts["faults"];
--- a/yard/sim/world.h
+++ b/yard/sim/world.h
@@ -335,7 +335,6 @@
   bool servedSince_ = true;
   int newAddresses_ = 0;
   bool totalOutage_ = false;
-  std::map<Fault, int> caused_;
   std::map<std::string, int> seenKinds_;
   Result result_;
 };
