Lay out what paths, requests and answers need for the users' platform

The whole blueprint's paths, pools and door bounds, a request's parts and target, what a hand-over says and what the mapping reads of an answer's head, as declarations that the following parts fill in. No behaviour changes.

--- a/blueprint/include/corkward/blueprint/blueprint.h
+++ b/blueprint/include/corkward/blueprint/blueprint.h
@@ -38,17 +38,79 @@
 inline constexpr ClassRow classTable[] = {
     {"urgent", Class::urgent, 300, 3000}, {"short", Class::quick, 800, 10000}, {"long", Class::bulk, 2500, 60000}};
 
-/// One path of an instance, ready to be served.
+/// A pool's share of a path's requests.
+struct Share {
+  std::string pool;
+  std::uint32_t weight = 1;
+};
+
+/// One path, ready to be served: of an instance, or of the whole blueprint.
 struct Path {
+  /// Instance, or the path's own name in the whole blueprint.
   std::string instance;
+  /// Path below the instance; empty in the whole blueprint.
   std::string path;
+  /// Host and path prefix by which a request finds a path of the whole blueprint; empty for an instance's path.
+  std::string host;
+  std::string prefix;
   std::string pool;
+  /// Pools that share the requests; never empty, the first one is `pool`.
+  std::vector<Share> shares;
   Class cls = Class::quick;
   core::Tick aim = 0;
   core::Tick deadline = 0;
+  /// Longest pause between two events that is still in time; 0: not said.
+  core::Tick gapAim = 0;
+  /// A broken stream may go on elsewhere after its last whole event.
   bool resumable = false;
+  /// A request may run more than once.
+  bool repeatable = false;
+  /// The answer is a row of events.
+  bool stream = false;
+  /// Replicas that one request may be handed to at the most.
+  int tries = 2;
+  /// Rank at the replica, 0 first, 9 last.
+  int urgency = 5;
 };
 
+/// What the whole blueprint says of a pool.
+struct PoolTerms {
+  std::string name;
+  /// Connections that one replica takes from all callers.
+  int connections = 0;
+  /// Requests a second that a cold replica bears, and how long it stays cold after its start.
+  double coldRate = 0;
+  core::Tick coldFor = 0;
+  /// Requests that one replica runs at once, and tokens that its memory keeps; 0: not said.
+  int slots = 0;
+  std::int64_t tokens = 0;
+};
+
+/// Bounds of the callers' door; 0: not said.
+struct DoorTerms {
+  std::uint32_t headBytes = 0;
+  std::uint64_t bodyBytes = 0;
+  core::Tick headMs = 0;
+  core::Tick idleMs = 0;
+};
+
+/// The whole blueprint: one value under one rising version.
+struct Whole {
+  std::uint64_t version = 0;
+  std::vector<Path> paths;
+  std::vector<PoolTerms> pools;
+  DoorTerms door;
+};
+
+/// Key of the whole blueprint.
+inline constexpr char const* wholeKey = "blueprint";
+
+/// Reads and checks a whole blueprint; throws Error.
+Whole readWhole(QJsonObject const& spec);
+/// The whole blueprint after a change of named items:
+/// {"version", "set": {"paths": [...], "pools": [...]}, "drop": {"paths": [names], "pools": [names]}}; throws Error.
+QJsonObject patchWhole(QJsonObject const& current, QJsonObject const& patch);
+
 /// Limits of a blueprint.
 inline constexpr std::size_t maxPaths = 10000;
 inline constexpr std::size_t maxInstances = 2000;
@@ -73,6 +135,8 @@
 enum class ReplicaState { serving, cold, leaving };
 
 struct Replica {
+  /// Name of this life of the replica, never used again; empty: its address is all that is known.
+  std::string id;
   std::string address;
   std::string zone;
   ReplicaState state = ReplicaState::serving;
--- a/door/src/mapping.cpp
+++ b/door/src/mapping.cpp
@@ -94,7 +94,7 @@
 Fields denyFields(rotor::Deny const& deny) {
   Fields out{{"content-type", "application/json"}, {"corkward-outcome", deny.notRun ? "not-run" : "unknown"}};
   if (deny.notRun) out["corkward-earlier"] = deny.reached ? "not-run-reached" : "not-run";
-  if (deny.retryAfter > 0) out["retry-after"] = std::to_string(deny.retryAfter);
+  if (deny.retryAfter > 0) out["retry-after"] = core::str(QString::number(deny.retryAfter));
   return out;
 }
 
--- a/rotor/include/corkward/rotor/plane.h
+++ b/rotor/include/corkward/rotor/plane.h
@@ -59,11 +59,23 @@
   governor::Figures figures = governor::figures;
 };
 
+/// One part of a prompt, by a hash that is equal on every node, and its length in tokens.
+struct Part {
+  std::uint64_t hash = 0;
+  std::int64_t tokens = 0;
+};
+
 /// What the door saw of a request's head and body.
 struct Request {
   CallId call = 0;
   std::string instance;
   std::string path;
+  /// Host and path by which a path of the whole blueprint is found, when no instance is named.
+  std::string host;
+  std::string target;
+  /// The prompt's parts in order, and the tokens asked for at the most.
+  std::vector<Part> parts;
+  std::int64_t tokensOut = 0;
   std::string id;
   /// Which attempt this is; 0: the caller does not number its attempts, so this may be any of them.
   std::uint64_t attempt = 1;
@@ -96,10 +108,17 @@
   std::string address;
   std::string path;
   bool resume = false;
+  /// The request may run once only: no connection may be used that the replica could be about to close.
+  bool fresh = true;
 };
 /// Command: hand the request over on the connection that was opened.
 struct HandOver {
   CallId call = 0;
+  /// Name of the replica's life that the request is meant for; empty: any.
+  std::string expect = {};
+  /// Milliseconds that the caller still waits.
+  Tick left = 0;
+  int urgency = 5;
 };
 /// Command: close the replica's connection, if there is one.
 struct Abandon {
@@ -113,7 +132,7 @@
   /// False: it may have run.
   bool notRun = true;
   /// Seconds after which to come back; 0: no use in coming back as it is.
-  int retryAfter = 0;
+  double retryAfter = 0;
   /// This attempt or an earlier one had reached a replica, which said "not run".
   bool reached = false;
 };
@@ -311,7 +330,7 @@
   void pump(Commands& out, Tick now, CreditKey key);
   void look(Commands& out, Tick now, CreditKey key);
   void uncount(Commands& out, Tick now, Call& call);
-  void deny(Commands& out, Tick now, CallId id, int status, std::string reason, bool notRun, int retryAfter);
+  void deny(Commands& out, Tick now, CallId id, int status, std::string reason, bool notRun, double retryAfter);
   void forget(Tick now, CallId id);
   void drop(Commands& out, Tick now, CallId id);
   Seen& remember(Tick now, std::string const& key);
--- a/rotor/include/corkward/rotor/stream.h
+++ b/rotor/include/corkward/rotor/stream.h
@@ -12,12 +12,20 @@
 /// Header fields, names in lower case.
 using Fields = std::map<std::string, std::string>;
 
-/// How an answer begins.
+/// How an answer begins, as the door's mapping reads it.
 struct Head {
   int status = 0;
+  /// Fields that go back to the caller.
   Fields fields;
   /// Length of the body; below zero: in chunks.
   std::int64_t length = -1;
+  /// The replica says that it did not run the request.
+  bool notRun = false;
+  /// The answer belongs to another request, or is none that may be passed on.
+  bool foreign = false;
+  /// Name of the run and offset of the body, where the replica tells them.
+  std::string run = {};
+  std::string offset = {};
 };
 
 /// What one event of a replica's connection leads to, in this order.
--- a/rotor/src/calls.cpp
+++ b/rotor/src/calls.cpp
@@ -284,7 +284,7 @@
   uncount(out, now, gone);
 }
 
-void Plane::deny(Commands& out, Tick now, CallId id, int status, std::string reason, bool notRun, int retryAfter) {
+void Plane::deny(Commands& out, Tick now, CallId id, int status, std::string reason, bool notRun, double retryAfter) {
   Call& call = calls_.at(id);
   CORKWARD_INVARIANT(call.phase != Phase::streaming);
   CORKWARD_INVARIANT(!notRun || call.phase != Phase::handed);
@@ -299,7 +299,7 @@
   std::unordered_map<CallId, Call>::iterator const it = calls_.find(id);
   if (it != calls_.end() && it->second.phase == Phase::handed && it->second.resumes > 0) {
     if (standing(now) && usable(now, it->second.replica))
-      out.calls.push_back(HandOver{id});
+      out.calls.push_back(HandOver{.call = id});
     else
       breakOff(out, now, id);
     return out;
@@ -343,7 +343,7 @@
     prefixes_.served(call.prefix, call.replica);
   }
   count(now, "handed_over");
-  out.calls.push_back(HandOver{id});
+  out.calls.push_back(HandOver{.call = id});
   return out;
 }
 
