--- a/blueprint/include/corkward/blueprint/blueprint.h
+++ b/blueprint/include/corkward/blueprint/blueprint.h
@@ -142,6 +142,9 @@
   ReplicaState state = ReplicaState::serving;
 };
 
+/// Name of a replica within its pool: its address, and its life where the platform tells it.
+inline std::string lifeName(Replica const& r) { return r.id.empty() ? r.address : r.address + "|" + r.id; }
+
 /// The platform's list of one pool.
 struct Pool {
   std::uint64_t generation = 0;
--- a/governor/include/corkward/governor/governor.h
+++ b/governor/include/corkward/governor/governor.h
@@ -30,6 +30,14 @@
   /// The limit falls to this share when answer times pass the aim, at most once per cutEvery.
   double cut = 0.8;
   Tick cutEvery = 500;
+  /// While answers take less than this share of their aims, the limit is raised for a request that finds no room.
+  double steady = 0.0;
+  /// The limit falls to this share with each look at which under half of the cap is in use.
+  double ease = 1.0;
+  /// What one request in flight weighs in the pick, in tokens to be read anew.
+  double inFlightTokens = 300.0;
+  /// Parts of prompts that a node remembers to have sent.
+  std::size_t parts = 40000;
   /// Share of the cap that long requests may fill.
   double bulkShare = 0.4;
   /// A prefix stays on its replica while that has at most this many more in flight than the fewest.
@@ -65,6 +73,8 @@
   double cap() const;
   /// Room under the cap for one more request of the kind.
   bool room(bool bulk) const;
+  /// The same; while answers are steady the limit is raised so that there is room.
+  bool makeRoom(bool bulk);
   std::vector<Candidate> const& part() const { return part_; }
   int inFlight() const { return inFlight_; }
   int inFlightAt(Index replica) const;
@@ -105,6 +115,8 @@
   Tick cutAt_ = 0;
   Tick calmSince_ = -1;
   double mean_ = 0;
+  /// Running mean of answer times as shares of their aims.
+  double strain_ = 0;
   double meanAtWidening_ = 0;
   int answersSinceWidening_ = 0;
   bool allSlow_ = false;
@@ -128,6 +140,29 @@
   std::uint64_t turn_ = 0;
 };
 
+/// Remembers which parts of prompts this node sent to which replica, bounded by count and by each replica's own memory.
+class Kept {
+ public:
+  explicit Kept(std::size_t bound = figures.parts) : bound_(bound) {}
+  /// A part, named by a hash of itself and all before it, was sent. Memory: tokens that the replica keeps; 0: not known.
+  void sent(Index replica, std::uint64_t part, std::int64_t tokens, std::int64_t memory);
+  bool has(Index replica, std::uint64_t part) const;
+  void forget(Index replica);
+  std::size_t size() const { return count_; }
+
+ private:
+  struct Memory {
+    std::unordered_map<std::uint64_t, std::pair<std::int64_t, std::uint64_t>> parts;
+    std::deque<std::pair<std::uint64_t, std::uint64_t>> order;
+    std::int64_t tokens = 0;
+  };
+  void dropOldest(Memory& m);
+  std::size_t bound_;
+  std::size_t count_ = 0;
+  std::uint64_t turn_ = 0;
+  std::unordered_map<Index, Memory> byReplica_;
+};
+
 /// Fewest own requests in flight; the prefix's replica wins within the slack. Returns -1 when none may be used.
 std::int64_t pick(Scaler const& scaler, std::vector<Candidate> const& usable, std::uint64_t prefix, std::int64_t last);
 
@@ -141,7 +176,7 @@
   static constexpr double allowance = 10.0;
   void first(Tick now);
   /// True, and counted, when one more retry is within the budget.
-  bool retry(Tick now, std::size_t nodes);
+  bool retry(Tick now, std::size_t nodes, double ofAll = allowance);
 
  private:
   void expire(Tick now);
--- a/governor/src/governor.cpp
+++ b/governor/src/governor.cpp
@@ -43,6 +43,17 @@
   return !bulk || c < 2.0 || bulk_ + 1 <= std::max(1.0, c * f_.bulkShare);
 }
 
+bool Scaler::makeRoom(bool bulk) {
+  if (room(bulk)) return true;
+  std::ptrdiff_t const warm = std::count_if(part_.begin(), part_.end(), [](Candidate const& c) { return !c.cold; });
+  if (warm == 0 || allSlow_ || strain_ >= f_.steady) return false;
+  double const needed = std::max(inFlight_ + 1.0, bulk ? (bulk_ + 1.0) / f_.bulkShare : 0.0);
+  double const raised = needed / static_cast<double>(warm) + 1e-9;
+  if (raised > f_.maxLimit) return false;
+  limit_ = std::max(limit_, raised);
+  return room(bulk);
+}
+
 int Scaler::inFlightAt(Index replica) const {
   std::unordered_map<Index, int>::const_iterator const it = inFlightAt_.find(replica);
   return it == inFlightAt_.end() ? 0 : it->second;
@@ -58,6 +69,7 @@
 }
 
 int Scaler::look(Tick now, std::size_t held) {
+  if (f_.ease < 1.0 && inFlight_ < 0.5 * cap()) limit_ = std::max(f_.minLimit, limit_ * f_.ease);
   double const buffered = z(held);
   std::size_t const x = part_.size();
   if (buffered >= f_.width * static_cast<double>(std::max<std::size_t>(x, 1)) && x < all_.size() && !allSlow_) {
@@ -108,6 +120,7 @@
   ++t.answers;
   mean_ = mean_ == 0 ? static_cast<double>(took) : mean_ + f_.mean * (static_cast<double>(took) - mean_);
   ++answersSinceWidening_;
+  strain_ += f_.mean * (static_cast<double>(took) / static_cast<double>(std::max<Tick>(aim, 1)) - strain_);
   if (took > aim) {
     if (now - cutAt_ >= f_.cutEvery) {
       limit_ = std::max(f_.minLimit, limit_ * f_.cut);
@@ -147,6 +160,50 @@
   return it == byPrefix_.end() ? -1 : static_cast<std::int64_t>(it->second.first);
 }
 
+void Kept::dropOldest(Memory& m) {
+  while (!m.order.empty()) {
+    std::pair<std::uint64_t, std::uint64_t> const oldest = m.order.front();
+    m.order.pop_front();
+    std::unordered_map<std::uint64_t, std::pair<std::int64_t, std::uint64_t>>::const_iterator const it = m.parts.find(oldest.first);
+    if (it == m.parts.end() || it->second.second != oldest.second) continue;
+    m.tokens -= it->second.first;
+    m.parts.erase(it);
+    --count_;
+    return;
+  }
+}
+
+void Kept::sent(Index replica, std::uint64_t part, std::int64_t tokens, std::int64_t memory) {
+  Memory& m = byReplica_[replica];
+  std::pair<std::unordered_map<std::uint64_t, std::pair<std::int64_t, std::uint64_t>>::iterator, bool> const at =
+      m.parts.try_emplace(part, tokens, 0);
+  if (at.second) {
+    m.tokens += tokens;
+    ++count_;
+  }
+  at.first->second.second = ++turn_;
+  m.order.emplace_back(part, turn_);
+  while (m.parts.size() > 1 && ((memory > 0 && m.tokens > memory) || count_ > bound_)) dropOldest(m);
+  while (m.order.size() > 4 * m.parts.size() + 16) {
+    std::deque<std::pair<std::uint64_t, std::uint64_t>> kept;
+    for (std::pair<std::uint64_t, std::uint64_t> const& o : m.order)
+      if (m.parts.count(o.first) > 0 && m.parts.at(o.first).second == o.second) kept.push_back(o);
+    m.order = std::move(kept);
+  }
+}
+
+bool Kept::has(Index replica, std::uint64_t part) const {
+  std::unordered_map<Index, Memory>::const_iterator const it = byReplica_.find(replica);
+  return it != byReplica_.end() && it->second.parts.count(part) > 0;
+}
+
+void Kept::forget(Index replica) {
+  std::unordered_map<Index, Memory>::const_iterator const it = byReplica_.find(replica);
+  if (it == byReplica_.end()) return;
+  count_ -= it->second.parts.size();
+  byReplica_.erase(it);
+}
+
 std::int64_t pick(Scaler const& scaler, std::vector<Candidate> const& usable, std::uint64_t prefix, std::int64_t last) {
   int fewest = std::numeric_limits<int>::max();
   for (Candidate const& c : usable) fewest = std::min(fewest, scaler.inFlightAt(c.replica));
@@ -179,13 +236,13 @@
   expire(now);
 }
 
-bool RetryBudget::retry(Tick now, std::size_t nodes) {
+bool RetryBudget::retry(Tick now, std::size_t nodes, double ofAll) {
   expire(now);
   if (earned_ >= 1.0) {
     earned_ -= 1.0;
     return true;
   }
-  if (static_cast<double>(allowed_.size()) + 1.0 > allowance / static_cast<double>(std::max<std::size_t>(nodes, 1))) return false;
+  if (static_cast<double>(allowed_.size()) + 1.0 > ofAll / static_cast<double>(std::max<std::size_t>(nodes, 1))) return false;
   allowed_.push_back(now);
   return true;
 }
--- a/rotor/include/corkward/rotor/plane.h
+++ b/rotor/include/corkward/rotor/plane.h
@@ -2,6 +2,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -51,6 +52,12 @@
   /// A request is held for this many of its aims at the most.
   double heldAims = 2.0;
   double nodeLimitPerReplica = 8.0;
+  /// Seconds after which a caller is asked to come back when nothing better is known.
+  double comeBack = 1.0;
+  /// A draining node goes on taking requests for this long, until callers are sent elsewhere.
+  Tick drainServe = 0;
+  /// Repeats that all nodes together may spend beyond their share, in ten seconds.
+  double retryAllowance = governor::RetryBudget::allowance;
   int resumes = 2;
   /// A stream in which nothing moves for this long is given up as broken.
   Tick streamIdle = 10000;
@@ -205,6 +212,8 @@
   std::vector<std::pair<std::size_t, std::size_t>> parts(std::string const& pool) const;
   /// Value in force for a key; empty when there is none.
   QJsonObject valueOf(std::string const& key) const;
+  /// Bounds of the callers' door as the whole blueprint says them.
+  blueprint::DoorTerms const& doorTerms() const { return doorTerms_; }
   core::Journal const& journal() const { return journal_; }
 
  private:
@@ -212,6 +221,11 @@
   struct Call {
     Request request;
     Index path = 0;
+    /// Blueprint under which the path was found.
+    std::uint64_t pathStamp = 0;
+    Index pool = 0;
+    /// Replicas that it was handed to, the last one included.
+    std::vector<Index> handedTo;
     Phase phase = Phase::held;
     Tick arrived = 0;
     Tick until = 0;
@@ -242,10 +256,16 @@
     blueprint::Path path;
     Index pool = 0;
     Index instance = 0;
+    /// Pools that share the requests, with weights above 0.
+    std::vector<std::pair<Index, std::uint32_t>> shares;
   };
   struct Replica {
     Index pool = 0;
+    std::string address;
+    /// Name of its life; empty when the platform tells none.
+    std::string id;
     std::string zone;
+    std::uint64_t hash = 0;
     blueprint::ReplicaState state = blueprint::ReplicaState::leaving;
     bool listed = false;
     /// Taken away by a list that is newer than the one in force.
@@ -258,6 +278,8 @@
     double coldRate = 0;
     std::vector<Index> replicas;
     signal::Hint hint;
+    /// What the whole blueprint says of the pool, if it names it.
+    std::optional<blueprint::PoolTerms> terms;
   };
   struct Credit {
     governor::Scaler scaler;
@@ -309,6 +331,18 @@
   bool takeHint(Commands& out, Tick now, signal::Hint const& hint);
   std::vector<signal::Hint> hints() const;
   bool usable(Tick now, Index replica) const;
+  double coldRate(Index pool) const;
+  Index findPath(Request const& request) const;
+  Index choosePool(Tick now, Row const& row, CallId id) const;
+  Index poolIndex(std::string const& name);
+  void applyWhole(QJsonObject const& value);
+  void forgetRoutes(std::string const& owner);
+  void addRow(std::string const& owner, std::string const& route, blueprint::Path const& path, std::string const& instance);
+  HandOver handOver(Tick now, CallId id);
+  bool mayGoOn(Tick now, Call const& call) const;
+  bool resumeElsewhere(Commands& out, Tick now, CallId id);
+  std::int64_t choose(Tick now, Call const& call, std::vector<governor::Candidate> const& choices) const;
+  Index home(Call const& call) const;
   bool evacuated(std::string const& zone) const;
   bool knowsAll(signal::Stamps const& stamps) const;
   void refreshStanding();
@@ -334,11 +368,11 @@
   void forget(Tick now, CallId id);
   void drop(Commands& out, Tick now, CallId id);
   Seen& remember(Tick now, std::string const& key);
-  std::string addressOf(Index replica) const;
+  std::string const& addressOf(Index replica) const;
   void breakOff(Commands& out, Tick now, CallId id);
   void unhold(CallId id);
   void retry(Commands& out, Tick now, CallId id, char const* why);
-  int comeBack(Credit const& c, blueprint::Class cls) const;
+  double comeBack(Credit const& c, blueprint::Class cls) const;
   Tick expectedWait(Credit const& c, blueprint::Class cls) const;
   void warmDuties(Commands& out, Tick now);
   bool warmHeld(Tick now, Index replica) const;
@@ -365,6 +399,7 @@
   core::Journal journal_;
   Tick started_ = 0;
   bool draining_ = false;
+  Tick drainedAt_ = 0;
   bool whole_ = false;
   std::map<std::string, Key> keys_;
   core::Names instances_;
@@ -374,8 +409,11 @@
   std::vector<PoolView> poolViews_;
   std::vector<Row> rows_;
   std::unordered_map<std::string, Index> routes_;
-  std::map<std::string, std::vector<std::string>> familyRoutes_;
+  std::map<std::string, std::vector<std::string>> ownedRoutes_;
+  blueprint::DoorTerms doorTerms_;
   std::set<std::string> evacuated_;
+  /// Rises whenever paths change.
+  std::uint64_t blueprintStamp_ = 1;
   std::map<std::string, Confirmation> confirmations_;
   std::map<std::string, Confirmation> touches_;
   std::map<std::string, Tick> fetchedAt_;
@@ -383,6 +421,7 @@
   std::map<CreditKey, Credit> credits_;
   std::map<Index, Warm> warm_;
   governor::Prefixes prefixes_;
+  governor::Kept kept_;
   governor::RetryBudget budget_;
   std::unordered_map<CallId, Call> calls_;
   std::unordered_map<std::string, Seen> seen_;
--- a/rotor/src/calls.cpp
+++ b/rotor/src/calls.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <functional>
 
 #include "internal.h"
 
@@ -11,9 +12,45 @@
   return out;
 }
 
-std::string Plane::addressOf(Index replica) const {
-  std::string const& name = replicaNames_.name(replica);
-  return name.substr(name.find('|') + 1);
+std::string const& Plane::addressOf(Index replica) const { return replicas_[replica].address; }
+
+double Plane::coldRate(Index pool) const {
+  PoolView const& view = poolViews_[pool];
+  return view.terms ? view.terms->coldRate : view.coldRate;
+}
+
+Index Plane::findPath(Request const& request) const {
+  if (!request.instance.empty()) {
+    std::unordered_map<std::string, Index>::const_iterator const it = routes_.find(request.instance + "/" + request.path);
+    return it == routes_.end() ? core::Names::none : it->second;
+  }
+  std::string const key = request.host + request.target.substr(0, request.target.find_first_of("?#"));
+  for (std::size_t slash = key.rfind('/'); slash != std::string::npos && slash >= request.host.size(); slash = key.rfind('/', slash - 1)) {
+    std::unordered_map<std::string, Index>::const_iterator const it = routes_.find(key.substr(0, slash + 1));
+    if (it != routes_.end()) return it->second;
+    if (slash == 0) break;
+  }
+  return core::Names::none;
+}
+
+Index Plane::choosePool(Tick now, Row const& row, CallId id) const {
+  std::uint64_t sum = 0;
+  for (std::pair<Index, std::uint32_t> const& s : row.shares) sum += s.second;
+  std::uint64_t at = core::Rng(seed_ ^ id).below(sum);
+  Index chosen = row.pool;
+  for (std::pair<Index, std::uint32_t> const& s : row.shares) {
+    chosen = s.first;
+    if (at < s.second) break;
+    at -= s.second;
+  }
+  std::function<bool(Index)> const serves = [&](Index pool) {
+    std::vector<Index> const& all = poolViews_[pool].replicas;
+    return std::any_of(all.begin(), all.end(), [&](Index const r) { return usable(now, r); });
+  };
+  if (row.shares.size() < 2 || serves(chosen)) return chosen;
+  for (std::pair<Index, std::uint32_t> const& s : row.shares)
+    if (serves(s.first)) return s.first;
+  return chosen;
 }
 
 bool Plane::usable(Tick now, Index replica) const {
@@ -54,23 +91,25 @@
   call.phase = Phase::asking;
   call.arrived = now;
   call.phaseAt = now;
-  std::unordered_map<std::string, Index>::const_iterator const route = routes_.find(request.instance + "/" + request.path);
+  Index const path = findPath(request);
   calls_[id] = call;
-  if (draining_) {
-    deny(out, now, id, 503, "leaving", true, 1);
+  if (draining_ && now - drainedAt_ >= tuning_.drainServe) {
+    deny(out, now, id, 503, "leaving", true, tuning_.comeBack);
     return out;
   }
   if (!standing(now)) {
-    deny(out, now, id, 503, "no standing", true, 1);
+    deny(out, now, id, 503, "no standing", true, tuning_.comeBack);
     return out;
   }
-  if (route == routes_.end()) {
+  if (path == core::Names::none) {
     deny(out, now, id, 404, "no such path", true, 0);
     return out;
   }
-  Row const& row = rows_[route->second];
+  Row const& row = rows_[path];
   Call& mine = calls_[id];
-  mine.path = route->second;
+  mine.path = path;
+  mine.pathStamp = blueprintStamp_;
+  mine.pool = choosePool(now, row, id);
   mine.until = now + (request.deadline > 0 ? std::min(request.deadline, row.path.deadline) : row.path.deadline);
   mine.prefix = request.prefix.empty() ? 0 : core::stableHash(request.instance + "|" + request.prefix);
   mine.echo = request.attempt > 1;
@@ -134,20 +173,20 @@
   return static_cast<Tick>(1000.0 * static_cast<double>(ahead) / rate);
 }
 
-int Plane::comeBack(Credit const& c, blueprint::Class cls) const {
-  return static_cast<int>(std::clamp<Tick>((expectedWait(c, cls) + 999) / 1000, 1, 30));
+double Plane::comeBack(Credit const& c, blueprint::Class cls) const {
+  return std::clamp(static_cast<double>(expectedWait(c, cls)) / 1000.0, tuning_.comeBack, 30.0);
 }
 
 void Plane::admit(Commands& out, Tick now, CallId id) {
   Call& call = calls_.at(id);
   Row const& row = rows_[call.path];
-  CreditKey const key{row.pool, row.instance};
+  CreditKey const key{call.pool, row.instance};
   bool const fresh = credits_.count(key) == 0;
-  Credit& c = credit(row.pool, row.instance);
+  Credit& c = credit(call.pool, row.instance);
   if (fresh) refreshCandidates(out, now);
   call.phase = Phase::held;
-  if (call.reached && !budget_.retry(now, rosterSize())) {
-    deny(out, now, id, 503, "no retry left for what may have reached a replica before", true, 1);
+  if (call.reached && !budget_.retry(now, rosterSize(), tuning_.retryAllowance)) {
+    deny(out, now, id, 503, "no retry left for what may have reached a replica before", true, tuning_.comeBack);
     return;
   }
   std::size_t const ahead = c.heldCount();
@@ -188,7 +227,7 @@
     if (p.cold) {
       std::map<Index, Warm>::const_iterator const w = warm_.find(p.replica);
       if (w == warm_.end() || now >= w->second.until ||
-          !w->second.bucket.has(now, poolViews_[replicas_[p.replica].pool].coldRate))
+          !w->second.bucket.has(now, coldRate(replicas_[p.replica].pool)))
         continue;
     } else if (!warmRoom) {
       continue;
@@ -200,7 +239,7 @@
 
 bool Plane::mayTry(Tick, Credit& c, CreditKey key, Call const& call) const {
   bool const bulk = rows_[call.path].path.cls == blueprint::Class::bulk;
-  if (!c.scaler.room(bulk)) return false;
+  if (!c.scaler.makeRoom(bulk)) return false;
   double const poolCap = tuning_.nodeLimitPerReplica * static_cast<double>(std::max<std::size_t>(poolViews_[key.first].replicas.size(), 1));
   std::vector<std::pair<CreditKey, int>> active;
   for (std::map<CreditKey, Credit>::value_type const& o : credits_)
@@ -216,15 +255,13 @@
 bool Plane::tryConnect(Commands& out, Tick now, CallId id) {
   Call& call = calls_.at(id);
   Row const& row = rows_[call.path];
-  CreditKey const key{row.pool, row.instance};
+  CreditKey const key{call.pool, row.instance};
   Credit& c = credits_.at(key);
-  std::vector<governor::Candidate> const choices = usableOf(now, c, mayTry(now, c, key, call));
-  std::int64_t const last = call.prefix == 0 ? -1 : prefixes_.last(call.prefix);
-  std::int64_t const chosen = governor::pick(c.scaler, choices, call.prefix == 0 ? seed_ ^ id : call.prefix, last);
+  std::int64_t const chosen = choose(now, call, usableOf(now, c, mayTry(now, c, key, call)));
   if (chosen < 0) return false;
   Index const replica = static_cast<Index>(chosen);
   if (replicas_[replica].state == blueprint::ReplicaState::cold) {
-    bool const taken = warm_.at(replica).bucket.take(now, poolViews_[row.pool].coldRate);
+    bool const taken = warm_.at(replica).bucket.take(now, coldRate(call.pool));
     CORKWARD_INVARIANT(taken);
   }
   call.phase = Phase::connecting;
@@ -232,10 +269,56 @@
   call.replica = replica;
   call.counted = true;
   c.scaler.sent(replica, row.path.cls == blueprint::Class::bulk);
-  out.calls.push_back(Connect{id, addressOf(replica), row.path.path, false});
+  out.calls.push_back(Connect{id, addressOf(replica), row.path.path, false, !row.path.repeatable});
   return true;
 }
 
+Index Plane::home(Call const& call) const {
+  std::uint64_t const shared = call.request.parts[call.request.parts.size() - 2].hash;
+  Index best = core::Names::none;
+  std::uint64_t bestOrder = 0;
+  for (Index const r : poolViews_[call.pool].replicas) {
+    Replica const& replica = replicas_[r];
+    if (!replica.listed || replica.away || replica.state != blueprint::ReplicaState::serving || evacuated(replica.zone)) continue;
+    std::uint64_t const order = core::Rng(shared ^ replica.hash).next();
+    if (best != core::Names::none && order >= bestOrder) continue;
+    best = r;
+    bestOrder = order;
+  }
+  return best;
+}
+
+std::int64_t Plane::choose(Tick, Call const& call, std::vector<governor::Candidate> const& all) const {
+  governor::Scaler const& scaler = credits_.at({call.pool, rows_[call.path].instance}).scaler;
+  std::vector<governor::Candidate> choices;
+  for (governor::Candidate const& c : all)
+    if (std::find(call.handedTo.begin(), call.handedTo.end(), c.replica) == call.handedTo.end()) choices.push_back(c);
+  if (call.request.parts.size() < 2) {
+    std::int64_t const last = call.prefix == 0 ? -1 : prefixes_.last(call.prefix);
+    return governor::pick(scaler, choices, call.prefix == 0 ? seed_ ^ call.request.call : call.prefix, last);
+  }
+  Index const at = home(call);
+  std::int64_t best = -1;
+  double bestCost = 0;
+  std::uint64_t bestOrder = 0;
+  for (governor::Candidate const& c : choices) {
+    double cost = scaler.inFlightAt(c.replica) * tuning_.figures.inFlightTokens;
+    if (c.replica != at) {
+      bool kept = true;
+      for (std::size_t i = 0; i + 1 < call.request.parts.size(); ++i) {
+        kept = kept && kept_.has(c.replica, call.request.parts[i].hash);
+        if (!kept) cost += static_cast<double>(call.request.parts[i].tokens);
+      }
+    }
+    std::uint64_t const order = core::Rng(call.request.parts[call.request.parts.size() - 2].hash ^ replicas_[c.replica].hash).next();
+    if (best >= 0 && (cost > bestCost || (cost == bestCost && order >= bestOrder))) continue;
+    best = static_cast<std::int64_t>(c.replica);
+    bestCost = cost;
+    bestOrder = order;
+  }
+  return best;
+}
+
 void Plane::pump(Commands& out, Tick now, CreditKey key) {
   if (pumping_) return;
   pumping_ = true;
@@ -261,7 +344,7 @@
 void Plane::unhold(CallId id) {
   Call const& call = calls_.at(id);
   if (call.phase != Phase::held) return;
-  std::map<CreditKey, Credit>::iterator const it = credits_.find({rows_[call.path].pool, rows_[call.path].instance});
+  std::map<CreditKey, Credit>::iterator const it = credits_.find({call.pool, rows_[call.path].instance});
   if (it == credits_.end()) return;
   for (std::deque<CallId>& lane : it->second.held) lane.erase(std::remove(lane.begin(), lane.end(), id), lane.end());
 }
@@ -270,7 +353,7 @@
   if (!call.counted) return;
   call.counted = false;
   Row const& row = rows_[call.path];
-  CreditKey const key{row.pool, row.instance};
+  CreditKey const key{call.pool, row.instance};
   Credit& c = credits_.at(key);
   c.scaler.ended(call.replica, row.path.cls == blueprint::Class::bulk);
   ++c.endedSince;
@@ -299,23 +382,33 @@
   std::unordered_map<CallId, Call>::iterator const it = calls_.find(id);
   if (it != calls_.end() && it->second.phase == Phase::handed && it->second.resumes > 0) {
     if (standing(now) && usable(now, it->second.replica))
-      out.calls.push_back(HandOver{.call = id});
-    else
+      out.calls.push_back(handOver(now, id));
+    else if (!rows_[it->second.path].path.stream || !resumeElsewhere(out, now, id))
       breakOff(out, now, id);
     return out;
   }
   if (it == calls_.end() || it->second.phase != Phase::connecting) return out;
   Call& call = it->second;
-  Row const& row = rows_[call.path];
-  std::unordered_map<std::string, Index>::const_iterator const route = routes_.find(call.request.instance + "/" + call.request.path);
   if (!standing(now)) {
     out.calls.push_back(Abandon{id});
-    deny(out, now, id, 503, "no standing", true, 1);
+    deny(out, now, id, 503, "no standing", true, tuning_.comeBack);
+    return out;
+  }
+  Index const path = call.pathStamp == blueprintStamp_ ? call.path : findPath(call.request);
+  if (path == core::Names::none) {
+    out.calls.push_back(Abandon{id});
+    deny(out, now, id, 404, "the blueprint has changed", true, 0);
     return out;
   }
-  if (route == routes_.end() || rows_[route->second].pool != row.pool) {
+  std::vector<std::pair<Index, std::uint32_t>> const& shares = rows_[path].shares;
+  if (std::none_of(shares.begin(), shares.end(), [&](std::pair<Index, std::uint32_t> const& s) { return s.first == call.pool; })) {
     out.calls.push_back(Abandon{id});
-    deny(out, now, id, route == routes_.end() ? 404 : 503, "the blueprint has changed", true, route == routes_.end() ? 0 : 1);
+    call.phase = Phase::held;
+    uncount(out, now, call);
+    call.path = path;
+    call.pathStamp = blueprintStamp_;
+    call.pool = choosePool(now, rows_[path], id);
+    admit(out, now, id);
     return out;
   }
   if (!usable(now, call.replica)) {
@@ -325,7 +418,7 @@
   }
   if (now >= call.until) {
     out.calls.push_back(Abandon{id});
-    deny(out, now, id, 503, "deadline passed", true, 1);
+    deny(out, now, id, 503, "deadline passed", true, tuning_.comeBack);
     return out;
   }
   if (!call.reached && !call.dispatched) budget_.first(now);
@@ -343,10 +436,41 @@
     prefixes_.served(call.prefix, call.replica);
   }
   count(now, "handed_over");
-  out.calls.push_back(HandOver{.call = id});
+  out.calls.push_back(handOver(now, id));
   return out;
 }
 
+HandOver Plane::handOver(Tick now, CallId id) {
+  Call& call = calls_.at(id);
+  call.handedTo.push_back(call.replica);
+  std::vector<Part> const& parts = call.request.parts;
+  std::optional<blueprint::PoolTerms> const& terms = poolViews_[call.pool].terms;
+  for (std::size_t i = 0; i + 1 < parts.size(); ++i) kept_.sent(call.replica, parts[i].hash, parts[i].tokens, terms ? terms->tokens / 2 : 0);
+  return HandOver{id, replicas_[call.replica].id, std::max<Tick>(call.until - now, 1), rows_[call.path].path.urgency};
+}
+
+bool Plane::mayGoOn(Tick now, Call const& call) const {
+  blueprint::Path const& path = rows_[call.path].path;
+  return static_cast<int>(call.handedTo.size()) < std::max(path.tries, 1) && now < call.until;
+}
+
+bool Plane::resumeElsewhere(Commands& out, Tick now, CallId id) {
+  Call& call = calls_.at(id);
+  uncount(out, now, call);
+  Row const& row = rows_[call.path];
+  Credit& c = credits_.at({call.pool, row.instance});
+  std::int64_t const chosen = choose(now, call, usableOf(now, c, true));
+  if (chosen < 0 || !standing(now)) return false;
+  call.replica = static_cast<Index>(chosen);
+  if (replicas_[call.replica].state == blueprint::ReplicaState::cold && !warm_.at(call.replica).bucket.take(now, coldRate(call.pool))) return false;
+  c.scaler.sent(call.replica, row.path.cls == blueprint::Class::bulk);
+  call.counted = true;
+  call.phase = Phase::handed;
+  call.phaseAt = now;
+  out.calls.push_back(Connect{id, addressOf(call.replica), row.path.path, true, false});
+  return true;
+}
+
 void Plane::retry(Commands& out, Tick now, CallId id, char const* why) {
   Call& call = calls_.at(id);
   bool const again = call.dispatched;
@@ -354,15 +478,15 @@
   call.phase = Phase::held;
   uncount(out, now, call);
   if (now >= call.until) {
-    deny(out, now, id, 503, "deadline passed", true, 1);
+    deny(out, now, id, 503, "deadline passed", true, tuning_.comeBack);
     return;
   }
-  if (!budget_.retry(now, rosterSize())) {
-    deny(out, now, id, 503, std::string(why) + "; no retry left", true, 1);
+  if (again && (!mayGoOn(now, call) || !budget_.retry(now, rosterSize(), tuning_.retryAllowance))) {
+    deny(out, now, id, 503, std::string(why) + "; no retry left", true, tuning_.comeBack);
     return;
   }
   count(now, again ? "retried_dispatched" : "retried");
-  CreditKey const key{rows_[call.path].pool, rows_[call.path].instance};
+  CreditKey const key{call.pool, rows_[call.path].instance};
   if (tryConnect(out, now, id)) return;
   credits_.at(key).held[lane(rows_[call.path].path.cls)].push_front(id);
 }
@@ -371,7 +495,8 @@
   Commands out;
   std::unordered_map<CallId, Call>::iterator const it = calls_.find(id);
   if (it != calls_.end() && it->second.phase == Phase::handed && it->second.resumes > 0) {
-    breakOff(out, now, id);
+    replicas_[it->second.replica].coolUntil = now + tuning_.coolFor;
+    if (!rows_[it->second.path].path.stream || !resumeElsewhere(out, now, id)) breakOff(out, now, id);
     return out;
   }
   if (it == calls_.end() || it->second.phase != Phase::connecting) return out;
@@ -394,7 +519,7 @@
   call.runKnown = runKnown;
   replicas_[call.replica].errors = 0;
   if (!first) return out;
-  CreditKey const key{row.pool, row.instance};
+  CreditKey const key{call.pool, row.instance};
   credits_.at(key).scaler.firstWord(now, call.replica, now - call.handedAt, row.path.aim);
   count(now, "first_words");
   pump(out, now, key);
@@ -419,6 +544,41 @@
     drop(out, now, id);
     return out;
   }
+  Replica& r = replicas_[call.replica];
+  if (end == End::broken && ++r.errors >= 2) {
+    r.coolUntil = now + tuning_.coolFor;
+    note(out, now, "replica-cooled", {{"replica", replicaNames_.name(call.replica)}, {"why", "broken streams"}});
+  }
+  Row const& row = rows_[call.path];
+  if (row.path.stream || !row.path.host.empty()) {
+    bool const fromStart = !streaming && call.resumes == 0;
+    bool const again = (end == End::notRun || (end == End::broken && row.path.repeatable)) && mayGoOn(now, call) && standing(now) &&
+                       budget_.retry(now, rosterSize(), tuning_.retryAllowance);
+    if (end == End::notRun) {
+      count(now, "replica_not_run");
+      replicas_[call.replica].coolUntil = std::max(replicas_[call.replica].coolUntil, now + tuning_.busyFor);
+    }
+    refreshCandidates(out, now);
+    if (again && !fromStart) {
+      ++call.resumes;
+      count(now, "resumed");
+      if (!resumeElsewhere(out, now, id)) breakOff(out, now, id);
+    } else if (again) {
+      count(now, "retried_dispatched");
+      out.calls.push_back(Abandon{id});
+      call.phase = Phase::held;
+      uncount(out, now, call);
+      if (!tryConnect(out, now, id)) credits_.at({call.pool, row.instance}).held[lane(row.path.cls)].push_front(id);
+    } else if (fromStart && end == End::notRun) {
+      call.phase = Phase::connecting;
+      deny(out, now, id, 503, "replica said not run; no retry left", true, tuning_.comeBack);
+    } else if (fromStart) {
+      deny(out, now, id, 502, "unknown, may have run", false, 0);
+    } else {
+      breakOff(out, now, id);
+    }
+    return out;
+  }
   if (end == End::notRun && !streaming && call.resumes == 0) {
     if (!call.request.id.empty()) seen_[call.request.instance + "|" + call.request.id].mayHaveRun = false;
     count(now, "replica_not_run");
@@ -427,14 +587,8 @@
     retry(out, now, id, "replica said not run");
     return out;
   }
-  Replica& r = replicas_[call.replica];
-  if (end == End::broken && ++r.errors >= 2) {
-    r.coolUntil = now + tuning_.coolFor;
-    note(out, now, "replica-cooled", {{"replica", replicaNames_.name(call.replica)}, {"why", "broken streams"}});
-  }
-  Row const& row = rows_[call.path];
   bool const mayResume = end == End::broken && call.runKnown && row.path.resumable && call.resumes < tuning_.resumes &&
-                         r.listed && standing(now) && budget_.retry(now, rosterSize());
+                         r.listed && standing(now) && budget_.retry(now, rosterSize(), tuning_.retryAllowance);
   if (mayResume) {
     ++call.resumes;
     call.phase = Phase::handed;
--- a/rotor/src/internal.h
+++ b/rotor/src/internal.h
@@ -6,6 +6,8 @@
 
 inline constexpr char const* rosterKey = "roster";
 inline constexpr char const* cohortKey = "cohort";
+/// Instance whose credits the paths of the whole blueprint share.
+inline constexpr char const* wholeInstance = "*";
 inline constexpr Tick lookEvery = 100;
 inline constexpr Tick freeEvery = 10000;
 inline constexpr std::size_t leftAtOnce = 5000;
--- a/rotor/src/news.cpp
+++ b/rotor/src/news.cpp
@@ -112,6 +112,37 @@
   refreshCandidates(out, now);
 }
 
+Index Plane::poolIndex(std::string const& name) {
+  Index const pool = pools_.index(name);
+  if (pool >= poolViews_.size()) poolViews_.resize(pool + 1);
+  return pool;
+}
+
+void Plane::forgetRoutes(std::string const& owner) {
+  for (std::string const& route : ownedRoutes_[owner]) routes_.erase(route);
+  ownedRoutes_[owner].clear();
+  ++blueprintStamp_;
+}
+
+void Plane::addRow(std::string const& owner, std::string const& route, blueprint::Path const& path, std::string const& instance) {
+  Row row{path, poolIndex(path.pool), instances_.index(instance), {}};
+  for (blueprint::Share const& s : path.shares)
+    if (s.weight > 0) row.shares.emplace_back(poolIndex(s.pool), s.weight);
+  if (row.shares.empty()) row.shares.emplace_back(row.pool, 1);
+  routes_[route] = static_cast<Index>(rows_.size());
+  ownedRoutes_[owner].push_back(route);
+  rows_.push_back(std::move(row));
+}
+
+void Plane::applyWhole(QJsonObject const& value) {
+  blueprint::Whole const whole = blueprint::readWhole(value.value("spec").toObject());
+  forgetRoutes(blueprint::wholeKey);
+  for (blueprint::Path const& p : whole.paths) addRow(blueprint::wholeKey, p.host + p.prefix, p, wholeInstance);
+  for (PoolView& view : poolViews_) view.terms.reset();
+  for (blueprint::PoolTerms const& t : whole.pools) poolViews_[poolIndex(t.name)].terms = t;
+  doorTerms_ = whole.door;
+}
+
 void Plane::applyOne(Commands& out, Tick now, signal::Item const& item) {
   std::size_t const colon = item.key.find(':');
   std::string const kind = item.key.substr(0, colon);
@@ -119,31 +150,26 @@
   try {
     if (kind == "family") {
       std::vector<blueprint::Path> const paths = blueprint::render(name, item.value);
-      for (std::string const& route : familyRoutes_[name]) routes_.erase(route);
-      std::vector<std::string> fresh;
-      for (blueprint::Path const& p : paths) {
-        std::string const route = p.instance + "/" + p.path;
-        routes_[route] = static_cast<Index>(rows_.size());
-        fresh.push_back(route);
-        Index const pool = pools_.index(p.pool);
-        if (pool >= poolViews_.size()) poolViews_.resize(pool + 1);
-        rows_.push_back(Row{p, pool, instances_.index(p.instance)});
-      }
-      familyRoutes_[name] = std::move(fresh);
+      forgetRoutes(item.key);
+      for (blueprint::Path const& p : paths) addRow(item.key, p.instance + "/" + p.path, p, p.instance);
+    } else if (item.key == blueprint::wholeKey) {
+      applyWhole(item.value);
     } else if (kind == "pool") {
       blueprint::Pool const list = blueprint::keptPool(item.value);
-      Index const pool = pools_.index(name);
-      if (pool >= poolViews_.size()) poolViews_.resize(pool + 1);
+      Index const pool = poolIndex(name);
       PoolView& view = poolViews_[pool];
       for (Index const r : view.replicas) replicas_[r].listed = false;
       view.replicas.clear();
       view.generation = list.generation;
       view.coldRate = list.coldRate;
       for (blueprint::Replica const& r : list.replicas) {
-        Index const ix = replicaNames_.index(name + "|" + r.address);
+        Index const ix = replicaNames_.index(name + "|" + blueprint::lifeName(r));
         if (ix >= replicas_.size()) replicas_.resize(ix + 1);
         Replica& mine = replicas_[ix];
         mine.pool = pool;
+        mine.address = r.address;
+        mine.id = r.id;
+        mine.hash = core::stableHash(replicaNames_.name(ix));
         mine.zone = r.zone;
         mine.state = r.state;
         mine.listed = true;
@@ -192,9 +218,9 @@
   std::set<std::string> const serving(view.hint.serving.begin(), view.hint.serving.end());
   std::set<std::string> const cold(view.hint.cold.begin(), view.hint.cold.end());
   for (Index const r : view.replicas) {
-    std::string const address = addressOf(r);
-    bool const mayWarm = replicas_[r].state == blueprint::ReplicaState::cold && cold.count(address) > 0;
-    replicas_[r].away = view.hint.generation > 0 && serving.count(address) == 0 && !mayWarm;
+    std::string const life = blueprint::lifeName(blueprint::Replica{replicas_[r].id, replicas_[r].address, {}, {}});
+    bool const mayWarm = replicas_[r].state == blueprint::ReplicaState::cold && cold.count(life) > 0;
+    replicas_[r].away = view.hint.generation > 0 && serving.count(life) == 0 && !mayWarm;
   }
 }
 
@@ -235,8 +261,8 @@
     } else {
       signal::Hint hint{pool, list.generation, {}, {}};
       for (blueprint::Replica const& r : list.replicas) {
-        if (r.state == blueprint::ReplicaState::serving) hint.serving.push_back(r.address);
-        if (r.state == blueprint::ReplicaState::cold) hint.cold.push_back(r.address);
+        if (r.state == blueprint::ReplicaState::serving) hint.serving.push_back(blueprint::lifeName(r));
+        if (r.state == blueprint::ReplicaState::cold) hint.cold.push_back(blueprint::lifeName(r));
       }
       on(out, now, "", hint);
       answer.status = 504;
--- a/rotor/src/plane.cpp
+++ b/rotor/src/plane.cpp
@@ -109,7 +109,7 @@
         break;
       case Phase::held: {
         Row const& row = rows_[it->second.path];
-        deny(out, now, id, 503, "held too long", true, comeBack(credits_.at({row.pool, row.instance}), row.path.cls));
+        deny(out, now, id, 503, "held too long", true, comeBack(credits_.at({it->second.pool, row.instance}), row.path.cls));
         break;
       }
       case Phase::connecting: {
@@ -188,6 +188,7 @@
     if (replicaNames_.name(ix).empty() || replicas_[ix].listed || replicasUsed.count(ix) > 0) continue;
     for (std::map<CreditKey, Credit>::value_type& c : credits_) c.second.scaler.forget(ix);
     prefixes_.forget(ix);
+    kept_.forget(ix);
     warm_.erase(ix);
     replicas_[ix] = Replica{};
     replicaNames_.release(ix);
@@ -198,6 +199,7 @@
   Commands out;
   if (draining_) return out;
   draining_ = true;
+  drainedAt_ = now;
   lookout_.setDraining();
   note(out, now, "draining", {{"in-hand", std::to_string(calls_.size())}});
   std::vector<std::string> const& others = rosterOthers();
@@ -220,7 +222,7 @@
   std::vector<CallId> waiting;
   for (std::unordered_map<CallId, Call>::value_type const& c : calls_)
     if (c.second.phase == Phase::asking) waiting.push_back(c.first);
-  for (CallId const id : waiting) deny(out, now, id, 503, "leaving", true, 1);
+  for (CallId const id : waiting) deny(out, now, id, 503, "leaving", true, tuning_.comeBack);
   return out;
 }
 
--- a/substation/src/plane.cpp
+++ b/substation/src/plane.cpp
@@ -153,8 +153,8 @@
     blueprint::Pool const next = blueprint::readPool(core::parseJson(call.body).toObject());
     signal::Hint h{pool, next.generation, {}, {}};
     for (blueprint::Replica const& r : next.replicas) {
-      if (r.state == blueprint::ReplicaState::serving) h.serving.push_back(r.address);
-      if (r.state == blueprint::ReplicaState::cold) h.cold.push_back(r.address);
+      if (r.state == blueprint::ReplicaState::serving) h.serving.push_back(blueprint::lifeName(r));
+      if (r.state == blueprint::ReplicaState::cold) h.cold.push_back(blueprint::lifeName(r));
     }
     on(out, now, "", h);
   } catch (core::Error const&) {
