Take the platform's lists as they were read, as a duty that goes with the roster's key

The substation that owns the roster's key reads the list on behalf of all; a change of it becomes a change of the pool's key, and what it takes away is told at once as a hint. Handing the key over names the duty's successor.

--- a/blueprint/include/corkward/blueprint/blueprint.h
+++ b/blueprint/include/corkward/blueprint/blueprint.h
@@ -156,5 +156,7 @@
 Pool readPool(QJsonObject const& value);
 /// The same from a value as it is kept, with the ids of its changes.
 Pool keptPool(QJsonObject value);
+/// The list as readPool reads it.
+QJsonObject poolJson(Pool const& pool);
 
 }  // namespace corkward::blueprint
--- a/blueprint/src/blueprint.cpp
+++ b/blueprint/src/blueprint.cpp
@@ -224,6 +224,17 @@
   return readPool(value);
 }
 
+QJsonObject poolJson(Pool const& pool) {
+  QJsonArray rows;
+  for (Replica const& r : pool.replicas) {
+    QJsonObject row{{"address", core::qstr(r.address)}, {"zone", core::qstr(r.zone)},
+                    {"state", r.state == ReplicaState::serving ? "serving" : r.state == ReplicaState::cold ? "cold" : "leaving"}};
+    if (!r.id.empty()) row.insert("id", core::qstr(r.id));
+    rows.append(row);
+  }
+  return QJsonObject{{"generation", static_cast<qint64>(pool.generation)}, {"coldRate", pool.coldRate}, {"replicas", rows}};
+}
+
 Pool readPool(QJsonObject const& value) {
   onlyFields(value, {"generation", "coldRate", "replicas"}, "");
   Pool out;
--- a/substation/include/corkward/substation/plane.h
+++ b/substation/include/corkward/substation/plane.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include <corkward/blueprint/blueprint.h>
 #include <corkward/core/journal.h>
 #include <corkward/lookout/lookout.h>
 #include <corkward/mooring/mooring.h>
@@ -65,6 +66,11 @@
   Commands operatorCall(Tick now, signal::Call const& call);
   /// What knocking at a link address showed.
   Commands probed(Tick now, std::string const& link, bool refused);
+  /// The platform's lists as they were just read, by pool. What they change becomes a change of the pool's key; what
+  /// they take away is told at once.
+  Commands platformLists(Tick now, std::map<std::string, blueprint::Pool> const& lists);
+  /// True while this substation is to read the platform's list on behalf of all: the duty goes with the roster's key.
+  bool readsLists(Tick now) const;
   /// Hands every owned key to a named successor and takes no calls from here on.
   Commands drain(Tick now);
 
@@ -141,7 +147,7 @@
   std::uint64_t committedStamp(std::string const& key) const;
   std::uint64_t generationOf(std::string const& pool) const;
   void on(Commands& out, Tick now, std::string const& from, signal::Hint const& m);
-  void hint(Commands& out, Tick now, signal::Call const& call, std::string const& pool);
+  void hint(Commands& out, Tick now, std::string const& pool, blueprint::Pool const& list);
   QJsonObject localPage(Tick now, signal::Call const& call, int& status) const;
   void on(Commands& out, Tick now, std::string const& from, signal::Shuffle const& m);
   void on(Commands& out, Tick now, std::string const& from, signal::Call const& m);
@@ -154,6 +160,8 @@
   lookout::Lookout lookout_;
   mooring::Mooring mooring_;
   core::Journal journal_;
+  /// Calls by which lists that were read are on their way to the disks, by pool.
+  std::map<std::string, std::uint64_t> listCalls_;
   std::uint64_t nextCall_ = 1;
   std::map<std::uint64_t, CallState> calls_;
   std::vector<Force> forces_;
--- a/substation/src/plane.cpp
+++ b/substation/src/plane.cpp
@@ -142,24 +142,69 @@
     state.call.token = id;
     state.since = now;
     calls_[id] = state;
-    if (call.method == "PUT" && target->key.rfind("pool:", 0) == 0 && !call.dryRun) hint(out, now, call, target->key.substr(5));
+    if (call.method == "PUT" && target->key.rfind("pool:", 0) == 0 && !call.dryRun) {
+      try {
+        hint(out, now, target->key.substr(5), blueprint::readPool(core::parseJson(call.body).toObject()));
+      } catch (core::Error const&) {
+        journal_.append(now, "unreadable_list", target->key);
+      }
+    }
     route(out, now, id);
   }
   return out;
 }
 
-void Plane::hint(Commands& out, Tick now, signal::Call const& call, std::string const& pool) {
-  try {
-    blueprint::Pool const next = blueprint::readPool(core::parseJson(call.body).toObject());
-    signal::Hint h{pool, next.generation, {}, {}};
-    for (blueprint::Replica const& r : next.replicas) {
-      if (r.state == blueprint::ReplicaState::serving) h.serving.push_back(blueprint::lifeName(r));
-      if (r.state == blueprint::ReplicaState::cold) h.cold.push_back(blueprint::lifeName(r));
+void Plane::hint(Commands& out, Tick now, std::string const& pool, blueprint::Pool const& list) {
+  signal::Hint h{pool, list.generation, {}, {}};
+  for (blueprint::Replica const& r : list.replicas) {
+    if (r.state == blueprint::ReplicaState::serving) h.serving.push_back(blueprint::lifeName(r));
+    if (r.state == blueprint::ReplicaState::cold) h.cold.push_back(blueprint::lifeName(r));
+  }
+  on(out, now, "", h);
+}
+
+Commands Plane::platformLists(Tick now, std::map<std::string, blueprint::Pool> const& lists) {
+  Commands out;
+  std::map<std::string, blueprint::Pool> all = lists;
+  for (std::map<std::string, mooring::Committed>::value_type const& c : mooring_.committed())
+    if (c.first.rfind("pool:", 0) == 0) all.try_emplace(c.first.substr(5));
+  for (std::map<std::string, blueprint::Pool>::value_type& p : all) {
+    std::string const key = "pool:" + p.first;
+    std::map<std::string, mooring::Committed>::const_iterator const it = mooring_.committed().find(key);
+    QJsonObject const next = blueprint::poolJson(p.second);
+    QJsonObject have = it == mooring_.committed().end() ? QJsonObject() : it->second.value;
+    have.remove("changes");
+    have.remove("generation");
+    QJsonObject bare = next;
+    bare.remove("generation");
+    if (have == bare) {
+      hints_.erase(p.first);
+      continue;
     }
-    on(out, now, "", h);
-  } catch (core::Error const&) {
-    return;
+    std::map<std::string, signal::Hint>::const_iterator const hinted = hints_.find(p.first);
+    p.second.generation = std::max(generationOf(p.first), hinted == hints_.end() ? 0 : hinted->second.generation) + 1;
+    hint(out, now, p.first, p.second);
+    std::map<std::string, std::uint64_t>::const_iterator const before = listCalls_.find(p.first);
+    if (draining_ || calls_.size() >= maxCalls || (before != listCalls_.end() && calls_.count(before->second) > 0)) continue;
+    std::uint64_t const id = nextCall_++;
+    CallState state;
+    state.key = key;
+    state.call.token = id;
+    state.call.method = "PUT";
+    state.call.path = "/v1/platform/pools/" + p.first;
+    state.call.body = core::jsonText(blueprint::poolJson(p.second));
+    state.since = now;
+    calls_[id] = state;
+    listCalls_[p.first] = id;
+    route(out, now, id);
   }
+  return out;
+}
+
+bool Plane::readsLists(Tick now) const {
+  if (draining_ || mooring_.cohort().empty()) return false;
+  std::string const owner = mooring_.ownerLink(rosterKey, now);
+  return owner == mooring_.self().link || (owner.empty() && mooring_.cohort().front().id == mooring_.self().id);
 }
 
 std::uint64_t Plane::generationOf(std::string const& pool) const {
