Let a nacelle serve from its whole image alone, without a fence, when so set

Cause: the platform's rules need no fence and bound the age of a blueprint by settings of their own; a nacelle that is cut off from control or not yet on the roster loses served requests for nothing there. Ruled out: very long fence constants. They would still demand a first confirmation, the roster and the joining wait, and a substation without a majority would still keep its image back. Changed: rotor::Tuning::fenced (true as before). When false, standing is having a whole image, from any substation or any one neighbour, and ready is that, not draining, own zone not evacuated, paths known. Ask says that any image will do, and a substation gives it whatever its own contact with a majority; an empty one does not count. Conclusion: the switch can be used; nothing changes while it is true.

--- a/rotor/include/corkward/rotor/plane.h
+++ b/rotor/include/corkward/rotor/plane.h
@@ -56,6 +56,9 @@
   Tick streamIdle = 10000;
   /// A nacelle whose roster is smaller than this cannot stand on its neighbours alone.
   std::size_t leastRoster = 3;
+  /// False: whoever has a whole image serves, without confirmations, roster or joining wait, and takes the image from
+  /// anyone who offers it; for callers whose own rules bound how old a blueprint may be.
+  bool fenced = true;
   governor::Figures figures = governor::figures;
 };
 
--- a/rotor/src/news.cpp
+++ b/rotor/src/news.cpp
@@ -82,6 +82,7 @@
 }
 
 bool Plane::standing(Tick now) const {
+  if (!tuning_.fenced) return whole_;
   std::vector<std::string> const& others = rosterOthers();
   std::size_t const size = rosterSize();
   if (!whole_ || !roster_.self || roster_.joining) return false;
@@ -98,7 +99,10 @@
 
 bool Plane::evacuated(std::string const& zone) const { return evacuated_.count(zone) > 0; }
 
-bool Plane::ready(Tick now) const { return !draining_ && now - started_ >= tuning_.youngWait && standing(now) && !evacuated(lookout_.self().zone) && !rows_.empty(); }
+bool Plane::ready(Tick now) const {
+  bool const young = tuning_.fenced && now - started_ < tuning_.youngWait;
+  return !draining_ && !young && standing(now) && !evacuated(lookout_.self().zone) && !rows_.empty();
+}
 
 void Plane::apply(Commands& out, Tick now, std::vector<signal::Item> const& items) {
   bool any = false;
@@ -258,8 +262,8 @@
 void Plane::on(Commands& out, Tick now, std::string const& from, signal::News const& m) {
   bool const fromNacelle = m.whole && m.number == 0;
   apply(out, now, m.items);
-  if (m.whole && !whole_) {
-    if (!fromNacelle) {
+  if (m.whole && !whole_ && (tuning_.fenced || !m.items.empty())) {
+    if (!fromNacelle || !tuning_.fenced) {
       whole_ = true;
       note(out, now, "whole-image", {{"from", from}});
     } else {
--- a/rotor/src/plane.cpp
+++ b/rotor/src/plane.cpp
@@ -55,7 +55,7 @@
   watchJoining(now);
   if (now >= askAt_) {
     askAt_ = now + tuning_.askEvery;
-    signal::Ask const ask{now, lookout_.self(), !whole_, stamps()};
+    signal::Ask const ask{now, lookout_.self(), !whole_, !tuning_.fenced, stamps()};
     for (std::string const& s : substations(now)) out.sends.push_back(signal::Send{s, ask});
   }
   if (now >= touchAt_) {
--- a/rotor/test/rotor_test.cpp
+++ b/rotor/test/rotor_test.cpp
@@ -141,6 +141,57 @@
   CHECK_FALSE(rig.plane.standing(rig.now + 1600));
 }
 
+TEST_CASE("a nacelle without a fence serves from its whole image on, with no confirmation, roster or wait") {
+  rotor::Tuning tuning;
+  tuning.fenced = false;
+  Rig rig(tuning);
+  rig.plane.started(rig.now);
+  rig.now += 60000;
+  CHECK(rig.plane.standing(rig.now));
+  CHECK(rig.plane.ready(rig.now));
+  signal::News news;
+  news.items = {{"roster", 2, core::parseJson(R"({"nodes":[{"link":"n2"},{"link":"n3"}]})").toObject()}};
+  rig.plane.arrived(rig.now, "s1", news);
+  CHECK(rig.plane.ready(rig.now));
+  rotor::Commands const c = rig.ask("x");
+  REQUIRE(Rig::find<rotor::Connect>(c) != nullptr);
+  CHECK(Rig::find<rotor::HandOver>(rig.plane.connected(rig.now, 1)) != nullptr);
+  rotor::Commands const clock = rig.plane.clockEvent(rig.now);
+  CHECK(std::any_of(clock.sends.begin(), clock.sends.end(), [](signal::Send const& s) { return std::holds_alternative<signal::Ask>(s.message); }));
+  news.items = {{"zone:z1", 1, QJsonObject{{"evacuated", true}}}};
+  rig.plane.arrived(rig.now, "s1", news);
+  CHECK(rig.plane.standing(rig.now));
+  CHECK_FALSE(rig.plane.ready(rig.now));
+}
+
+TEST_CASE("a nacelle without a fence is ready at its first whole image, and not without one or without paths") {
+  rotor::Tuning tuning;
+  tuning.fenced = false;
+  rotor::Plane plane(Rig::self(), {"s1"}, 7, tuning);
+  plane.started(0);
+  CHECK_FALSE(plane.standing(100));
+  signal::News news;
+  news.number = 1;
+  news.whole = true;
+  plane.arrived(100, "s1", news);
+  CHECK_FALSE(plane.standing(100));
+  news.items = {{"pool:model", 1, Rig::pool(1, "serving")}};
+  plane.arrived(100, "s1", news);
+  CHECK(plane.standing(100));
+  CHECK_FALSE(plane.ready(100));
+  Rig const donor;
+  news.whole = false;
+  news.items = {{"family:desk", 1, donor.plane.valueOf("family:desk")}};
+  plane.arrived(110, "s1", news);
+  CHECK(plane.ready(110));
+  rotor::Plane other(Rig::self(), {"s1"}, 7, tuning);
+  other.started(0);
+  news.number = 0;
+  news.whole = true;
+  other.arrived(100, "n2", news);
+  CHECK(other.ready(100));
+}
+
 TEST_CASE("older news never undoes newer") {
   Rig rig;
   signal::News news;
--- a/signal/include/corkward/signal/message.h
+++ b/signal/include/corkward/signal/message.h
@@ -229,9 +229,11 @@
   core::Tick tick = 0;
   Contact self;
   bool wantWhole = false;
+  /// The image need not be confirmed by a majority.
+  bool anyWhole = false;
   Stamps stamps;
   template <class F>
-  void each(F& f) { f("t", tick); f("c", self); f("w", wantWhole); f("s", stamps); }
+  void each(F& f) { f("t", tick); f("c", self); f("w", wantWhole); f("y", anyWhole); f("s", stamps); }
 };
 
 /// A platform's list that is newer than the one in force. It only ever takes away: what it does not name, or names
--- a/substation/include/corkward/substation/plane.h
+++ b/substation/include/corkward/substation/plane.h
@@ -111,6 +111,7 @@
     Tick refusedAt = -1;
     Tick probedAt = -1;
     Tick wantWhole = -1;
+    bool anyWhole = false;
   };
   struct Lease {
     std::string holder;
--- a/substation/src/plane.cpp
+++ b/substation/src/plane.cpp
@@ -263,6 +263,7 @@
   n.contact = m.self;
   if (m.wantWhole && n.wantWhole < 0) n.wantWhole = now;
   if (!m.wantWhole) n.wantWhole = -1;
+  n.anyWhole = m.anyWhole;
   signal::Confirm c;
   c.tick = m.tick;
   Tick const age = mooring_.majorityAge(now);
@@ -294,7 +295,8 @@
 void Plane::push(Commands& out, Tick now, std::string const& link, Nacelle& n) {
   if (n.heard < 0 || now - n.heard > 10000) return;
   Tick const age = mooring_.majorityAge(now);
-  bool const whole = n.wantWhole >= 0 && age >= 0 && now - age >= n.wantWhole;
+  bool const confirmed = age >= 0 && now - age >= n.wantWhole;
+  bool const whole = n.wantWhole >= 0 && (n.anyWhole ? !mooring_.committed().empty() : confirmed);
   signal::News news;
   news.whole = whole;
   for (std::map<std::string, mooring::Committed>::value_type const& k : mooring_.committed()) {
--- a/substation/test/substation_test.cpp
+++ b/substation/test/substation_test.cpp
@@ -81,6 +81,27 @@
 
 }  // namespace
 
+TEST_CASE("a whole image waits for a majority, but not for an asker that takes any") {
+  Rig rig;
+  rig.alive = {"a"};
+  rig.run(3000);
+  rig.plane.written(rig.now, 1, false);
+  REQUIRE_FALSE(rig.plane.ready(rig.now));
+  signal::Ask ask;
+  ask.tick = rig.now;
+  ask.self = Rig::contact("b", "nacelle");
+  ask.wantWhole = true;
+  std::function<bool(substation::Commands const&)> const whole = [](substation::Commands const& c) {
+    return std::any_of(c.sends.begin(), c.sends.end(), [](signal::Send const& s) {
+      signal::News const* const news = std::get_if<signal::News>(&s.message);
+      return s.to == "b" && news != nullptr && news->whole && !news->items.empty();
+    });
+  };
+  CHECK_FALSE(whole(rig.plane.arrived(rig.now, "b", ask)));
+  ask.anyWhole = true;
+  CHECK(whole(rig.plane.arrived(rig.now, "b", ask)));
+}
+
 TEST_CASE("a change is answered when all have it, or a majority has and the rest are fenced") {
   Rig rig;
   REQUIRE(rig.plane.ready(rig.now));
