--- a/door/include/corkward/door/mapping.h
+++ b/door/include/corkward/door/mapping.h
@@ -3,9 +3,11 @@
 #include <optional>
 #include <string>
 
+#include <corkward/door/fields.h>
+#include <corkward/door/relay.h>
 #include <corkward/door/server.h>
 #include <corkward/rotor/plane.h>
-#include <corkward/substation/plane.h>
+#include <corkward/rotor/stream.h>
 
 namespace corkward::door {
 
@@ -14,19 +16,45 @@
   std::optional<rotor::Request> request;
   int status = 0;
   std::string reason;
+  /// The answer may be a row of events that goes on at another replica; and the last event that the caller has.
+  bool events = false;
+  std::string lastEvent;
 };
 
-/// Reads POST /v1/{instance}/{path...} and its headers.
-CallerRequest callerRequest(Request const& request);
-
-/// Reads an operator's or the platform's request as a call. The change id is the caller's, or the given one.
-signal::Call operatorCall(Request const& request, std::string const& freshChangeId);
+/// What a request to a replica is made from. The references hold during the call only.
+struct Dispatch {
+  Request const& request;
+  rotor::Request const& caller;
+  /// Path as the plane connected for it.
+  std::string const& path;
+  rotor::HandOver const& handOver;
+  rotor::Resume const& resume;
+};
 
-/// Header fields of an operator's answer: type, ETag from the stamp, Retry-After.
-Fields operatorFields(int status, QJsonObject const& body);
+/// The one mapping between HTTP and the data plane's events. Calls keep no state and may come in any order.
+class Mapping {
+ public:
+  virtual ~Mapping() = default;
+  /// Reads a caller's request.
+  virtual CallerRequest callerRequest(Request const& request) const = 0;
+  /// Head of the request that the replica is handed; the body goes with it unchanged. Host and the body's length are
+  /// added where they are missing.
+  virtual ReplicaRequest replicaRequest(Dispatch const& dispatch) const = 0;
+  /// Reads the head of a replica's answer to the request.
+  virtual rotor::Head head(ReplicaHead const& head, Request const& request) const = 0;
+  /// Header fields and body of a denial, or of an outcome that is not known.
+  virtual FieldList denyFields(rotor::Deny const& deny) const = 0;
+  virtual std::string denyBody(rotor::Deny const& deny) const = 0;
+};
 
-/// Header fields and body of a denial, or of an outcome that is not known.
-Fields denyFields(rotor::Deny const& deny);
-std::string denyBody(rotor::Deny const& deny);
+/// The product's own headers: POST /v1/{instance}/{path...}; see docs/interface.md.
+class OwnMapping : public Mapping {
+ public:
+  CallerRequest callerRequest(Request const& request) const override;
+  ReplicaRequest replicaRequest(Dispatch const& dispatch) const override;
+  rotor::Head head(ReplicaHead const& head, Request const& request) const override;
+  FieldList denyFields(rotor::Deny const& deny) const override;
+  std::string denyBody(rotor::Deny const& deny) const override;
+};
 
 }  // namespace corkward::door
--- /dev/null
+++ b/door/include/corkward/door/operator_mapping.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <QJsonObject>
+#include <optional>
+#include <string>
+
+#include <corkward/door/server.h>
+#include <corkward/signal/message.h>
+
+namespace corkward::door {
+
+/// A whole answer.
+struct WholeAnswer {
+  int status = 200;
+  FieldList fields;
+  std::string body;
+};
+
+/// An operator's or the platform's request as the control plane's event, or what it is answered with at once.
+struct OperatorRequest {
+  std::optional<signal::Call> call;
+  WholeAnswer answer;
+};
+
+/// The one mapping between HTTP and the control plane's events.
+class OperatorMapping {
+ public:
+  virtual ~OperatorMapping() = default;
+  /// Reads a request as a call. The change id is the caller's, or the given one.
+  virtual OperatorRequest operatorCall(Request const& request, std::string const& freshChangeId) const = 0;
+  /// @param call the call that is answered, without its body
+  virtual WholeAnswer answer(signal::Call const& call, int status, QJsonObject const& body) const = 0;
+};
+
+/// The product's own operator interface; see docs/interface.md.
+class OwnOperatorMapping : public OperatorMapping {
+ public:
+  OperatorRequest operatorCall(Request const& request, std::string const& freshChangeId) const override;
+  WholeAnswer answer(signal::Call const& call, int status, QJsonObject const& body) const override;
+};
+
+}  // namespace corkward::door
--- a/door/include/corkward/door/relay.h
+++ b/door/include/corkward/door/relay.h
@@ -6,39 +6,71 @@
 #include <memory>
 #include <string>
 
-#include <corkward/door/server.h>
-#include <corkward/rotor/stream.h>
+#include <corkward/core/types.h>
+#include <corkward/door/fields.h>
 
 class QTcpSocket;
 
 namespace corkward::door {
 
-/// One connection to one replica for one request, opened anew each time: so it is always known whether a byte of the
-/// request was handed to a connected socket, and nothing is ever sent again unseen.
+class Relays;
+
+/// Head of a request to a replica.
+struct ReplicaRequest {
+  std::string method = "POST";
+  std::string target;
+  FieldList fields = {};
+};
+
+/// Head of a replica's answer as it came.
+struct ReplicaHead {
+  int status = 0;
+  std::string reason = {};
+  FieldList fields = {};
+  /// Length of the body as it is told; below zero: not told.
+  std::int64_t length = -1;
+  /// No body follows: the answer to HEAD, or a status that has none.
+  bool bodiless = false;
+};
+
+/// One connection to one replica for one request: it is always known whether a byte of the request was handed to a
+/// connected socket, and nothing is ever sent again unseen. Events come from the event loop alone, never from a call.
 class Relay : public QObject {
  public:
   struct Events {
     std::function<void()> connected;
-    /// No connection; nothing was handed over.
+    /// No connection, or none that may be used; nothing was handed over.
     std::function<void()> denied;
-    std::function<void(rotor::Head)> head;
+    std::function<void(ReplicaHead)> head;
+    /// All of the body that came together.
     std::function<void(std::string)> piece;
     /// The body's own end was seen (true), or the connection ended before it (false).
     std::function<void(bool whole)> ended;
   };
+  /// Opens a connection of its own, which ends with the request.
   Relay(std::string const& address, Events events, QObject* parent);
   ~Relay() override;
-  /// Hands the request over. Only after connected.
-  void send(std::string const& path, Fields const& fields, std::string const& body);
+  /// Hands the request over. Only after connected, and once.
+  void send(ReplicaRequest const& request, std::string const& body);
   /// Closes the connection; no event comes after.
   void stop();
+  /// As stop, but a connection that may be kept reads the rest of a short answer, and then goes back and the relay is
+  /// gone. The owner forgets the relay.
+  void release();
   /// Stops or goes on reading, for backpressure.
   void pause(bool paused);
 
  private:
+  friend class Relays;
   struct State;
+  Relay(std::string const& address, Events events, QObject* parent, Relays* relays, QTcpSocket* kept);
+  void open();
+  void attach();
+  void ready();
+  void denied();
   void readable();
   void over(bool whole);
+  void giveBack();
   Events events_;
   std::string address_;
   QTcpSocket* socket_;
--- a/door/include/corkward/door/server.h
+++ b/door/include/corkward/door/server.h
@@ -6,10 +6,14 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <unordered_map>
+#include <vector>
 
 #include <corkward/core/error.h>
+#include <corkward/door/fields.h>
 
 class QTcpServer;
+class QTcpSocket;
 
 namespace corkward::door {
 
@@ -19,25 +23,28 @@
   using core::Error::Error;
 };
 
-/// Header fields, names in lower case.
-using Fields = std::map<std::string, std::string>;
-
 /// A whole request, head and body within their bounds.
 struct Request {
   std::uint64_t id = 0;
+  /// Which of the server's addresses it came in at.
+  std::size_t at = 0;
   std::string method;
   std::string target;
   Fields fields;
   std::string body;
 };
 
-/// Bounds of a door.
+/// Bounds of a door, and how it signs.
 struct Limits {
   std::uint32_t head = 16U << 10;
   std::uint64_t body = 1U << 20;
   int connections = 4096;
   int headMs = 10000;
   int idleMs = 60000;
+  /// Answers name the server.
+  bool named = true;
+  /// Fields of the answers to requests that break HTTP or these bounds.
+  FieldList faultFields = {{"corkward-outcome", "not-run"}};
 };
 
 /// HTTP/1.1 edge for callers, operators and the platform: Boost.Beast parses, Qt carries the bytes.
@@ -51,15 +58,19 @@
     /// Some of what waited to be written to the caller has gone out.
     std::function<void(std::uint64_t id)> room;
   };
-  /// Listens at ip:port; port 0 takes a free one. Throws door::Error.
+  /// Listens at ip:port, at one or at several with the bounds shared; port 0 takes a free one. Throws door::Error.
   Server(std::string const& address, Limits limits, Events events, QObject* parent = nullptr);
+  Server(std::vector<std::string> const& addresses, Limits limits, Events events, QObject* parent = nullptr);
   ~Server() override;
 
-  std::string const& address() const { return address_; }
+  std::string const& address(std::size_t at = 0) const { return addresses_.at(at); }
+  /// Bounds for what comes from here on.
+  void setLimits(Limits limits) { limits_ = std::move(limits); }
   /// A whole answer at once.
-  void answer(std::uint64_t id, int status, Fields const& fields, std::string const& body);
-  /// Starts an answer; length below zero: in chunks.
-  void begin(std::uint64_t id, int status, Fields const& fields, std::int64_t length);
+  void answer(std::uint64_t id, int status, FieldList const& fields, std::string const& body);
+  /// Starts an answer; length below zero: in chunks. An answer that has no body has none, whatever is told.
+  /// @param reason words of the status; empty: the usual ones
+  void begin(std::uint64_t id, int status, FieldList const& fields, std::int64_t length, std::string const& reason = {});
   void piece(std::uint64_t id, std::string const& bytes);
   /// The body's own end was seen.
   void finish(std::uint64_t id);
@@ -67,29 +78,34 @@
   void abort(std::uint64_t id);
   /// Bytes that wait to be written for the request.
   std::int64_t waiting(std::uint64_t id) const;
-  /// From here on each answer says that its connection is closed after it.
+  /// From here on each answer says that its connection is closed after it; what still comes is served.
   void leave() { leaving_ = true; }
+  /// Requests without their whole answer, and answers that are not all written.
+  std::size_t inHand() const;
   std::size_t connections() const { return conns_.size(); }
   std::uint64_t malformed() const { return malformed_; }
 
  private:
   struct Conn;
-  void accept();
+  void accept(std::size_t at);
+  void welcome(QTcpSocket* socket, std::size_t at);
   void readable(std::shared_ptr<Conn> const& conn);
   void fault(std::shared_ptr<Conn> const& conn, int status, std::string const& reason);
   void done(std::shared_ptr<Conn> conn);
+  void linger(std::shared_ptr<Conn> const& conn);
+  std::string headOf(Conn& conn, int status, FieldList const& fields, std::int64_t length, std::string const& reason);
   void drop(std::shared_ptr<Conn> const& conn);
   Conn* find(std::uint64_t id) const;
 
-  std::string address_;
+  std::vector<std::string> addresses_;
+  std::vector<QTcpServer*> servers_;
   Limits limits_;
   Events events_;
-  QTcpServer* server_;
   std::uint64_t next_ = 1;
   std::uint64_t malformed_ = 0;
   bool leaving_ = false;
-  std::map<Conn const*, std::shared_ptr<Conn>> conns_;
-  std::map<std::uint64_t, std::shared_ptr<Conn>> byId_;
+  std::unordered_map<Conn const*, std::shared_ptr<Conn>> conns_;
+  std::unordered_map<std::uint64_t, std::shared_ptr<Conn>> byId_;
 };
 
 /// Splits ip:port. Throws door::Error.
--- a/door/src/mapping.cpp
+++ b/door/src/mapping.cpp
@@ -1,6 +1,7 @@
 #include <corkward/door/mapping.h>
 
 #include <algorithm>
+#include <cmath>
 
 #include <corkward/core/json.h>
 
@@ -10,11 +11,6 @@
 
 constexpr std::size_t maxName = 256;
 
-std::string field(Request const& r, char const* name) {
-  Fields::const_iterator const it = r.fields.find(name);
-  return it == r.fields.end() ? "" : it->second;
-}
-
 bool number(std::string const& text, std::uint64_t most, std::uint64_t& out) {
   if (text.empty() || text.size() > 12 || !std::all_of(text.begin(), text.end(), [](char c) { return c >= '0' && c <= '9'; })) return false;
   out = std::stoull(text);
@@ -30,7 +26,7 @@
 
 }  // namespace
 
-CallerRequest callerRequest(Request const& request) {
+CallerRequest OwnMapping::callerRequest(Request const& request) const {
   if (request.target.rfind("/v1/", 0) != 0 || request.target.size() > 1024) return fault(404, "no such page");
   if (request.method != "POST") return fault(405, "POST is needed");
   std::string const rest = request.target.substr(4, request.target.find('?') == std::string::npos ? std::string::npos : request.target.find('?') - 4);
@@ -40,25 +36,25 @@
   r.call = request.id;
   r.instance = rest.substr(0, slash);
   r.path = rest.substr(slash + 1);
-  r.id = field(request, "corkward-request-id");
-  r.prefix = field(request, "corkward-prefix");
+  r.id = field(request.fields, "corkward-request-id");
+  r.prefix = field(request.fields, "corkward-prefix");
   if (r.id.size() > maxName) return fault(400, "corkward-request-id: longer than 256");
   if (r.prefix.size() > maxName) return fault(400, "corkward-prefix: longer than 256");
-  std::string const attempt = field(request, "corkward-attempt");
+  std::string const attempt = field(request.fields, "corkward-attempt");
   r.attempt = 0;
   if (!attempt.empty() && (!number(attempt, 1000000, r.attempt) || r.attempt == 0))
     return fault(400, "corkward-attempt: must be a number from 1 to 1000000");
-  std::string const deadline = field(request, "corkward-deadline-ms");
+  std::string const deadline = field(request.fields, "corkward-deadline-ms");
   std::uint64_t ms = 0;
   if (!deadline.empty() && (!number(deadline, 600000, ms) || ms == 0))
     return fault(400, "corkward-deadline-ms: must be a number from 1 to 600000");
   r.deadline = static_cast<core::Tick>(ms);
-  std::string const earlier = field(request, "corkward-earlier");
+  std::string const earlier = field(request.fields, "corkward-earlier");
   if (!earlier.empty() && earlier != "not-run" && earlier != "not-run-reached")
     return fault(400, "corkward-earlier: must be not-run or not-run-reached");
   r.earlierNotRun = !earlier.empty();
   r.earlierReached = earlier == "not-run-reached";
-  std::string const age = field(request, "corkward-age-ms");
+  std::string const age = field(request.fields, "corkward-age-ms");
   std::uint64_t old = 0;
   if (!age.empty() && !number(age, 99999999999, old)) return fault(400, "corkward-age-ms: must be a number from 0 to 99999999999");
   r.age = age.empty() ? -1 : static_cast<core::Tick>(old);
@@ -67,41 +63,47 @@
   return out;
 }
 
-signal::Call operatorCall(Request const& request, std::string const& freshChangeId) {
-  signal::Call call;
-  call.token = request.id;
-  call.method = request.method;
-  std::size_t const query = request.target.find('?');
-  call.path = request.target.substr(0, query);
-  std::string const words = query == std::string::npos ? "" : request.target.substr(query + 1);
-  call.dryRun = words == "dryRun=1" || words.rfind("dryRun=1&", 0) == 0 || words.find("&dryRun=1") != std::string::npos;
-  call.ifMatch = field(request, "if-match");
-  if (call.ifMatch.empty() && field(request, "if-none-match") == "*") call.ifMatch = "0";
-  call.changeId = field(request, "corkward-change-id");
-  if (call.changeId.empty()) call.changeId = freshChangeId;
-  if (call.changeId.size() > maxName) call.changeId.resize(maxName);
-  call.body = request.body;
-  return call;
+ReplicaRequest OwnMapping::replicaRequest(Dispatch const& dispatch) const {
+  std::string type = field(dispatch.request.fields, "content-type");
+  if (type.empty()) type = "application/json";
+  ReplicaRequest out{"POST", "/" + dispatch.path, {{"content-type", std::move(type)}}};
+  out.fields.emplace_back("corkward-attempt", std::to_string(std::max<std::uint64_t>(dispatch.caller.attempt, 1)));
+  if (!dispatch.caller.id.empty()) out.fields.emplace_back("corkward-request-id", dispatch.caller.id);
+  if (dispatch.resume.resuming) {
+    out.fields.emplace_back("corkward-run", dispatch.resume.run);
+    out.fields.emplace_back("corkward-offset", std::to_string(dispatch.resume.offset));
+  }
+  return out;
 }
 
-Fields operatorFields(int status, QJsonObject const& body) {
-  Fields out{{"content-type", "application/json"}};
-  if (body.contains("stamp") && status < 300) out["etag"] = "\"" + std::to_string(body.value("stamp").toInteger()) + "\"";
-  if (status == 503) out["retry-after"] = "1";
+rotor::Head OwnMapping::head(ReplicaHead const& head, Request const&) const {
+  rotor::Head out;
+  out.status = head.status;
+  out.length = head.length;
+  out.bodiless = head.bodiless;
+  std::string const run = field(head.fields, "corkward-run");
+  out.notRun = head.status == 503 && run == "none";
+  if (run != "none") out.run = run;
+  out.offset = field(head.fields, "corkward-offset");
+  for (char const* const kept : {"content-type", "corkward-run", "corkward-replica"}) {
+    std::string value = field(head.fields, kept);
+    if (!value.empty()) out.fields.emplace_back(kept, std::move(value));
+  }
+  out.fields.emplace_back("corkward-outcome", "run");
   return out;
 }
 
-Fields denyFields(rotor::Deny const& deny) {
-  Fields out{{"content-type", "application/json"}, {"corkward-outcome", deny.notRun ? "not-run" : "unknown"}};
-  if (deny.notRun) out["corkward-earlier"] = deny.reached ? "not-run-reached" : "not-run";
-  if (deny.retryAfter > 0) out["retry-after"] = core::str(QString::number(deny.retryAfter));
+FieldList OwnMapping::denyFields(rotor::Deny const& deny) const {
+  FieldList out{{"content-type", "application/json"}, {"corkward-outcome", deny.notRun ? "not-run" : "unknown"}};
+  if (deny.notRun) out.emplace_back("corkward-earlier", deny.reached ? "not-run-reached" : "not-run");
+  if (deny.retryAfter > 0) out.emplace_back("retry-after", core::str(QString::number(std::ceil(deny.retryAfter), 'f', 0)));
   return out;
 }
 
-std::string denyBody(rotor::Deny const& deny) {
+std::string OwnMapping::denyBody(rotor::Deny const& deny) const {
   QJsonObject body{{"outcome", deny.notRun ? "not-run" : "unknown"}, {"reason", core::qstr(deny.reason)}};
-  if (deny.retryAfter > 0) body.insert("retryAfter", deny.retryAfter);
-  return core::jsonText(body);
+  if (deny.retryAfter > 0) body.insert("retryAfter", std::ceil(deny.retryAfter));
+  return core::jsonText(body) + "\n";
 }
 
 }  // namespace corkward::door
--- a/door/src/relay.cpp
+++ b/door/src/relay.cpp
@@ -3,11 +3,18 @@
 #include <QHostAddress>
 #include <QPointer>
 #include <QTcpSocket>
+#include <QTimer>
 #include <array>
+#include <cerrno>
 #include <boost/beast/http.hpp>
-#include <cctype>
 #include <limits>
-#include <sstream>
+#include <optional>
+#include <sys/socket.h>
+
+#include <corkward/door/relays.h>
+#include <corkward/door/server.h>
+
+#include "wire.h"
 
 namespace corkward::door {
 
@@ -16,122 +23,301 @@
 namespace {
 
 constexpr qint64 readBuffer = 64 << 10;
+constexpr std::size_t longestRest = 16U << 10;
+constexpr int restMs = 500;
+constexpr core::Tick noLimit = std::numeric_limits<core::Tick>::max();
+
+/// Nothing waits on the connection, not even its end.
+bool quiet(QTcpSocket& socket) {
+  if (socket.state() != QAbstractSocket::ConnectedState || socket.bytesAvailable() > 0) return false;
+  char byte = 0;
+  ssize_t const got = ::recv(static_cast<int>(socket.socketDescriptor()), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+/// How long the other side keeps an idle connection, in milliseconds.
+core::Tick keepAliveOf(FieldList const& fields) {
+  http::param_list const params(";" + field(fields, "keep-alive"));
+  for (http::param_list::value_type const& p : params) {
+    bool ok = false;
+    if (lower(std::string(p.first)) != "timeout") continue;
+    core::Tick const seconds = QString::fromStdString(std::string(p.second)).toInt(&ok);
+    return ok && seconds >= 0 ? seconds * 1000 : 0;
+  }
+  return noLimit;
+}
 
 }  // namespace
 
 struct Relay::State {
-  http::response_parser<http::buffer_body> parser;
+  using Parser = http::response_parser<http::buffer_body>;
+  std::optional<Parser> parser;
+  QPointer<Relays> relays;
   QByteArray buffer;
+  core::Tick keepAlive = noLimit;
+  bool kept = false;
   bool connected = false;
+  bool sent = false;
+  bool noBody = false;
   bool headSeen = false;
   bool paused = false;
   bool over = false;
+  bool released = false;
+  std::size_t rest = 0;
+
+  void fresh() {
+    parser.emplace();
+    parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+    parser->header_limit(16U << 10);
+    parser->eager(false);
+    parser->skip(noBody);
+  }
 };
 
-Relay::Relay(std::string const& address, Events events, QObject* parent)
-    : QObject(parent), events_(std::move(events)), address_(address), socket_(new QTcpSocket(this)), state_(std::make_unique<State>()) {
-  state_->parser.body_limit(std::numeric_limits<std::uint64_t>::max());
-  state_->parser.header_limit(16U << 10);
-  state_->parser.eager(false);
+Relay::Relay(std::string const& address, Events events, QObject* parent) : Relay(address, std::move(events), parent, nullptr, nullptr) {}
+
+Relay::Relay(std::string const& address, Events events, QObject* parent, Relays* relays, QTcpSocket* kept)
+    : QObject(parent), events_(std::move(events)), address_(address), socket_(kept), state_(std::make_unique<State>()) {
+  state_->relays = relays;
+  state_->kept = kept != nullptr;
+  if (kept == nullptr) {
+    open();
+    return;
+  }
+  socket_->setParent(this);
+  attach();
+  QMetaObject::invokeMethod(this, [this] { ready(); }, Qt::QueuedConnection);
+}
+
+Relay::~Relay() {
+  if (socket_ == nullptr) return;
+  socket_->disconnect(this);
+  socket_->abort();
+}
+
+void Relay::open() {
+  state_->kept = false;
+  if (state_->relays) ++state_->relays->opened_;
+  socket_ = new QTcpSocket(this);
   socket_->setReadBufferSize(readBuffer);
+  attach();
   QObject::connect(socket_, &QTcpSocket::connected, this, [this] {
-    state_->connected = true;
     socket_->setSocketOption(QAbstractSocket::LowDelayOption, 1);
-    events_.connected();
+    QMetaObject::invokeMethod(this, [this] { ready(); }, Qt::QueuedConnection);
   });
+  std::pair<std::string, std::uint16_t> const at = splitAddress(address_);
+  socket_->connectToHost(QHostAddress(QString::fromStdString(at.first)), at.second);
+}
+
+void Relay::attach() {
   QObject::connect(socket_, &QTcpSocket::readyRead, this, [this] { readable(); });
   QObject::connect(socket_, &QTcpSocket::disconnected, this, [this] {
+    if (!state_->sent) {
+      if (state_->connected) denied();
+      return;
+    }
     if (!state_->paused) readable();
     if (!state_->paused) over(false);
   });
   QObject::connect(socket_, &QTcpSocket::errorOccurred, this, [this](QAbstractSocket::SocketError) {
-    if (state_->connected || state_->over) return;
-    state_->over = true;
-    events_.denied();
+    if (!state_->kept && !state_->connected) denied();
   });
-  std::pair<std::string, std::uint16_t> const at = splitAddress(address);
-  socket_->connectToHost(QHostAddress(QString::fromStdString(at.first)), at.second);
 }
 
-Relay::~Relay() {
-  socket_->disconnect(this);
-  socket_->abort();
+void Relay::ready() {
+  if (state_->over || state_->connected) return;
+  if (!quiet(*socket_)) {
+    bool const again = state_->kept;
+    if (!again) {
+      denied();
+      return;
+    }
+    socket_->disconnect(this);
+    socket_->abort();
+    socket_->deleteLater();
+    if (state_->relays) state_->relays->drop(address_);
+    open();
+    return;
+  }
+  if (state_->kept && state_->relays) ++state_->relays->reused_;
+  state_->connected = true;
+  events_.connected();
 }
 
-void Relay::send(std::string const& path, Fields const& fields, std::string const& body) {
-  http::request<http::string_body> message{http::verb::post, "/" + path, 11};
-  for (Fields::value_type const& f : fields) message.set(f.first, f.second);
-  message.set(http::field::host, address_);
-  message.set(http::field::connection, "close");
-  message.body() = body;
-  message.prepare_payload();
-  std::ostringstream text;
-  text << message;
-  socket_->write(QByteArray::fromStdString(text.str()));
+void Relay::denied() {
+  if (state_->over) return;
+  state_->over = true;
+  if (state_->relays) state_->relays->drop(address_);
+  QMetaObject::invokeMethod(
+      this, [this] { events_.denied(); }, Qt::QueuedConnection);
+}
+
+void Relay::send(ReplicaRequest const& request, std::string const& body) {
+  if (state_->over || state_->sent) return;
+  if (!quiet(*socket_)) {
+    denied();
+    return;
+  }
+  http::request<http::empty_body> message;
+  message.version(11);
+  message.method_string(request.method);
+  message.target(request.target);
+  if (field(request.fields, "host").empty()) message.set(http::field::host, address_);
+  for (FieldList::value_type const& f : request.fields) message.insert(f.first, f.second);
+  if (!state_->relays || state_->relays->kept_.perReplica == 0) message.set(http::field::connection, "close");
+  bool const bare = body.empty() && (request.method == "GET" || request.method == "HEAD" || request.method == "DELETE" || request.method == "OPTIONS");
+  if (!bare) message.content_length(body.size());
+  state_->noBody = request.method == "HEAD";
+  state_->fresh();
+  state_->sent = true;
+  put(*socket_, headText(message));
+  if (!body.empty()) put(*socket_, body);
 }
 
 void Relay::pause(bool paused) {
   if (state_->paused == paused) return;
   state_->paused = paused;
   if (paused || state_->over) return;
-  readable();
-  if (!state_->paused && socket_->state() == QAbstractSocket::UnconnectedState) over(false);
+  QMetaObject::invokeMethod(
+      this,
+      [this] {
+        QPointer<Relay> const alive(this);
+        if (state_->paused || state_->over || socket_ == nullptr) return;
+        readable();
+        if (alive && !state_->paused && socket_ != nullptr && socket_->state() == QAbstractSocket::UnconnectedState) over(false);
+      },
+      Qt::QueuedConnection);
 }
 
 void Relay::stop() {
   state_->over = true;
+  if (socket_ == nullptr) return;
   socket_->disconnect(this);
   socket_->abort();
 }
 
+void Relay::release() {
+  bool const may = !state_->over && socket_ != nullptr && state_->relays && state_->relays->kept_.perReplica > 0 && state_->headSeen;
+  if (!may) {
+    stop();
+    deleteLater();
+    return;
+  }
+  state_->released = true;
+  state_->paused = false;
+  setParent(state_->relays);
+  QTimer::singleShot(restMs, this, [this] {
+    stop();
+    deleteLater();
+  });
+  QMetaObject::invokeMethod(
+      this,
+      [this] {
+        if (!state_->over) readable();
+      },
+      Qt::QueuedConnection);
+}
+
 void Relay::over(bool whole) {
   if (state_->over) return;
   state_->over = true;
-  events_.ended(whole);
+  if (whole) {
+    giveBack();
+  } else if (state_->relays) {
+    state_->relays->drop(address_);
+  }
+  if (state_->released) deleteLater();
+  if (!state_->released) events_.ended(whole);
+}
+
+void Relay::giveBack() {
+  bool const may = state_->relays && state_->relays->kept_.perReplica > 0 && state_->parser->get().version() == 11 && state_->parser->keep_alive() &&
+                   state_->buffer.isEmpty() && socket_->bytesToWrite() == 0 && quiet(*socket_);
+  if (!may) return;
+  QTcpSocket* const socket = std::exchange(socket_, nullptr);
+  socket->disconnect(this);
+  state_->relays->put(address_, socket, state_->keepAlive);
 }
 
 void Relay::readable() {
+  if (!state_->sent) return;
   QPointer<Relay> const alive(this);
-  std::array<char, 16384> part;
+  std::array<char, 32768> part;
+  std::string gathered;
+  std::function<void()> const pass = [&] {
+    if (gathered.empty()) return;
+    if (state_->released) {
+      state_->rest += gathered.size();
+      if (state_->rest > longestRest) over(false);
+    } else {
+      events_.piece(std::move(gathered));
+    }
+    gathered.clear();
+  };
   while (alive && !state_->over && !state_->paused) {
-    state_->buffer += socket_->read(readBuffer);
-    if (state_->buffer.isEmpty()) return;
+    if (state_->buffer.isEmpty()) state_->buffer = socket_->read(readBuffer);
+    if (state_->buffer.isEmpty()) {
+      pass();
+      return;
+    }
+    State::Parser& parser = *state_->parser;
     boost::beast::error_code ec;
     if (state_->headSeen) {
-      state_->parser.get().body().data = part.data();
-      state_->parser.get().body().size = part.size();
+      parser.get().body().data = part.data();
+      parser.get().body().size = part.size();
     }
-    std::size_t const used =
-        state_->parser.put(boost::asio::buffer(state_->buffer.constData(), static_cast<std::size_t>(state_->buffer.size())), ec);
+    std::size_t const used = parser.put(boost::asio::buffer(state_->buffer.constData(), static_cast<std::size_t>(state_->buffer.size())), ec);
     state_->buffer.remove(0, static_cast<qsizetype>(used));
+    if (state_->headSeen) gathered.append(part.data(), part.size() - parser.get().body().size);
     if (ec && ec != http::error::need_more && ec != http::error::need_buffer) {
-      over(false);
+      pass();
+      if (alive) over(false);
       return;
     }
-    if (!state_->headSeen && state_->parser.is_header_done()) {
+    if (!state_->headSeen && parser.is_header_done()) {
+      int const status = static_cast<int>(parser.get().result_int());
+      if (status < 200 && status != 101 && status >= 100) {
+        state_->fresh();
+        continue;
+      }
+      ReplicaHead head;
+      head.status = status;
+      head.reason = std::string(parser.get().reason());
+      for (http::fields::value_type const& f : parser.get()) head.fields.emplace_back(std::string(f.name_string()), std::string(f.value()));
+      head.bodiless = state_->noBody || status == 204 || status == 304;
+      std::string const coding = lower(field(head.fields, "content-encoding"));
+      bool const coded = status / 100 == 2 && !coding.empty() && coding != "identity";
+      if (status == 101 || coded) {
+        over(false);
+        return;
+      }
       state_->headSeen = true;
-      rotor::Head head;
-      head.status = state_->parser.get().result_int();
-      for (http::fields::value_type const& f : state_->parser.get()) {
-        std::string name(f.name_string());
-        for (char& c : name) c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
-        head.fields[name] = std::string(f.value());
+      state_->keepAlive = keepAliveOf(head.fields);
+      parser.eager(true);
+      if (!head.bodiless && parser.content_length()) head.length = static_cast<std::int64_t>(*parser.content_length());
+      if (head.bodiless) {
+        std::string const told = field(head.fields, "content-length");
+        bool ok = false;
+        std::int64_t const length = QString::fromStdString(told).toLongLong(&ok);
+        if (ok) head.length = length;
       }
-      if (state_->parser.content_length()) head.length = static_cast<std::int64_t>(*state_->parser.content_length());
       events_.head(std::move(head));
-      if (!alive) return;
-    } else if (state_->headSeen) {
-      std::size_t const got = part.size() - state_->parser.get().body().size;
-      if (got > 0) {
-        events_.piece(std::string(part.data(), got));
-        if (!alive) return;
-      }
+      if (!alive || state_->over) return;
     }
-    if (state_->headSeen && state_->parser.is_done()) {
-      over(true);
+    if (state_->headSeen && parser.is_done()) {
+      pass();
+      if (alive) over(true);
       return;
     }
-    if (used == 0 && ec == http::error::need_more && socket_->bytesAvailable() == 0) return;
+    if (used == 0 && ec == http::error::need_more) {
+      QByteArray const more = socket_->read(readBuffer);
+      if (more.isEmpty()) {
+        pass();
+        return;
+      }
+      state_->buffer += more;
+    }
+    if (gathered.size() >= static_cast<std::size_t>(readBuffer)) pass();
   }
 }
 
--- /dev/null
+++ b/door/src/relays.cpp
@@ -0,0 +1,107 @@
+#include <corkward/door/relays.h>
+
+#include <QTcpSocket>
+#include <algorithm>
+
+namespace corkward::door {
+
+namespace {
+
+constexpr int sweepEveryMs = 500;
+
+void closeSocket(QTcpSocket* socket) {
+  socket->disconnect();
+  socket->abort();
+  socket->deleteLater();
+}
+
+}  // namespace
+
+Relays::Relays(Kept kept, std::function<core::Tick()> now, QObject* parent) : QObject(parent), kept_(kept), now_(std::move(now)) {
+  QObject::connect(&sweep_, &QTimer::timeout, this, [this] { sweep(); });
+}
+
+Relays::~Relays() {
+  for (std::unordered_map<std::string, std::vector<Idle>>::value_type const& a : idle_)
+    for (Idle const& i : a.second) i.socket->disconnect();
+}
+
+Relay* Relays::lend(std::string const& address, bool fresh, Relay::Events events, QObject* parent) {
+  core::Tick const now = now_();
+  QTcpSocket* socket = nullptr;
+  std::unordered_map<std::string, std::vector<Idle>>::iterator const it = idle_.find(address);
+  while (it != idle_.end() && !it->second.empty() && socket == nullptr) {
+    Idle const last = it->second.back();
+    if (fresh && now - last.since >= std::min(kept_.freshIdleLimit, last.limit)) break;
+    it->second.pop_back();
+    --count_;
+    if (now - last.since < std::min(kept_.idleLimit, last.limit) && last.socket->state() == QAbstractSocket::ConnectedState &&
+        last.socket->bytesAvailable() == 0) {
+      last.socket->disconnect(this);
+      socket = last.socket;
+    } else {
+      closeSocket(last.socket);
+    }
+  }
+  if (it != idle_.end() && it->second.empty()) idle_.erase(it);
+  return new Relay(address, std::move(events), parent, this, socket);
+}
+
+void Relays::put(std::string const& address, QTcpSocket* socket, core::Tick keepAlive) {
+  socket->setParent(this);
+  core::Tick const limit = std::min(kept_.idleLimit, keepAlive / 2);
+  if (limit <= 0) {
+    closeSocket(socket);
+    return;
+  }
+  QObject::connect(socket, &QTcpSocket::readyRead, this, [this, address, socket] { forget(address, socket); });
+  QObject::connect(socket, &QTcpSocket::disconnected, this, [this, address, socket] { forget(address, socket); });
+  std::vector<Idle>& all = idle_[address];
+  all.push_back(Idle{socket, now_(), limit});
+  ++count_;
+  if (all.size() > kept_.perReplica) {
+    closeSocket(all.front().socket);
+    all.erase(all.begin());
+    --count_;
+  }
+  if (!sweep_.isActive()) sweep_.start(sweepEveryMs);
+}
+
+void Relays::forget(std::string const& address, QTcpSocket* socket) {
+  std::unordered_map<std::string, std::vector<Idle>>::iterator const it = idle_.find(address);
+  if (it == idle_.end()) return;
+  count_ -= std::erase_if(it->second, [socket](Idle const& i) { return i.socket == socket; });
+  if (it->second.empty()) idle_.erase(it);
+  closeSocket(socket);
+}
+
+void Relays::drop(std::string const& address) {
+  std::unordered_map<std::string, std::vector<Idle>>::iterator const it = idle_.find(address);
+  if (it == idle_.end()) return;
+  for (Idle const& i : it->second) closeSocket(i.socket);
+  count_ -= it->second.size();
+  idle_.erase(it);
+}
+
+void Relays::setKept(Kept kept) {
+  kept_ = kept;
+  std::vector<std::string> all;
+  if (kept.perReplica == 0)
+    for (std::unordered_map<std::string, std::vector<Idle>>::value_type const& a : idle_) all.push_back(a.first);
+  for (std::string const& a : all) drop(a);
+}
+
+void Relays::sweep() {
+  core::Tick const now = now_();
+  for (std::unordered_map<std::string, std::vector<Idle>>::iterator it = idle_.begin(); it != idle_.end();) {
+    count_ -= std::erase_if(it->second, [&](Idle const& i) {
+      bool const old = now - i.since >= std::min(kept_.idleLimit, i.limit);
+      if (old) closeSocket(i.socket);
+      return old;
+    });
+    it = it->second.empty() ? idle_.erase(it) : std::next(it);
+  }
+  if (count_ == 0) sweep_.stop();
+}
+
+}  // namespace corkward::door
--- a/door/src/server.cpp
+++ b/door/src/server.cpp
@@ -4,11 +4,10 @@
 #include <QTcpServer>
 #include <QTcpSocket>
 #include <QTimer>
-#include <boost/beast/core/buffers_to_string.hpp>
 #include <boost/beast/http.hpp>
-#include <cctype>
-#include <optional>
-#include <sstream>
+#include <sys/socket.h>
+
+#include "wire.h"
 
 namespace corkward::door {
 
@@ -19,16 +18,9 @@
 constexpr qint64 readBuffer = 64 << 10;
 constexpr int lingerMs = 1000;
 
-std::string lower(std::string text) {
-  for (char& c : text) c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
-  return text;
-}
+constexpr int acceptAtOnce = 16;
 
-template <class Message>
-void setFields(Message& message, Fields const& fields) {
-  for (Fields::value_type const& f : fields) message.set(f.first, f.second);
-  message.set(http::field::server, "corkward");
-}
+bool bodilessStatus(int status) { return status < 200 || status == 204 || status == 304; }
 
 }  // namespace
 
@@ -49,74 +41,105 @@
   QByteArray buffer;
   std::unique_ptr<Parser> parser;
   std::uint64_t id = 0;
+  std::size_t at = 0;
   bool keep = true;
   bool begun = false;
   bool chunked = false;
+  bool headAsked = false;
+  bool bodiless = false;
+  bool told = false;
+  bool lingers = false;
+  bool moved = false;
   bool continued = false;
   bool dropped = false;
   bool faulted = false;
 };
 
 Server::Server(std::string const& address, Limits limits, Events events, QObject* parent)
-    : QObject(parent), limits_(limits), events_(std::move(events)), server_(new QTcpServer(this)) {
-  std::pair<std::string, std::uint16_t> const at = splitAddress(address);
-  server_->setListenBacklogSize(512);
-  if (!server_->listen(QHostAddress(QString::fromStdString(at.first)), at.second))
-    throw Error("listen at " + address + ": " + server_->errorString().toStdString());
-  address_ = at.first + ":" + std::to_string(server_->serverPort());
-  QObject::connect(server_, &QTcpServer::newConnection, this, [this] { accept(); });
+    : Server(std::vector<std::string>{address}, std::move(limits), std::move(events), parent) {}
+
+Server::Server(std::vector<std::string> const& addresses, Limits limits, Events events, QObject* parent)
+    : QObject(parent), limits_(std::move(limits)), events_(std::move(events)) {
+  for (std::string const& address : addresses) {
+    std::size_t const index = servers_.size();
+    std::pair<std::string, std::uint16_t> const at = splitAddress(address);
+    QTcpServer* const server = new QTcpServer(this);
+    servers_.push_back(server);
+    server->setListenBacklogSize(512);
+    server->setMaxPendingConnections(acceptAtOnce);
+    if (!server->listen(QHostAddress(QString::fromStdString(at.first)), at.second))
+      throw Error("listen at " + address + ": " + server->errorString().toStdString());
+    addresses_.push_back(at.first + ":" + std::to_string(server->serverPort()));
+    QObject::connect(server, &QTcpServer::newConnection, this, [this, index] { accept(index); }, Qt::QueuedConnection);
+  }
 }
 
 Server::~Server() {
-  std::map<Conn const*, std::shared_ptr<Conn>> const all = std::move(conns_);
+  std::unordered_map<Conn const*, std::shared_ptr<Conn>> const all = std::move(conns_);
   conns_.clear();
-  for (std::map<Conn const*, std::shared_ptr<Conn>>::value_type const& c : all) {
+  for (std::unordered_map<Conn const*, std::shared_ptr<Conn>>::value_type const& c : all) {
     c.second->socket->disconnect();
     c.second->socket->abort();
   }
 }
 
-void Server::accept() {
-  while (QTcpSocket* const socket = server_->nextPendingConnection()) {
-    if (static_cast<int>(conns_.size()) >= 2 * limits_.connections) {
-      socket->abort();
-      socket->deleteLater();
-      continue;
-    }
-    std::shared_ptr<Conn> const conn = std::make_shared<Conn>();
-    conn->socket = socket;
-    socket->setParent(this);
-    socket->setReadBufferSize(readBuffer);
-    socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
-    conn->timer = new QTimer(socket);
-    conn->timer->setSingleShot(true);
-    conns_[conn.get()] = conn;
-    std::weak_ptr<Conn> const weak = conn;
-    QObject::connect(conn->timer, &QTimer::timeout, this, [this, weak] {
-      if (std::shared_ptr<Conn> const c = weak.lock())
-        if (c->id == 0) drop(c);
-    });
-    QObject::connect(socket, &QTcpSocket::readyRead, this, [this, weak] {
-      if (std::shared_ptr<Conn> const c = weak.lock()) readable(c);
-    });
-    QObject::connect(socket, &QTcpSocket::disconnected, this, [this, weak] {
-      if (std::shared_ptr<Conn> const c = weak.lock()) drop(c);
-    });
-    QObject::connect(socket, &QTcpSocket::bytesWritten, this, [this, weak](qint64) {
-      std::shared_ptr<Conn> const c = weak.lock();
-      if (c && c->id != 0 && c->begun && events_.room) events_.room(c->id);
-    });
-    conn->timer->start(limits_.headMs);
-    if (static_cast<int>(conns_.size()) > limits_.connections)
-      fault(conn, 503, "too many connections");
-    else
-      readable(conn);
+void Server::accept(std::size_t at) {
+  for (int i = 0; i < acceptAtOnce; ++i) {
+    QTcpSocket* const socket = servers_[at]->nextPendingConnection();
+    if (socket == nullptr) return;
+    welcome(socket, at);
   }
 }
 
+void Server::welcome(QTcpSocket* socket, std::size_t at) {
+  if (static_cast<int>(conns_.size()) >= 2 * limits_.connections) {
+    socket->abort();
+    socket->deleteLater();
+    return;
+  }
+  std::shared_ptr<Conn> const conn = std::make_shared<Conn>();
+  conn->socket = socket;
+  conn->at = at;
+  socket->setParent(this);
+  socket->setReadBufferSize(readBuffer);
+  socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
+  conn->timer = new QTimer(socket);
+  conn->timer->setSingleShot(true);
+  conns_[conn.get()] = conn;
+  std::weak_ptr<Conn> const weak = conn;
+  QObject::connect(conn->timer, &QTimer::timeout, this, [this, weak] {
+    if (std::shared_ptr<Conn> const c = weak.lock())
+      if (c->id == 0) {
+        if (c->moved && c->socket->bytesToWrite() > 0)
+          c->timer->start(limits_.idleMs);
+        else
+          drop(c);
+        c->moved = false;
+      }
+  });
+  QObject::connect(socket, &QTcpSocket::readyRead, this, [this, weak] {
+    if (std::shared_ptr<Conn> const c = weak.lock()) readable(c);
+  });
+  QObject::connect(socket, &QTcpSocket::disconnected, this, [this, weak] {
+    if (std::shared_ptr<Conn> const c = weak.lock()) drop(c);
+  });
+  QObject::connect(socket, &QTcpSocket::bytesWritten, this, [this, weak](qint64) {
+    std::shared_ptr<Conn> const c = weak.lock();
+    if (!c) return;
+    c->moved = true;
+    if (c->lingers) linger(c);
+    if (c->id != 0 && c->begun && events_.room) events_.room(c->id);
+  });
+  conn->timer->start(limits_.headMs);
+  if (static_cast<int>(conns_.size()) > limits_.connections)
+    fault(conn, 503, "too many connections");
+  else
+    readable(conn);
+}
+
 void Server::readable(std::shared_ptr<Conn> const& conn) {
   if (conn->dropped || conn->id != 0) return;
-  if (conn->faulted) {
+  if (conn->faulted || conn->lingers) {
     conn->socket->readAll();
     return;
   }
@@ -156,11 +179,16 @@
       return;
     }
     Request request;
+    request.at = conn->at;
     request.method = std::string(message.method_string());
     request.target = std::string(message.target());
-    for (http::request<http::string_body>::value_type const& f : message)
-      request.fields[lower(std::string(f.name_string()))] = std::string(f.value());
+    for (http::request<http::string_body>::value_type const& f : message) {
+      std::string const name = lower(std::string(f.name_string()));
+      std::pair<Fields::iterator, bool> const at = request.fields.emplace(name, std::string(f.value()));
+      if (!at.second) at.first->second.append(name == "cookie" ? "; " : ", ").append(f.value().data(), f.value().size());
+    }
     conn->keep = message.keep_alive();
+    conn->headAsked = message.method() == http::verb::head;
     request.body = std::move(message.body());
     conn->id = next_++;
     request.id = conn->id;
@@ -172,70 +200,76 @@
 
 void Server::fault(std::shared_ptr<Conn> const& conn, int status, std::string const& reason) {
   ++malformed_;
-  http::response<http::string_body> message{static_cast<http::status>(status), 11};
-  message.body() = "{\"error\":\"malformed\",\"reason\":\"" + reason + "\"}";
-  message.set(http::field::content_type, "application/json");
-  message.set(http::field::connection, "close");
-  setFields(message, {{"corkward-outcome", "not-run"}});
-  if (status == 503) message.set(http::field::retry_after, "1");
-  message.prepare_payload();
-  std::ostringstream text;
-  text << message;
+  std::string const body = "{\"error\":\"malformed\",\"reason\":\"" + reason + "\"}";
+  FieldList fields = limits_.faultFields;
+  fields.emplace_back("Content-Type", "application/json");
+  if (status == 503) fields.emplace_back("Retry-After", "1");
   conn->buffer.clear();
   conn->faulted = true;
-  conn->socket->write(QByteArray::fromStdString(text.str()));
+  conn->keep = false;
+  conn->headAsked = false;
+  put(*conn->socket, headOf(*conn, status, fields, static_cast<std::int64_t>(body.size()), {}) + body);
   conn->timer->start(lingerMs);
 }
 
+std::string Server::headOf(Conn& conn, int status, FieldList const& fields, std::int64_t length, std::string const& reason) {
+  http::response<http::empty_body> message;
+  message.version(11);
+  message.result(static_cast<unsigned>(status));
+  if (!reason.empty()) message.reason(reason);
+  for (FieldList::value_type const& f : fields) message.insert(f.first, f.second);
+  if (limits_.named) message.set(http::field::server, "corkward");
+  conn.bodiless = conn.headAsked || bodilessStatus(status);
+  conn.chunked = length < 0 && !conn.bodiless;
+  conn.told = !conn.keep || leaving_;
+  if (conn.chunked) message.chunked(true);
+  if (length >= 0 && !(bodilessStatus(status) && status != 304)) message.content_length(static_cast<std::uint64_t>(length));
+  if (conn.told) message.set(http::field::connection, "close");
+  return headText(message);
+}
+
 Server::Conn* Server::find(std::uint64_t id) const {
-  std::map<std::uint64_t, std::shared_ptr<Conn>>::const_iterator const it = byId_.find(id);
+  std::unordered_map<std::uint64_t, std::shared_ptr<Conn>>::const_iterator const it = byId_.find(id);
   return it == byId_.end() ? nullptr : it->second.get();
 }
 
-void Server::answer(std::uint64_t id, int status, Fields const& fields, std::string const& body) {
+void Server::answer(std::uint64_t id, int status, FieldList const& fields, std::string const& body) {
   Conn* const conn = find(id);
   if (conn == nullptr) return;
-  http::response<http::string_body> message{static_cast<http::status>(status), 11};
-  setFields(message, fields);
-  message.body() = body;
-  message.prepare_payload();
-  if (!conn->keep || leaving_) message.set(http::field::connection, "close");
-  std::ostringstream text;
-  text << message;
-  conn->socket->write(QByteArray::fromStdString(text.str()));
+  std::int64_t const length = status == 304 && body.empty() ? -1 : static_cast<std::int64_t>(body.size());
+  put(*conn->socket, headOf(*conn, status, fields, length, {}));
+  if (!conn->bodiless && !body.empty()) put(*conn->socket, body);
   done(byId_.at(id));
 }
 
-void Server::begin(std::uint64_t id, int status, Fields const& fields, std::int64_t length) {
+void Server::begin(std::uint64_t id, int status, FieldList const& fields, std::int64_t length, std::string const& reason) {
   Conn* const conn = find(id);
   if (conn == nullptr) return;
-  http::response<http::empty_body> message{static_cast<http::status>(status), 11};
-  setFields(message, fields);
   conn->begun = true;
-  conn->chunked = length < 0;
-  if (conn->chunked)
-    message.chunked(true);
-  else
-    message.content_length(static_cast<std::uint64_t>(length));
-  if (!conn->keep || leaving_) message.set(http::field::connection, "close");
-  std::ostringstream text;
-  text << message.base();
-  conn->socket->write(QByteArray::fromStdString(text.str()));
+  put(*conn->socket, headOf(*conn, status, fields, length, reason));
 }
 
 void Server::piece(std::uint64_t id, std::string const& bytes) {
   Conn* const conn = find(id);
-  if (conn == nullptr || bytes.empty()) return;
-  if (conn->chunked)
-    conn->socket->write(QByteArray::fromStdString(boost::beast::buffers_to_string(http::make_chunk(boost::asio::buffer(bytes)))));
-  else
-    conn->socket->write(bytes.data(), static_cast<qint64>(bytes.size()));
+  if (conn == nullptr || bytes.empty() || conn->bodiless) return;
+  if (!conn->chunked) {
+    put(*conn->socket, bytes);
+    return;
+  }
+  std::string text;
+  text.reserve(bytes.size() + 24);
+  append(text, http::make_chunk(boost::asio::buffer(bytes)));
+  put(*conn->socket, text);
 }
 
 void Server::finish(std::uint64_t id) {
   Conn* const conn = find(id);
   if (conn == nullptr) return;
-  if (conn->chunked) conn->socket->write(QByteArray::fromStdString(boost::beast::buffers_to_string(http::make_chunk_last())));
+  if (conn->chunked) {
+    std::string text;
+    append(text, http::make_chunk_last());
+    put(*conn->socket, text);
+  }
   done(byId_.at(id));
 }
 
@@ -243,8 +277,11 @@
   byId_.erase(conn->id);
   conn->id = 0;
   conn->begun = false;
-  if (!conn->keep || leaving_) {
-    conn->socket->disconnectFromHost();
+  if (conn->told) {
+    conn->lingers = true;
+    conn->buffer.clear();
+    conn->timer->start(limits_.idleMs);
+    linger(conn);
     return;
   }
   conn->timer->start(limits_.idleMs);
@@ -254,8 +291,22 @@
   });
 }
 
+void Server::linger(std::shared_ptr<Conn> const& conn) {
+  if (conn->dropped || conn->socket->bytesToWrite() > 0) return;
+  ::shutdown(static_cast<int>(conn->socket->socketDescriptor()), SHUT_WR);
+  conn->socket->readAll();
+  conn->timer->start(lingerMs);
+}
+
+std::size_t Server::inHand() const {
+  std::size_t out = 0;
+  for (std::unordered_map<Conn const*, std::shared_ptr<Conn>>::value_type const& c : conns_)
+    if (c.second->id != 0 || c.second->socket->bytesToWrite() > 0) ++out;
+  return out;
+}
+
 void Server::abort(std::uint64_t id) {
-  std::map<std::uint64_t, std::shared_ptr<Conn>>::iterator const it = byId_.find(id);
+  std::unordered_map<std::uint64_t, std::shared_ptr<Conn>>::iterator const it = byId_.find(id);
   if (it == byId_.end()) return;
   std::shared_ptr<Conn> const conn = it->second;
   byId_.erase(it);
--- a/door/test/door_test.cpp
+++ b/door/test/door_test.cpp
@@ -63,9 +63,9 @@
   QObject owner;
   door::Relay* relay = nullptr;
   door::Relay::Events e;
-  e.connected = [&] { relay->send("x", {}, "{}"); };
+  e.connected = [&] { relay->send({"POST", "/x"}, "{}"); };
   e.denied = [&] { got.denied = true; };
-  e.head = [&](corkward::rotor::Head h) { got.status = h.status; };
+  e.head = [&](door::ReplicaHead h) { got.status = h.status; };
   e.piece = [&](std::string bytes) { got.body += bytes; };
   e.ended = [&](bool whole) { got.ended = whole ? 1 : 0; };
   relay = new door::Relay(address, std::move(e), &owner);
@@ -111,9 +111,9 @@
   int ended = -1;
   bool paused = false;
   door::Relay::Events e;
-  e.connected = [&] { relay->send("x", {}, "{}"); };
+  e.connected = [&] { relay->send({"POST", "/x"}, "{}"); };
   e.denied = [] {};
-  e.head = [](corkward::rotor::Head) {};
+  e.head = [](door::ReplicaHead) {};
   e.piece = [&](std::string bytes) {
     got += bytes.size();
     if (got > (1 << 20) && !paused) {
--- /dev/null
+++ b/programs/substation/substation_program.cpp
@@ -0,0 +1,165 @@
+#include "substation_program.h"
+
+#include <QHostAddress>
+#include <QTcpSocket>
+#include <fcntl.h>
+#include <sys/file.h>
+#include <unistd.h>
+
+#include <corkward/core/log.h>
+
+#include "clock.h"
+
+namespace corkward::programs {
+
+namespace {
+
+constexpr int clockEveryMs = 25;
+constexpr int probeLimitMs = 300;
+
+}  // namespace
+
+Substation::Substation(Settings const& s, substation::Tuning const& tuning, door::OperatorMapping const& mapping, SubstationSurface surface)
+    : settings_(s),
+      mapping_(mapping),
+      surface_(std::move(surface)),
+      drain_(s.drainLimit),
+      seed_(freshSeed()),
+      folder_(ledger::openFolder(s.data)),
+      log_(std::make_unique<ledger::Ledger>(*folder_)),
+      plane_(contactOf(s, "substation"), freshName(), s.seeds, s.founders, seed_, tuning),
+      link_(this, s.link, [this](signal::Envelope e) { run(plane_.arrived(now(), e.from, e.message)); }, s.listen),
+      server_(surface_.http.empty() ? std::vector<std::string>{s.http} : surface_.http, surface_.limits, events()),
+      disk_(1) {
+  lockFolder();
+  ledger::Recovered got = log_->recover();
+  if (got.tornTail) core::writeLog(core::Note{"torn-tail-cut", {}});
+  if (got.damaged) {
+    core::writeLog(core::Note{"ledger-damaged", {{"place", got.damage}}});
+    setAside();
+  }
+  run(plane_.restore(got.slots, got.damaged, now()));
+  QObject::connect(&clock_, &QTimer::timeout, this, [this] { clockEvent(); });
+  clock_.start(clockEveryMs);
+  onTermination(this, [this] { drain(); });
+  core::writeLog(core::Note{"started", {{"link", link_.address()}, {"http", server_.address()}, {"zone", s.zone}}});
+}
+
+door::Server::Events Substation::events() {
+  door::Server::Events e;
+  e.request = [this](door::Request request) { serve(std::move(request)); };
+  e.gone = [this](std::uint64_t id) { calls_.erase(id); };
+  return e;
+}
+
+void Substation::lockFolder() {
+  int const fd = ::open(settings_.data.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  if (fd < 0 || ::flock(fd, LOCK_EX | LOCK_NB) != 0) throw SettingsError("data: in use by another process: " + settings_.data);
+}
+
+void Substation::setAside() {
+  for (std::string const& name : folder_->list())
+    if (name.rfind("damaged-", 0) != 0) folder_->rename(name, "damaged-" + std::to_string(now()) + "-" + name);
+  folder_->syncFolder();
+  log_ = std::make_unique<ledger::Ledger>(*folder_);
+  log_->recover();
+}
+
+void Substation::serve(door::Request request) {
+  if (surface_.pages && surface_.pages(*this, request)) return;
+  if (surface_.ownPages && plainPage(server_, request, [this] { return ready(); }, [this] { return metrics(); })) return;
+  door::OperatorRequest asked = mapping_.operatorCall(request, freshName());
+  if (!asked.call) {
+    server_.answer(request.id, asked.answer.status, asked.answer.fields, asked.answer.body);
+    return;
+  }
+  asked.call->token = request.id;
+  signal::Call const call = std::move(*asked.call);
+  signal::Call& kept = calls_[call.token];
+  kept.token = call.token;
+  kept.method = call.method;
+  kept.path = call.path;
+  kept.ifMatch = call.ifMatch;
+  kept.changeId = call.changeId;
+  kept.dryRun = call.dryRun;
+  run(plane_.operatorCall(now(), call));
+}
+
+bool Substation::ready() const { return plane_.ready(now()); }
+
+std::string Substation::metrics() const {
+  return plane_.metrics(now()) + "# TYPE corkward_garbage_frames_total counter\ncorkward_garbage_frames_total " + std::to_string(link_.garbage()) +
+         "\n";
+}
+
+void Substation::answer(substation::Answer const& a) {
+  std::unordered_map<std::uint64_t, signal::Call>::iterator const it = calls_.find(a.token);
+  if (it == calls_.end()) return;
+  door::WholeAnswer const out = mapping_.answer(it->second, a.status, a.body);
+  calls_.erase(it);
+  server_.answer(a.token, out.status, out.fields, out.body);
+}
+
+void Substation::run(substation::Commands&& commands) {
+  if (!commands.persists.empty()) {
+    std::vector<ledger::Record> records;
+    std::vector<std::uint64_t> tickets;
+    for (mooring::Persist const& p : commands.persists) {
+      records.push_back(ledger::Record{p.key, p.payload});
+      tickets.push_back(p.ticket);
+    }
+    disk_.run([this, records = std::move(records), tickets = std::move(tickets)] {
+      bool ok = true;
+      std::string why;
+      try {
+        log_->write(records);
+      } catch (ledger::Error const& e) {
+        ok = false;
+        why = e.what();
+      }
+      QMetaObject::invokeMethod(
+          this,
+          [this, tickets, ok, why] {
+            if (!ok) core::writeLog(core::Note{"write-failed", {{"error", why}}});
+            for (std::uint64_t const t : tickets) run(plane_.written(now(), t, ok));
+          },
+          Qt::QueuedConnection);
+    });
+  }
+  for (signal::Send const& s : commands.sends) link_.send(s.to, s.message);
+  for (substation::Answer const& a : commands.answers) answer(a);
+  for (std::string const& p : commands.probes) probe(p);
+  for (core::Note const& n : commands.notes) core::writeLog(n);
+}
+
+void Substation::probe(std::string const& link) {
+  std::pair<std::string, std::uint16_t> const at = door::splitAddress(link);
+  QTcpSocket* const socket = new QTcpSocket(this);
+  QObject::connect(socket, &QTcpSocket::errorOccurred, this, [this, socket, link](QAbstractSocket::SocketError e) {
+    if (e == QAbstractSocket::ConnectionRefusedError) run(plane_.probed(now(), link, true));
+    socket->deleteLater();
+  });
+  QObject::connect(socket, &QTcpSocket::connected, this, [socket] {
+    socket->abort();
+    socket->deleteLater();
+  });
+  QTimer::singleShot(probeLimitMs, socket, [socket] {
+    socket->abort();
+    socket->deleteLater();
+  });
+  socket->connectToHost(QHostAddress(QString::fromStdString(at.first)), at.second);
+}
+
+void Substation::clockEvent() {
+  run(plane_.clockEvent(now()));
+  drain_.look(plane_.inHand() + server_.inHand());
+}
+
+void Substation::drain() {
+  if (!drain_.begin()) return;
+  server_.leave();
+  core::writeLog(core::Note{"draining", {{"in-hand", std::to_string(plane_.inHand())}}});
+  run(plane_.drain(now()));
+}
+
+}  // namespace corkward::programs
--- /dev/null
+++ b/programs/substation/substation_program.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <QObject>
+#include <QTimer>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include <corkward/core/workers.h>
+#include <corkward/door/operator_mapping.h>
+#include <corkward/door/server.h>
+#include <corkward/ledger/ledger.h>
+#include <corkward/signal/link.h>
+#include <corkward/substation/plane.h>
+
+#include "process.h"
+#include "settings.h"
+
+namespace corkward::programs {
+
+class Substation;
+
+/// What another surface than the product's own puts in its place.
+struct SubstationSurface {
+  /// Where operators and the platform are listened for, all served alike; empty: at Settings::http.
+  std::vector<std::string> http = {};
+  door::Limits limits = door::Limits{.body = 2U << 20};
+  /// Answers a request that is none of an operator's; false: it is one.
+  std::function<bool(Substation&, door::Request const&)> pages = {};
+  /// Whether /healthz, /readyz and /metrics are served, after those.
+  bool ownPages = true;
+};
+
+/// Puts the control plane's library together with its links, its door and its disk.
+class Substation : public QObject {
+ public:
+  /// The mapping must outlive it.
+  Substation(Settings const& settings, substation::Tuning const& tuning, door::OperatorMapping const& mapping, SubstationSurface surface = {});
+
+  door::Server& server() { return server_; }
+  substation::Plane const& plane() const { return plane_; }
+  bool ready() const;
+  /// Counters in Prometheus' text form.
+  std::string metrics() const;
+  /// As SIGTERM.
+  void drain();
+
+ private:
+  door::Server::Events events();
+  void lockFolder();
+  void setAside();
+  void serve(door::Request request);
+  void answer(substation::Answer const& a);
+  void run(substation::Commands&& commands);
+  void probe(std::string const& link);
+  void clockEvent();
+
+  Settings settings_;
+  door::OperatorMapping const& mapping_;
+  SubstationSurface surface_;
+  Drain drain_;
+  std::uint64_t seed_;
+  std::unique_ptr<ledger::Folder> folder_;
+  std::unique_ptr<ledger::Ledger> log_;
+  substation::Plane plane_;
+  std::unordered_map<std::uint64_t, signal::Call> calls_;
+  signal::Link link_;
+  door::Server server_;
+  QTimer clock_;
+  core::Workers disk_;
+};
+
+}  // namespace corkward::programs
--- a/rotor/include/corkward/rotor/stream.h
+++ b/rotor/include/corkward/rotor/stream.h
@@ -1,22 +1,23 @@
 #pragma once
 
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include <corkward/rotor/plane.h>
 
 namespace corkward::rotor {
 
-/// Header fields, names in lower case.
-using Fields = std::map<std::string, std::string>;
+/// Header fields of an answer in their order; a name may come more than once.
+using Fields = std::vector<std::pair<std::string, std::string>>;
 
 /// How an answer begins, as the door's mapping reads it.
 struct Head {
   int status = 0;
   /// Fields that go back to the caller.
-  Fields fields;
+  Fields fields = {};
   /// Length of the body; below zero: in chunks.
   std::int64_t length = -1;
   /// The replica says that it did not run the request.
@@ -26,6 +27,22 @@
   /// Name of the run and offset of the body, where the replica tells them.
   std::string run = {};
   std::string offset = {};
+  /// The status's own words; empty: the usual ones.
+  std::string reason = {};
+  /// The body is a row of events (text/event-stream).
+  bool events = false;
+  /// No body follows, whatever the length says.
+  bool bodiless = false;
+};
+
+/// Where a replica is asked to go on.
+struct Resume {
+  /// False: the request is handed over as it came.
+  bool resuming = false;
+  std::string run = {};
+  std::uint64_t offset = 0;
+  /// Id of the last event that the caller has; empty: none.
+  std::string lastEvent = {};
 };
 
 /// What one event of a replica's connection leads to, in this order.
@@ -48,10 +65,16 @@
 /// and whether the end may be told. The door and the simulator run the same one.
 class Stream {
  public:
-  /// A connection is opened, for the first time or to resume.
+  /// Rows of events are passed on in whole events and may go on at another replica after the last one passed on. Answers
+  /// that are no such row are passed on as they are. Only before the first connection.
+  /// @param lastId id of the last event that the caller says it has; empty: none.
+  void asEvents(std::string lastId);
+  /// A connection is opened, for the first time or to resume. When nothing was passed on yet, it starts over.
   void connecting(bool resume);
-  /// Fields that ask the replica to go on, empty unless resuming.
-  Fields resumeFields() const;
+  /// What the replica is to be asked for on this connection.
+  Resume resume() const;
+  /// Id of the last event passed on, else the caller's own; empty: none.
+  std::string const& lastEvent() const { return lastId_; }
   StreamSteps head(Head const& head);
   StreamSteps piece(std::string bytes);
   /// The body's own end was seen (true), or the connection ended before it.
@@ -59,14 +82,34 @@
   bool begun() const { return begun_; }
 
  private:
+  struct Event {
+    std::string id;
+    bool data = false;
+  };
   StreamSteps over(End end);
+  void over(StreamSteps& out, End end);
   void begin(StreamSteps& out);
+  StreamSteps eventPiece(std::string const& bytes);
+  bool pass(StreamSteps& out, std::size_t start);
+  void line(std::size_t from, std::size_t to);
   Head head_;
   std::string run_;
   std::uint64_t offset_ = 0;
   bool begun_ = false;
   bool resuming_ = false;
+  bool headed_ = false;
   bool over_ = false;
+  bool asEvents_ = false;
+  bool row_ = false;
+  /// Some event passed on cannot be told by its id, so nothing may be asked for after it.
+  bool unnumbered_ = false;
+  bool idPassed_ = false;
+  std::string lastId_;
+  /// The event that is not whole yet, how far it was looked through, and what was found in it.
+  std::string tail_;
+  std::size_t scanned_ = 0;
+  std::size_t lineAt_ = 0;
+  Event event_;
 };
 
 }  // namespace corkward::rotor
--- a/rotor/src/stream.cpp
+++ b/rotor/src/stream.cpp
@@ -1,54 +1,85 @@
 #include <corkward/rotor/stream.h>
 
+#include <algorithm>
+
 namespace corkward::rotor {
 
 namespace {
 
-std::string field(Fields const& fields, char const* name) {
-  Fields::const_iterator const it = fields.find(name);
-  return it == fields.end() ? "" : it->second;
+constexpr std::size_t longestEvent = 1U << 20;
+
+bool number(std::string const& id) {
+  return !id.empty() && std::all_of(id.begin(), id.end(), [](char c) { return c >= '0' && c <= '9'; });
+}
+
+bool above(std::string const& id, std::string const& last) {
+  std::size_t const a = std::min(id.find_first_not_of('0'), id.size());
+  std::size_t const b = std::min(last.find_first_not_of('0'), last.size());
+  if (id.size() - a != last.size() - b) return id.size() - a > last.size() - b;
+  return id.compare(a, std::string::npos, last, b, std::string::npos) > 0;
 }
 
 }  // namespace
 
+void Stream::asEvents(std::string lastId) {
+  asEvents_ = true;
+  lastId_ = std::move(lastId);
+}
+
 void Stream::connecting(bool resume) {
-  resuming_ = resume;
+  resuming_ = resume && begun_;
+  headed_ = false;
   over_ = false;
-  if (!resume) head_ = Head{};
+  tail_.clear();
+  scanned_ = 0;
+  lineAt_ = 0;
+  event_ = Event{};
+  if (begun_) return;
+  head_ = Head{};
+  run_.clear();
+  row_ = false;
 }
 
-Fields Stream::resumeFields() const {
-  if (!resuming_) return {};
-  return {{"corkward-run", run_}, {"corkward-offset", std::to_string(offset_)}};
+Resume Stream::resume() const {
+  if (!resuming_) return Resume{.lastEvent = lastId_};
+  return Resume{true, run_, offset_, lastId_};
 }
 
 StreamSteps Stream::over(End end) {
   StreamSteps out;
-  if (over_) return out;
+  over(out, end);
+  return out;
+}
+
+void Stream::over(StreamSteps& out, End end) {
+  if (over_) return;
   over_ = true;
   out.abandon = true;
   out.ended = end;
-  return out;
 }
 
 StreamSteps Stream::head(Head const& head) {
   if (over_) return {};
-  std::string const run = field(head.fields, "corkward-run");
+  headed_ = true;
+  if (head.foreign) return over(End::broken);
   if (resuming_) {
-    bool const same = head.status == 206 && !run.empty() && run == run_ && field(head.fields, "corkward-offset") == std::to_string(offset_);
+    if (row_ && head.notRun) return over(End::notRun);
+    bool const same = row_ ? head.status >= 200 && head.status < 300 && head.events && !unnumbered_
+                           : head.status == 206 && !head.run.empty() && head.run == run_ && head.offset == std::to_string(offset_);
     if (!same) return over(End::otherRun);
+    if (row_) {
+      head_.length = head.length;
+      offset_ = 0;
+    }
     StreamSteps out;
     out.firstWord = true;
     return out;
   }
-  if (head.status == 503 && run == "none") return over(End::notRun);
+  if (head.notRun) return over(End::notRun);
   if (head.status < 200 || head.status > 599) return over(End::broken);
-  run_ = run;
-  head_.status = head.status;
-  head_.length = head.length;
-  for (char const* const kept : {"content-type", "corkward-run", "corkward-replica"})
-    if (head.fields.count(kept) > 0) head_.fields[kept] = head.fields.at(kept);
-  head_.fields["corkward-outcome"] = "run";
+  run_ = head.run;
+  head_ = head;
+  row_ = asEvents_ && head.events && head.status < 300 && !head.bodiless;
   return {};
 }
 
@@ -56,26 +87,92 @@
   if (begun_) return;
   begun_ = true;
   out.begin = head_;
-  out.firstWord = !run_.empty() && run_ != "none";
+  if (row_) out.begin->length = -1;
+  out.firstWord = row_ ? !unnumbered_ : !run_.empty();
 }
 
 StreamSteps Stream::piece(std::string bytes) {
   if (over_) return {};
   std::uint64_t const after = offset_ + bytes.size();
-  if (head_.status == 0 || (head_.length >= 0 && after > static_cast<std::uint64_t>(head_.length))) return over(End::broken);
+  if (!headed_ || (head_.length >= 0 && after > static_cast<std::uint64_t>(head_.length))) return over(End::broken);
+  offset_ = after;
+  if (row_) return eventPiece(bytes);
   StreamSteps out;
   begin(out);
-  offset_ = after;
   out.piece = std::move(bytes);
   return out;
 }
 
+StreamSteps Stream::eventPiece(std::string const& bytes) {
+  StreamSteps out;
+  tail_ += bytes;
+  std::size_t start = 0;
+  while (scanned_ < tail_.size()) {
+    char const c = tail_[scanned_];
+    if (c != '\n' && c != '\r') {
+      ++scanned_;
+      continue;
+    }
+    bool const blank = scanned_ == lineAt_;
+    if (c == '\r' && !blank && scanned_ + 1 == tail_.size()) break;
+    std::size_t next = scanned_ + 1;
+    if (c == '\r' && next < tail_.size() && tail_[next] == '\n') ++next;
+    line(lineAt_, scanned_);
+    scanned_ = next;
+    lineAt_ = next;
+    if (!blank) continue;
+    if (!pass(out, start)) return out;
+    start = next;
+  }
+  tail_.erase(0, start);
+  scanned_ -= start;
+  lineAt_ -= start;
+  if (tail_.size() > longestEvent) over(out, End::broken);
+  return out;
+}
+
+void Stream::line(std::size_t from, std::size_t to) {
+  std::string::const_iterator const first = tail_.begin() + static_cast<std::ptrdiff_t>(from);
+  std::size_t const nameEnd = from + static_cast<std::size_t>(std::find(first, tail_.begin() + static_cast<std::ptrdiff_t>(to), ':') - first);
+  if (tail_.compare(from, nameEnd - from, "data") == 0) event_.data = true;
+  if (tail_.compare(from, nameEnd - from, "id") != 0) return;
+  std::size_t value = std::min(nameEnd + 1, to);
+  if (value < to && tail_[value] == ' ') ++value;
+  event_.id = tail_.substr(value, to - value);
+}
+
+bool Stream::pass(StreamSteps& out, std::size_t start) {
+  Event const event = std::exchange(event_, Event{});
+  bool const numbered = number(event.id);
+  bool const told = event.data || !event.id.empty();
+  if ((numbered && idPassed_ && !above(event.id, lastId_)) || (resuming_ && told && !numbered)) {
+    over(out, End::otherRun);
+    return false;
+  }
+  if (numbered) {
+    lastId_ = event.id;
+    idPassed_ = true;
+  } else if (told) {
+    unnumbered_ = true;
+  }
+  begin(out);
+  out.piece.append(tail_, start, lineAt_ - start);
+  return true;
+}
+
 StreamSteps Stream::ended(bool whole) {
   if (over_) return {};
-  bool const all = whole && head_.status != 0 && (head_.length < 0 || offset_ == static_cast<std::uint64_t>(head_.length));
+  std::uint64_t const length = head_.bodiless ? 0 : static_cast<std::uint64_t>(head_.length);
+  bool const all = whole && headed_ && ((head_.length < 0 && !head_.bodiless) || offset_ == length);
   if (!all) return over(End::broken);
-  StreamSteps out = over(End::whole);
+  StreamSteps out;
+  if (row_ && !tail_.empty()) {
+    if (lineAt_ < tail_.size()) line(lineAt_, tail_.find_last_not_of('\r') + 1);
+    lineAt_ = tail_.size();
+    if (!pass(out, 0)) return out;
+  }
   begin(out);
+  over(out, End::whole);
   out.finish = true;
   return out;
 }
--- a/rotor/test/rotor_test.cpp
+++ b/rotor/test/rotor_test.cpp
@@ -398,17 +398,19 @@
   rotor::Stream s;
   s.connecting(false);
   SECTION("resumed by the same run at the same place") {
-    s.head({200, {{"corkward-run", "r1"}}, -1});
+    s.head({.status = 200, .run = "r1"});
     CHECK(s.piece("abc").begin);
     CHECK(s.ended(false).ended == rotor::End::broken);
     s.connecting(true);
-    CHECK(s.resumeFields() == rotor::Fields{{"corkward-run", "r1"}, {"corkward-offset", "3"}});
-    CHECK_FALSE(s.head({206, {{"corkward-run", "r1"}, {"corkward-offset", "3"}}, -1}).ended);
+    CHECK(s.resume().resuming);
+    CHECK(s.resume().run == "r1");
+    CHECK(s.resume().offset == 3);
+    CHECK_FALSE(s.head({.status = 206, .run = "r1", .offset = "3"}).ended);
     CHECK_FALSE(s.piece("d").begin);
     CHECK(s.ended(true).finish);
   }
   SECTION("not by another run, another place or another status") {
-    s.head({200, {{"corkward-run", "r1"}}, -1});
+    s.head({.status = 200, .run = "r1"});
     s.piece("abc");
     s.ended(false);
     s.connecting(true);
@@ -416,10 +418,7 @@
     std::string const run = GENERATE("r1", "r2", "");
     std::string const offset = GENERATE("3", "2", "");
     bool const same = status == 206 && run == "r1" && offset == "3";
-    rotor::Fields fields;
-    if (!run.empty()) fields["corkward-run"] = run;
-    if (!offset.empty()) fields["corkward-offset"] = offset;
-    CHECK((s.head({status, fields, -1}).ended == rotor::End::otherRun) == !same);
+    CHECK((s.head({.status = status, .run = run, .offset = offset}).ended == rotor::End::otherRun) == !same);
   }
   SECTION("a body shorter or longer than its length is broken") {
     s.head({200, {}, 4});
--- a/yard/fleet/traffic.cpp
+++ b/yard/fleet/traffic.cpp
@@ -98,19 +98,19 @@
   }
   ++o.record.attempts;
   o.got.clear();
-  o.head = corkward::rotor::Head{};
+  o.head = door::ReplicaHead{};
   door::Relay::Events e;
   e.connected = [this, id] {
     Open& open = open_.at(id);
-    door::Fields fields{{"content-type", "application/json"},
-                        {"corkward-request-id", open.record.id}};
-    if (!open.prefix.empty()) fields["corkward-prefix"] = open.prefix;
+    door::ReplicaRequest request{"POST", "/v1/" + open.instance + "/" + open.path,
+                                 {{"content-type", "application/json"}, {"corkward-request-id", open.record.id}}};
+    if (!open.prefix.empty()) request.fields.emplace_back("corkward-prefix", open.prefix);
     if (open.record.numbered) {
-      fields["corkward-attempt"] = std::to_string(open.record.attempts);
-      fields["corkward-age-ms"] = std::to_string(programs::now() - open.record.began);
-      if (open.record.attempts > 1 && open.earlierNotRun) fields["corkward-earlier"] = open.earlierReached ? "not-run-reached" : "not-run";
+      request.fields.emplace_back("corkward-attempt", std::to_string(open.record.attempts));
+      request.fields.emplace_back("corkward-age-ms", std::to_string(programs::now() - open.record.began));
+      if (open.record.attempts > 1 && open.earlierNotRun) request.fields.emplace_back("corkward-earlier", open.earlierReached ? "not-run-reached" : "not-run");
     }
-    open.relay->send("v1/" + open.instance + "/" + open.path, fields, open.body);
+    open.relay->send(request, open.body);
   };
   e.denied = [this, id] {
     Open& open = open_.at(id);
@@ -124,7 +124,7 @@
       if (open_.count(id) > 0) attempt(id);
     });
   };
-  e.head = [this, id](corkward::rotor::Head head) { open_.at(id).head = std::move(head); };
+  e.head = [this, id](door::ReplicaHead head) { open_.at(id).head = std::move(head); };
   e.piece = [this, id](std::string bytes) {
     Open& open = open_.at(id);
     if (open.head.status == 200 && open.record.firstWord < 0) open.record.firstWord = programs::now() - open.record.began;
@@ -144,11 +144,11 @@
     finish(id, whole ? (v.whole ? "served" : "bad-body") : (v.oneRun ? "broken" : "bad-body"));
     return;
   }
-  bool const notRun = o.head.status != 0 && o.head.fields.count("corkward-outcome") > 0 && o.head.fields.at("corkward-outcome") == "not-run";
-  door::Fields::const_iterator const earlier = o.head.fields.find("corkward-earlier");
-  if (notRun && earlier != o.head.fields.end() && earlier->second == "not-run-reached") o.earlierReached = true;
-  if (notRun && o.head.fields.count("retry-after") > 0 && o.record.attempts < maxAttempts && programs::now() < o.deadline) {
-    int const wait = std::atoi(o.head.fields.at("retry-after").c_str()) * 1000;
+  bool const notRun = o.head.status != 0 && door::field(o.head.fields, "corkward-outcome") == "not-run";
+  if (notRun && door::field(o.head.fields, "corkward-earlier") == "not-run-reached") o.earlierReached = true;
+  std::string const retryAfter = door::field(o.head.fields, "retry-after");
+  if (notRun && !retryAfter.empty() && o.record.attempts < maxAttempts && programs::now() < o.deadline) {
+    int const wait = std::atoi(retryAfter.c_str()) * 1000;
     QTimer::singleShot(wait + static_cast<int>(rng_.below(200)), this, [this, id] {
       if (open_.count(id) > 0) attempt(id);
     });
--- a/yard/fleet/traffic.h
+++ b/yard/fleet/traffic.h
@@ -67,7 +67,7 @@
     bool earlierReached = false;
     core::Tick deadline = 0;
     door::Relay* relay = nullptr;
-    corkward::rotor::Head head;
+    door::ReplicaHead head;
     std::string got;
   };
   void arrive();
--- a/yard/sim/replicas.cpp
+++ b/yard/sim/replicas.cpp
@@ -89,8 +89,8 @@
   if (plan_.mutation == Mutation::resendUnseen)
     for (int i = 0; i < 3; ++i) repeats_.push_back(now_);
   if (m.resume) {
-    rotor::Fields const asked = streams_[{n.link, call}].resumeFields();
-    std::string const wanted = asked.count("corkward-run") > 0 ? asked.at("corkward-run") : "";
+    rotor::Resume const asked = streams_[{n.link, call}].resume();
+    std::string const wanted = asked.run;
     std::map<std::string, Run>::iterator const known = r.runs.find(wanted);
     ++result_.counts[known != r.runs.end() ? "resumed" : "resume-denied"];
     relayed.run = wanted;
@@ -102,8 +102,8 @@
     again.life = life;
     again.alive = true;
     again.turn = relayed.turn;
-    std::size_t from = std::min<std::size_t>(std::stoull(asked.at("corkward-offset")), again.made.size());
-    rotor::Head const head{206, {{"corkward-run", wanted}, {"corkward-offset", std::to_string(from)}}, -1};
+    std::size_t from = std::min<std::size_t>(asked.offset, again.made.size());
+    rotor::Head const head{.status = 206, .run = wanted, .offset = std::to_string(from)};
     if (plan_.mutation == Mutation::resumeGap) from = std::min(from + word(wanted, 1).size(), again.made.size());
     if (plan_.mutation == Mutation::resumeRepeat) from = from > word(wanted, 1).size() ? from - word(wanted, 1).size() : 0;
     std::string bytes = again.made.substr(from);
@@ -115,7 +115,7 @@
     return;
   }
   if (r.queue.size() > 40) {
-    wire(n.link, life, call, relayed.turn, [](rotor::Stream& st) { return st.head(rotor::Head{503, {{"corkward-run", "none"}}, 0}); });
+    wire(n.link, life, call, relayed.turn, [](rotor::Stream& st) { return st.head(rotor::Head{.status = 503, .length = 0, .notRun = true}); });
     return;
   }
   std::map<std::string, Caller>::iterator const caller = callers_.find(id);
@@ -187,7 +187,7 @@
     serveNext(r);
   }
   if (r.dark || !now.alive) return;
-  if (k == 0) wire(now.node, now.life, now.call, now.turn, [name](rotor::Stream& st) { return st.head(rotor::Head{200, {{"corkward-run", name}}, -1}); });
+  if (k == 0) wire(now.node, now.life, now.call, now.turn, [name](rotor::Stream& st) { return st.head(rotor::Head{.status = 200, .run = name}); });
   wire(now.node, now.life, now.call, now.turn, [bytes](rotor::Stream& st) { return st.piece(bytes); });
   if (k == words) wire(now.node, now.life, now.call, now.turn, [](rotor::Stream& st) { return st.ended(true); });
 }
--- a/yard/test/fleet_test.cpp
+++ b/yard/test/fleet_test.cpp
@@ -10,6 +10,8 @@
 #include <corkward/core/json.h>
 
 #include "chaos.h"
+#include <corkward/door/server.h>
+
 #include "fleet.h"
 #include "traffic.h"
 
