--- a/programs/common/clock.cpp
+++ b/programs/common/clock.cpp
@@ -12,14 +12,29 @@
 
 namespace {
 
-int signalPipe[2] = {-1, -1};
+int endPipe[2] = {-1, -1};
+int reloadPipe[2] = {-1, -1};
 
-void caught(int) {
+void caught(int number) {
   char const byte = 1;
-  ssize_t const n = ::write(signalPipe[1], &byte, 1);
+  ssize_t const n = ::write(number == SIGHUP ? reloadPipe[1] : endPipe[1], &byte, 1);
   static_cast<void>(n);
 }
 
+void onSignals(QObject* owner, int (&ends)[2], std::initializer_list<int> numbers, std::function<void()> function) {
+  if (::pipe(ends) != 0) return;
+  struct sigaction action {};
+  action.sa_handler = caught;
+  for (int const number : numbers) ::sigaction(number, &action, nullptr);
+  QSocketNotifier* const notifier = new QSocketNotifier(ends[0], QSocketNotifier::Read, owner);
+  int const readEnd = ends[0];
+  QObject::connect(notifier, &QSocketNotifier::activated, owner, [function, readEnd] {
+    char byte = 0;
+    ssize_t const n = ::read(readEnd, &byte, 1);
+    if (n == 1) function();
+  });
+}
+
 }  // namespace
 
 core::Tick now() {
@@ -35,19 +50,11 @@
 
 std::string freshName() { return QUuid::createUuid().toString(QUuid::Id128).toStdString(); }
 
+void onReload(QObject* owner, std::function<void()> function) { onSignals(owner, reloadPipe, {SIGHUP}, std::move(function)); }
+
 void onTermination(QObject* owner, std::function<void()> function) {
-  if (::pipe(signalPipe) != 0) return;
-  struct sigaction action {};
-  action.sa_handler = caught;
-  ::sigaction(SIGTERM, &action, nullptr);
-  ::sigaction(SIGINT, &action, nullptr);
   ::signal(SIGPIPE, SIG_IGN);
-  QSocketNotifier* const notifier = new QSocketNotifier(signalPipe[0], QSocketNotifier::Read, owner);
-  QObject::connect(notifier, &QSocketNotifier::activated, owner, [function] {
-    char byte = 0;
-    ssize_t const n = ::read(signalPipe[0], &byte, 1);
-    if (n == 1) function();
-  });
+  onSignals(owner, endPipe, {SIGTERM, SIGINT}, std::move(function));
 }
 
 }  // namespace corkward::programs
--- a/programs/common/clock.h
+++ b/programs/common/clock.h
@@ -16,6 +16,9 @@
 /// A name that is never used again: 32 hexadecimal digits.
 std::string freshName();
 
+/// Calls the function on the owner's thread when SIGHUP arrives.
+void onReload(QObject* owner, std::function<void()> function);
+
 /// Calls the function on the owner's thread when SIGTERM or SIGINT arrives.
 void onTermination(QObject* owner, std::function<void()> function);
 
--- a/programs/nacelle/nacelle.cpp
+++ b/programs/nacelle/nacelle.cpp
@@ -11,7 +11,6 @@
 
 namespace {
 
-constexpr int clockEveryMs = 20;
 constexpr std::int64_t callerBuffer = 256 << 10;
 constexpr char const* listPath = "/v1/platform/pools/";
 constexpr core::Tick movingEvery = 1000;
@@ -30,7 +29,7 @@
       server_(surface_.http.empty() ? std::vector<std::string>{s.http} : surface_.http, surface_.limits, events()) {
   run(plane_.started(now()));
   QObject::connect(&clock_, &QTimer::timeout, this, [this] { clockEvent(); });
-  clock_.start(clockEveryMs);
+  clock_.start(surface_.clockEveryMs);
   onTermination(this, [this] { drain(); });
 }
 
@@ -87,6 +86,8 @@
   run(plane_.request(now(), asked));
 }
 
+void Nacelle::retune(rotor::Tuning const& tuning, std::vector<std::string> const& seeds) { plane_.retune(tuning, seeds); }
+
 void Nacelle::platformList(std::string const& pool, std::string const& body) { run(plane_.platformList(now(), 0, pool, body)); }
 
 void Nacelle::run(rotor::Commands&& commands) {
--- a/programs/nacelle/nacelle.h
+++ b/programs/nacelle/nacelle.h
@@ -28,6 +28,8 @@
   std::vector<std::string> http = {};
   door::Limits limits = {};
   door::Kept kept = {};
+  /// How often the plane is told the time, in milliseconds.
+  int clockEveryMs = 20;
   /// Answers a request that is none of a caller's; false: it is one.
   std::function<bool(Nacelle&, door::Request const&)> pages = {};
   /// Whether the product's own pages (/healthz, /readyz, /metrics, /v1/state, platform lists) are served, after those.
@@ -49,6 +51,8 @@
   std::string metrics() const;
   /// The platform's list of a pool, as told to this node.
   void platformList(std::string const& pool, std::string const& body);
+  /// Other figures and seeds from here on.
+  void retune(rotor::Tuning const& tuning, std::vector<std::string> const& seeds);
   /// As SIGTERM.
   void drain();
 
--- a/programs/substation/substation_program.cpp
+++ b/programs/substation/substation_program.cpp
@@ -14,7 +14,6 @@
 
 namespace {
 
-constexpr int clockEveryMs = 25;
 constexpr int probeLimitMs = 300;
 
 }  // namespace
@@ -40,7 +39,7 @@
   }
   run(plane_.restore(got.slots, got.damaged, now()));
   QObject::connect(&clock_, &QTimer::timeout, this, [this] { clockEvent(); });
-  clock_.start(clockEveryMs);
+  clock_.start(surface_.clockEveryMs);
   onTermination(this, [this] { drain(); });
   core::writeLog(core::Note{"started", {{"link", link_.address()}, {"http", server_.address()}, {"zone", s.zone}}});
 }
@@ -52,6 +51,12 @@
   return e;
 }
 
+void Substation::platformLists(std::map<std::string, blueprint::Pool> const& lists) { run(plane_.platformLists(now(), lists)); }
+
+bool Substation::readsLists() const { return plane_.readsLists(now()); }
+
+void Substation::retune(std::vector<std::string> const& seeds) { plane_.setSeeds(seeds); }
+
 void Substation::lockFolder() {
   int const fd = ::open(settings_.data.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
   if (fd < 0 || ::flock(fd, LOCK_EX | LOCK_NB) != 0) throw SettingsError("data: in use by another process: " + settings_.data);
--- a/programs/substation/substation_program.h
+++ b/programs/substation/substation_program.h
@@ -27,6 +27,8 @@
   /// Where operators and the platform are listened for, all served alike; empty: at Settings::http.
   std::vector<std::string> http = {};
   door::Limits limits = door::Limits{.body = 2U << 20};
+  /// How often the plane is told the time, in milliseconds.
+  int clockEveryMs = 25;
   /// Answers a request that is none of an operator's; false: it is one.
   std::function<bool(Substation&, door::Request const&)> pages = {};
   /// Whether /healthz, /readyz and /metrics are served, after those.
@@ -44,6 +46,11 @@
   bool ready() const;
   /// Counters in Prometheus' text form.
   std::string metrics() const;
+  /// The platform's lists as they were just read; see substation::Plane::platformLists.
+  void platformLists(std::map<std::string, blueprint::Pool> const& lists);
+  bool readsLists() const;
+  /// Other seeds from here on.
+  void retune(std::vector<std::string> const& seeds);
   /// As SIGTERM.
   void drain();
 
--- a/rotor/include/corkward/rotor/plane.h
+++ b/rotor/include/corkward/rotor/plane.h
@@ -199,6 +199,8 @@
   Commands callerGone(Tick now, CallId call);
   /// The platform's list as told to this node: what it takes away is out of use at once, what it adds waits for control.
   Commands platformList(Tick now, CallId call, std::string const& pool, std::string const& body);
+  /// Other figures and seeds from here on; scalers that stand keep theirs.
+  void retune(Tuning const& tuning, std::vector<std::string> seeds);
   /// No new work from here on; ids and duties go to the others.
   Commands drain(Tick now);
 
--- a/rotor/src/plane.cpp
+++ b/rotor/src/plane.cpp
@@ -195,6 +195,11 @@
   }
 }
 
+void Plane::retune(Tuning const& tuning, std::vector<std::string> seeds) {
+  tuning_ = tuning;
+  lookout_.setSeeds(std::move(seeds));
+}
+
 Commands Plane::drain(Tick now) {
   Commands out;
   if (draining_) return out;
--- a/substation/include/corkward/substation/plane.h
+++ b/substation/include/corkward/substation/plane.h
@@ -71,6 +71,7 @@
   Commands platformLists(Tick now, std::map<std::string, blueprint::Pool> const& lists);
   /// True while this substation is to read the platform's list on behalf of all: the duty goes with the roster's key.
   bool readsLists(Tick now) const;
+  void setSeeds(std::vector<std::string> seeds) { lookout_.setSeeds(std::move(seeds)); }
   /// Hands every owned key to a named successor and takes no calls from here on.
   Commands drain(Tick now);
 
