--- a/governor/src/governor.cpp
+++ b/governor/src/governor.cpp
@@ -6,7 +6,7 @@
 namespace corkward::governor {
 
 Scaler::Scaler(std::uint64_t seed, Figures const& f) : seed_(seed), f_(f), limit_(f.firstLimit) {
-  CORKWARD_INVARIANT(f.calmFor >= 5000 && f.width >= 1.0);
+  CORKWARD_INVARIANT(f.calmFor >= 5000 && f.width > 0);
 }
 
 std::uint64_t Scaler::order(Candidate const& c) const { return core::Rng(seed_ ^ c.hash).next(); }
