Test kept connections, rows of events and the door's second surface

Seen failing first: an answer that broke before anything was passed on left its offset behind, so the next replica's answer with a length was taken for one too long; Keep-Alive was read only when timeout came first. Changed: a stream that starts over starts at offset 0; Keep-Alive's items may come in any order; a blank line that ends in CR LF is passed on whole.

--- a/door/src/relay.cpp
+++ b/door/src/relay.cpp
@@ -4,6 +4,7 @@
 #include <QPointer>
 #include <QTcpSocket>
 #include <QTimer>
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <boost/beast/http.hpp>
@@ -37,7 +38,9 @@
 
 /// How long the other side keeps an idle connection, in milliseconds.
 core::Tick keepAliveOf(FieldList const& fields) {
-  http::param_list const params(";" + field(fields, "keep-alive"));
+  std::string told = ";" + field(fields, "keep-alive");
+  std::replace(told.begin(), told.end(), ',', ';');
+  http::param_list const params(told);
   for (http::param_list::value_type const& p : params) {
     bool ok = false;
     if (lower(std::string(p.first)) != "timeout") continue;
--- a/door/test/door_test.cpp
+++ b/door/test/door_test.cpp
@@ -1,7 +1,5 @@
 #include <catch2/catch.hpp>
 
-#include <QCoreApplication>
-#include <QEventLoop>
 #include <QHostAddress>
 #include <QTcpServer>
 #include <QTcpSocket>
@@ -11,26 +9,15 @@
 #include <corkward/door/relay.h>
 #include <corkward/door/server.h>
 
+#include "turn.h"
+
 namespace core = corkward::core;
 namespace door = corkward::door;
+using corkward::door::test::application;
+using corkward::door::test::until;
 
 namespace {
 
-void application() {
-  static int argc = 0;
-  static QCoreApplication app(argc, nullptr);
-}
-
-/// Turns the event loop until the condition holds; false when it never does.
-template <class Condition>
-bool until(Condition condition) {
-  for (int turns = 0; turns < 200000; ++turns) {
-    if (condition()) return true;
-    QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents | QEventLoop::AllEvents, 50);
-  }
-  return false;
-}
-
 /// A replica that says exactly the given bytes and then closes, or stays.
 class Raw {
  public:
--- /dev/null
+++ b/door/test/relays_test.cpp
@@ -0,0 +1,336 @@
+#include <catch2/catch.hpp>
+
+#include <QHostAddress>
+#include <QTcpServer>
+#include <QTcpSocket>
+
+#include <corkward/core/types.h>
+#include <corkward/door/relays.h>
+
+#include "turn.h"
+
+namespace core = corkward::core;
+namespace door = corkward::door;
+using corkward::door::test::application;
+using corkward::door::test::until;
+
+namespace {
+
+constexpr char const* good = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+/// A replica whose answers are given one by one, whatever it is asked.
+class Script {
+ public:
+  struct Line {
+    std::string bytes;
+    bool close = false;
+  };
+  explicit Script(std::vector<Line> lines) : lines_(std::move(lines)) {
+    server_.listen(QHostAddress::LocalHost, 0);
+    QObject::connect(&server_, &QTcpServer::newConnection, &server_, [this] {
+      QTcpSocket* const s = server_.nextPendingConnection();
+      ++connections;
+      last = s;
+      QObject::connect(s, &QTcpSocket::disconnected, &server_, [this] { ++closed; });
+      QObject::connect(s, &QTcpSocket::readyRead, s, [this, s] {
+        QByteArray const got = s->readAll();
+        if (!got.contains("\r\n\r\n")) return;
+        ++requests;
+        Line const line = next_ < lines_.size() ? lines_[next_++] : Line{good, false};
+        s->write(QByteArray::fromStdString(line.bytes));
+        if (line.close) s->disconnectFromHost();
+      });
+    });
+  }
+  std::string address() const { return "127.0.0.1:" + std::to_string(server_.serverPort()); }
+  int connections = 0;
+  int closed = 0;
+  int requests = 0;
+  QTcpSocket* last = nullptr;
+
+ private:
+  QTcpServer server_;
+  std::vector<Line> lines_;
+  std::size_t next_ = 0;
+};
+
+struct Got {
+  int status = 0;
+  std::string body;
+  int ended = -1;
+  int ends = 0;
+  bool connected = false;
+  bool denied = false;
+};
+
+/// One request through the pool, up to its end.
+struct Ask {
+  Ask(door::Relays& relays, std::string const& address, bool fresh = false, std::string method = "POST") {
+    door::Relay::Events e;
+    e.connected = [this, method] {
+      got.connected = true;
+      relay->send({method, "/x"}, method == "POST" ? "{}" : "");
+    };
+    e.denied = [this] { got.denied = true; };
+    e.head = [this](door::ReplicaHead h) {
+      got.status = h.status;
+      if (stopAtHead) relay->stop();
+      if (releaseAtHead) relay->release();
+    };
+    e.piece = [this](std::string bytes) { got.body += bytes; };
+    e.ended = [this](bool whole) {
+      got.ended = whole ? 1 : 0;
+      ++got.ends;
+    };
+    relay = relays.lend(address, fresh, std::move(e), &owner);
+  }
+  Got wait() {
+    REQUIRE(until([this] { return got.denied || got.ended >= 0 || (got.status != 0 && (stopAtHead || releaseAtHead)); }));
+    return got;
+  }
+  QObject owner;
+  door::Relay* relay = nullptr;
+  Got got;
+  bool stopAtHead = false;
+  bool releaseAtHead = false;
+};
+
+struct Rig {
+  explicit Rig(std::vector<Script::Line> lines, door::Kept kept = {2, 5000, 0}) : replica(std::move(lines)), relays(kept, [this] { return now; }) {}
+  Got ask(bool fresh = false) { return Ask(relays, replica.address(), fresh).wait(); }
+  core::Tick now = 1000;
+  Script replica;
+  door::Relays relays;
+};
+
+}  // namespace
+
+TEST_CASE("a connection goes back after a whole answer and carries the next request") {
+  application();
+  Rig rig({});
+  for (int i = 0; i < 20; ++i) {
+    Got const got = rig.ask();
+    REQUIRE(got.ended == 1);
+    REQUIRE(got.body == "ok");
+    REQUIRE(rig.relays.idle() == 1);
+  }
+  CHECK(rig.replica.connections == 1);
+  CHECK(rig.relays.opened() == 1);
+  CHECK(rig.relays.reused() == 19);
+}
+
+TEST_CASE("no connection is kept unless that is asked for") {
+  application();
+  Rig rig({}, door::Kept{});
+  rig.ask();
+  rig.ask();
+  CHECK(rig.relays.idle() == 0);
+  CHECK(rig.replica.connections == 2);
+}
+
+TEST_CASE("a connection is not kept after an answer that ends it, is not whole, or has bytes after it") {
+  application();
+  struct Row {
+    char const* bytes;
+    int ended;
+    bool kept;
+  };
+  constexpr Row rows[] = {
+      {good, 1, true},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", 1, true},
+      {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", 1, true},
+      {"HTTP/1.1 204 No Content\r\n\r\n", 1, true},
+      {"HTTP/1.1 304 Not Modified\r\nContent-Length: 9\r\n\r\n", 1, true},
+      {"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\nContent-Length: 2\r\n\r\nok", 1, true},
+      {"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\nContent-Length: 2\r\n\r\nok", 1, false},
+      {"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", 1, false},
+      {"HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok", 1, false},
+      {"HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nContent-Length: 2\r\n\r\nok", 1, false},
+      {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokX", 1, false},
+      {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", 1, false},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n\r\n", 1, false},
+      {"HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok", 0, false},
+      {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok", 0, false},
+      {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", 0, false},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\n2\r\nok\r\n0\r\n\r\n", 0, false},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nok\r\n0\r\n\r\n", 0, false},
+      {"HTTP/1.1 200 OK\r\nContent-Length: -2\r\n\r\nok", 0, false},
+      {"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n", 0, false},
+      {"nonsense\r\n\r\n", 0, false}};
+  for (Row const& r : rows) {
+    INFO(r.bytes);
+    Rig rig({{r.bytes, false}});
+    Got const got = rig.ask();
+    CHECK(got.ended == r.ended);
+    CHECK(rig.relays.idle() == (r.kept ? 1 : 0));
+    CHECK(rig.ask().body == "ok");
+    CHECK(rig.replica.connections == (r.kept ? 1 : 2));
+  }
+}
+
+TEST_CASE("an answer that is cut at any byte does not look whole") {
+  application();
+  std::string const bytes = GENERATE("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+                                     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n");
+  for (std::size_t cut = 0; cut <= bytes.size(); ++cut) {
+    Rig rig({{bytes.substr(0, cut), true}});
+    Got const got = rig.ask();
+    REQUIRE(got.ends == 1);
+    REQUIRE(got.ended == (cut == bytes.size() ? 1 : 0));
+    REQUIRE(std::string("hello").rfind(got.body, 0) == 0);
+  }
+}
+
+TEST_CASE("an idle connection that is closed or says something is thrown away") {
+  application();
+  Rig rig({});
+  rig.ask();
+  REQUIRE(rig.relays.idle() == 1);
+  SECTION("closed") { rig.replica.last->disconnectFromHost(); }
+  SECTION("reset") { rig.replica.last->abort(); }
+  SECTION("a late answer") { rig.replica.last->write(good); }
+  REQUIRE(until([&] { return rig.relays.idle() == 0; }));
+  CHECK(rig.ask().ended == 1);
+  CHECK(rig.replica.connections == 2);
+}
+
+TEST_CASE("a connection that ends or speaks between being lent and being used is replaced unseen") {
+  application();
+  Rig rig({});
+  rig.ask();
+  QTcpSocket* const old = rig.replica.last;
+  Ask again(rig.relays, rig.replica.address());
+  CHECK_FALSE(again.got.connected);
+  SECTION("closed") { old->disconnectFromHost(); }
+  SECTION("a late answer") {
+    old->write(good);
+    old->flush();
+  }
+  Got const got = again.wait();
+  CHECK(got.ended == 1);
+  CHECK(got.ends == 1);
+  CHECK(rig.replica.requests == 2);
+  CHECK(rig.replica.connections == 2);
+  CHECK(rig.relays.reused() == 0);
+}
+
+TEST_CASE("a request on a kept connection that ends at that moment is broken and never sent again") {
+  application();
+  Rig rig({{good, false}, {"", true}});
+  rig.ask();
+  Ask other(rig.relays, rig.replica.address());
+  Got const got = other.wait();
+  CHECK(got.connected);
+  CHECK_FALSE(got.denied);
+  CHECK(got.ended == 0);
+  CHECK(got.ends == 1);
+  CHECK(rig.replica.requests == 2);
+  CHECK(rig.replica.connections == 1);
+}
+
+TEST_CASE("an error at an address throws away all that is kept of it") {
+  application();
+  Rig rig({{good, false}, {good, false}, {"nonsense\r\n\r\n", false}});
+  Ask one(rig.relays, rig.replica.address());
+  Ask two(rig.relays, rig.replica.address());
+  one.wait();
+  two.wait();
+  REQUIRE(rig.relays.idle() == 2);
+  CHECK(rig.ask().ended == 0);
+  CHECK(rig.relays.idle() == 0);
+}
+
+TEST_CASE("an idle connection is used up to its age, half of the replica's own, and the bound of a single run") {
+  application();
+  struct Row {
+    char const* bytes;
+    core::Tick freshLimit;
+    bool fresh;
+    core::Tick age;
+    bool reused;
+  };
+  constexpr char const* told = "HTTP/1.1 200 OK\r\nKeep-Alive: max=9, timeout=4\r\nContent-Length: 2\r\n\r\nok";
+  constexpr Row rows[] = {{good, 0, false, 4999, true}, {good, 0, false, 5000, false}, {told, 0, false, 1999, true},
+                          {told, 0, false, 2000, false}, {good, 0, true, 0, false},    {good, 50, true, 49, true},
+                          {good, 50, true, 50, false}};
+  for (Row const& r : rows) {
+    INFO(r.age << " " << r.freshLimit << " " << r.fresh);
+    Rig rig({{r.bytes, false}}, door::Kept{2, 5000, r.freshLimit});
+    rig.ask();
+    rig.now += r.age;
+    CHECK(rig.ask(r.fresh).ended == 1);
+    CHECK(rig.replica.connections == (r.reused ? 1 : 2));
+  }
+}
+
+TEST_CASE("no more idle connections are kept of a replica than the bound") {
+  application();
+  Rig rig({});
+  Ask one(rig.relays, rig.replica.address());
+  Ask two(rig.relays, rig.replica.address());
+  Ask three(rig.relays, rig.replica.address());
+  one.wait();
+  two.wait();
+  three.wait();
+  CHECK(rig.relays.idle() == 2);
+  REQUIRE(until([&] { return rig.replica.closed == 1; }));
+  rig.relays.setKept(door::Kept{});
+  CHECK(rig.relays.idle() == 0);
+}
+
+TEST_CASE("an answer that is not wanted ends its connection, or is read to its end when it is short") {
+  application();
+  bool const stop = GENERATE(true, false);
+  std::string const bytes = GENERATE(std::string(good), "HTTP/1.1 503 Full\r\nContent-Length: 100000\r\n\r\n" + std::string(100000, 'x'));
+  bool const kept = !stop && bytes == good;
+  Rig rig({{bytes, false}});
+  {
+    Ask unwanted(rig.relays, rig.replica.address());
+    unwanted.stopAtHead = stop;
+    unwanted.releaseAtHead = !stop;
+    unwanted.wait();
+    REQUIRE(until([&] { return kept ? rig.relays.idle() == 1 : rig.replica.closed == 1; }));
+    CHECK(unwanted.got.body.empty());
+    CHECK(unwanted.got.ends == 0);
+  }
+  CHECK(rig.ask().body == "ok");
+  CHECK(rig.replica.connections == (kept ? 1 : 2));
+}
+
+TEST_CASE("an answer to HEAD has no body, whatever its length says") {
+  application();
+  Rig rig({{"HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n", false}});
+  Ask ask(rig.relays, rig.replica.address(), false, "HEAD");
+  CHECK(ask.wait().ended == 1);
+  CHECK(rig.relays.idle() == 1);
+}
+
+TEST_CASE("no event comes from within a call, and a refused connection is told once") {
+  application();
+  door::Relays relays({2, 5000, 0}, [] { return 1; });
+  Ask ask(relays, "127.0.0.1:1");
+  CHECK_FALSE(ask.got.denied);
+  ask.wait();
+  CHECK(ask.got.denied);
+  CHECK_FALSE(ask.got.connected);
+}
+
+TEST_CASE("random and damaged answers get an end, and none that is damaged in its framing looks whole") {
+  application();
+  core::Rng rng(3);
+  std::string const whole = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n";
+  for (int round = 0; round < 300; ++round) {
+    std::string bytes = whole;
+    if (round % 2 == 0) {
+      bytes.assign(rng.below(2000), '\0');
+      for (char& c : bytes) c = static_cast<char>(rng.next());
+    } else {
+      bytes[rng.below(bytes.size())] = static_cast<char>(rng.next());
+    }
+    Rig rig({{bytes, true}});
+    Got const got = rig.ask();
+    REQUIRE(got.ends == 1);
+    REQUIRE(rig.relays.idle() == 0);
+    if (round % 2 == 0) REQUIRE(got.ended == 0);
+  }
+}
--- /dev/null
+++ b/door/test/server_test.cpp
@@ -0,0 +1,241 @@
+#include <catch2/catch.hpp>
+
+#include <QHostAddress>
+#include <QTcpSocket>
+
+#include <corkward/door/mapping.h>
+#include <corkward/door/operator_mapping.h>
+#include <corkward/door/server.h>
+
+#include "turn.h"
+
+namespace door = corkward::door;
+namespace rotor = corkward::rotor;
+using corkward::door::test::application;
+using corkward::door::test::until;
+
+namespace {
+
+/// A caller that keeps its connection and all that it got.
+struct Client {
+  explicit Client(std::string const& address) {
+    std::pair<std::string, std::uint16_t> const at = door::splitAddress(address);
+    socket.connectToHost(QHostAddress(QString::fromStdString(at.first)), at.second);
+  }
+  void say(std::string const& bytes) { socket.write(QByteArray::fromStdString(bytes)); }
+  bool has(std::string const& text) {
+    return until([&] {
+      got += socket.readAll().toStdString();
+      return got.find(text) != std::string::npos || (socket.state() == QAbstractSocket::UnconnectedState && socket.bytesAvailable() == 0);
+    }) && got.find(text) != std::string::npos;
+  }
+  bool ends() {
+    return until([&] {
+      got += socket.readAll().toStdString();
+      return socket.state() == QAbstractSocket::UnconnectedState;
+    });
+  }
+  QTcpSocket socket;
+  std::string got;
+};
+
+struct Rig {
+  explicit Rig(std::vector<std::string> const& addresses = {"127.0.0.1:0"}, door::Limits limits = {}) : server(addresses, limits, events()) {}
+  door::Server::Events events() {
+    door::Server::Events e;
+    e.request = [this](door::Request r) {
+      requests.push_back(r);
+      if (answer) answer(requests.back());
+    };
+    return e;
+  }
+  std::vector<door::Request> requests;
+  std::function<void(door::Request const&)> answer;
+  door::Server server;
+};
+
+std::string request(std::string const& method, std::string const& more = "") {
+  return method + " /a?b HTTP/1.1\r\nHost: x\r\n" + more + "\r\n";
+}
+
+}  // namespace
+
+TEST_CASE("a field that comes more than once is joined, not lost") {
+  application();
+  Rig rig;
+  Client c(rig.server.address());
+  c.say(request("GET", "X-A: 1\r\nx-a: 2\r\nCookie: a=1\r\nCookie: b=2\r\n"));
+  REQUIRE(until([&] { return !rig.requests.empty(); }));
+  CHECK(rig.requests[0].fields.at("x-a") == "1, 2");
+  CHECK(rig.requests[0].fields.at("cookie") == "a=1; b=2");
+  CHECK(rig.requests[0].target == "/a?b");
+}
+
+TEST_CASE("status, words and fields go out as they are, each field as often as it was given") {
+  application();
+  Rig rig({"127.0.0.1:0"}, door::Limits{.named = false});
+  rig.answer = [&](door::Request const& r) {
+    rig.server.begin(r.id, 299, {{"Set-Cookie", "a"}, {"Set-Cookie", "b"}, {"X-Case", "C"}}, 2, "Fine So Far");
+    rig.server.piece(r.id, "ok");
+    rig.server.finish(r.id);
+  };
+  Client c(rig.server.address());
+  c.say(request("GET"));
+  REQUIRE(c.has("\r\n\r\nok"));
+  CHECK(c.got == "HTTP/1.1 299 Fine So Far\r\nSet-Cookie: a\r\nSet-Cookie: b\r\nX-Case: C\r\nContent-Length: 2\r\n\r\nok");
+}
+
+TEST_CASE("answers to HEAD, 204 and 304 have no body, and the connection goes on") {
+  application();
+  struct Row {
+    char const* method;
+    int status;
+    bool length;
+  };
+  constexpr Row rows[] = {{"HEAD", 200, true}, {"GET", 204, false}, {"GET", 304, true}};
+  for (Row const& r : rows) {
+    bool const whole = GENERATE(true, false);
+    Rig rig;
+    int count = 0;
+    rig.answer = [&](door::Request const& q) {
+      if (++count > 1) {
+        rig.server.answer(q.id, 200, {}, "second");
+      } else if (whole) {
+        rig.server.answer(q.id, r.status, {}, "first");
+      } else {
+        rig.server.begin(q.id, r.status, {}, 5);
+        rig.server.piece(q.id, "first");
+        rig.server.finish(q.id);
+      }
+    };
+    Client c(rig.server.address());
+    c.say(request(r.method) + request("GET"));
+    REQUIRE(c.has("second"));
+    CHECK(c.got.find("first") == std::string::npos);
+    CHECK((c.got.find("Content-Length: 5\r\n") != std::string::npos) == r.length);
+  }
+}
+
+TEST_CASE("several addresses share one handler, and say where a request came in") {
+  application();
+  Rig rig({"127.0.0.1:0", "127.0.0.1:0"});
+  rig.answer = [&](door::Request const& r) { rig.server.answer(r.id, 200, {}, "at " + std::to_string(r.at)); };
+  Client one(rig.server.address(0));
+  Client two(rig.server.address(1));
+  one.say(request("GET"));
+  two.say(request("GET"));
+  CHECK(one.has("at 0"));
+  CHECK(two.has("at 1"));
+}
+
+TEST_CASE("bounds that change hold from the next request on") {
+  application();
+  Rig rig({"127.0.0.1:0"}, door::Limits{.body = 4});
+  rig.answer = [&](door::Request const& r) { rig.server.answer(r.id, 200, {}, "served"); };
+  std::string const big = request("POST", "Content-Length: 5\r\n") + "12345";
+  Client c(rig.server.address());
+  c.say(big);
+  CHECK(c.has(" 413 "));
+  rig.server.setLimits(door::Limits{.body = 5, .faultFields = {}});
+  Client d(rig.server.address());
+  d.say(big);
+  CHECK(d.has("served"));
+  d.say(request("POST", "Content-Length: 6\r\n"));
+  CHECK(d.has(" 413 "));
+  CHECK(d.got.find("corkward-outcome") == std::string::npos);
+}
+
+TEST_CASE("a door that leaves says so, serves what still comes, and closes without a reset") {
+  application();
+  Rig rig;
+  Client kept(rig.server.address());
+  rig.answer = [&](door::Request const& r) { rig.server.answer(r.id, 200, {}, "first"); };
+  kept.say(request("GET"));
+  REQUIRE(kept.has("first"));
+  Client begun(rig.server.address());
+  rig.answer = [&](door::Request const& r) { rig.server.begin(r.id, 200, {}, -1); };
+  begun.say(request("GET"));
+  REQUIRE(begun.has("chunked"));
+  CHECK(rig.server.inHand() == 1);
+  rig.server.leave();
+  rig.server.piece(rig.requests[1].id, "words");
+  rig.server.finish(rig.requests[1].id);
+  REQUIRE(begun.has("\r\n0\r\n\r\n"));
+  rig.answer = [&](door::Request const& r) { rig.server.answer(r.id, 200, {}, "late"); };
+  begun.got.clear();
+  for (Client* const c : {&kept, &begun}) {
+    c->say(request("GET"));
+    REQUIRE(c->has("late"));
+    CHECK(c->got.find("Connection: close") != std::string::npos);
+    CHECK(c->ends());
+    CHECK(c->socket.error() == QAbstractSocket::RemoteHostClosedError);
+  }
+  CHECK(rig.server.inHand() == 0);
+}
+
+TEST_CASE("a burst of connections does not hold up a caller that is there") {
+  application();
+  Rig rig;
+  std::size_t welcomed = 0;
+  rig.answer = [&](door::Request const& r) {
+    if (welcomed == 0) welcomed = rig.server.connections();
+    rig.server.answer(r.id, 200, {}, "served");
+  };
+  Client c(rig.server.address());
+  REQUIRE(until([&] { return rig.server.connections() == 1; }));
+  std::vector<std::unique_ptr<Client>> burst;
+  for (int i = 0; i < 500; ++i) {
+    burst.push_back(std::make_unique<Client>(rig.server.address()));
+    REQUIRE(burst.back()->socket.waitForConnected());
+  }
+  c.say(request("GET"));
+  c.socket.flush();
+  REQUIRE(until([&] { return !rig.requests.empty(); }));
+  CHECK(welcomed < 100);
+  REQUIRE(until([&] { return rig.server.connections() == 501; }));
+  for (std::unique_ptr<Client> const& b : burst) b->say(request("GET"));
+  REQUIRE(until([&] { return rig.requests.size() == 501; }));
+}
+
+TEST_CASE("the product's own mapping hands over and reads its own headers") {
+  door::OwnMapping const mapping;
+  door::Request request;
+  request.id = 7;
+  request.method = "POST";
+  request.target = "/v1/desk.nord/answers/diagnosis?x=1";
+  request.fields = {{"corkward-request-id", "q1"}, {"corkward-attempt", "2"}, {"content-type", "text/plain"}, {"x-other", "y"}};
+  door::CallerRequest const caller = mapping.callerRequest(request);
+  REQUIRE(caller.request);
+  CHECK(caller.request->instance == "desk.nord");
+  CHECK(caller.request->path == "answers/diagnosis");
+  CHECK_FALSE(caller.events);
+  rotor::HandOver const handOver;
+  rotor::Resume resume;
+  door::ReplicaRequest sent = mapping.replicaRequest({request, *caller.request, caller.request->path, handOver, resume});
+  CHECK(sent.method == "POST");
+  CHECK(sent.target == "/answers/diagnosis");
+  CHECK(sent.fields == door::FieldList{{"content-type", "text/plain"}, {"corkward-attempt", "2"}, {"corkward-request-id", "q1"}});
+  resume = {true, "r1", 9, ""};
+  sent = mapping.replicaRequest({request, *caller.request, caller.request->path, handOver, resume});
+  CHECK(door::field(sent.fields, "corkward-run") == "r1");
+  CHECK(door::field(sent.fields, "corkward-offset") == "9");
+  rotor::Head const head = mapping.head({200, "OK", {{"Corkward-Run", "r1"}, {"Content-Type", "a/b"}, {"X-Own", "z"}}, 4, false}, request);
+  CHECK(head.run == "r1");
+  CHECK(head.length == 4);
+  CHECK(head.fields == door::FieldList{{"content-type", "a/b"}, {"corkward-run", "r1"}, {"corkward-outcome", "run"}});
+  CHECK_FALSE(head.notRun);
+  CHECK(mapping.head({503, "", {{"corkward-run", "none"}}, 0, false}, request).notRun);
+  CHECK_FALSE(mapping.head({503, "", {}, 0, false}, request).notRun);
+  CHECK_FALSE(mapping.head({200, "", {{"corkward-run", "none"}}, 0, false}, request).notRun);
+  CHECK(mapping.head({200, "", {{"corkward-run", "none"}}, 0, false}, request).run.empty());
+  rotor::Deny const deny{7, 503, "full", true, 0.4};
+  CHECK(door::field(mapping.denyFields(deny), "retry-after") == "1");
+  CHECK(mapping.denyBody(deny).find("\"retryAfter\":1") != std::string::npos);
+}
+
+TEST_CASE("fields of one connection do not go on to the next") {
+  door::FieldList const fields{{"Connection", "x-hop, Keep-Alive"}, {"X-Hop", "1"}, {"X-End", "2"}, {"keep-alive", "timeout=5"},
+                               {"Transfer-Encoding", "chunked"}, {"TE", "trailers"}, {"X-End", "3"}, {"Content-Length", "4"}};
+  CHECK(door::endToEnd(fields) == door::FieldList{{"X-End", "2"}, {"X-End", "3"}});
+  CHECK(door::endToEnd(door::Fields{{"connection", "close"}, {"a", "b"}}) == door::FieldList{{"a", "b"}});
+}
--- a/rotor/include/corkward/rotor/stream.h
+++ b/rotor/include/corkward/rotor/stream.h
@@ -109,6 +109,7 @@
   std::string tail_;
   std::size_t scanned_ = 0;
   std::size_t lineAt_ = 0;
+  bool lineFeeds_ = false;
   Event event_;
 };
 
--- a/rotor/src/stream.cpp
+++ b/rotor/src/stream.cpp
@@ -33,10 +33,12 @@
   tail_.clear();
   scanned_ = 0;
   lineAt_ = 0;
+  lineFeeds_ = false;
   event_ = Event{};
   if (begun_) return;
   head_ = Head{};
   run_.clear();
+  offset_ = 0;
   row_ = false;
 }
 
@@ -114,9 +116,10 @@
       continue;
     }
     bool const blank = scanned_ == lineAt_;
-    if (c == '\r' && !blank && scanned_ + 1 == tail_.size()) break;
+    if (c == '\r' && (!blank || lineFeeds_) && scanned_ + 1 == tail_.size()) break;
     std::size_t next = scanned_ + 1;
-    if (c == '\r' && next < tail_.size() && tail_[next] == '\n') ++next;
+    lineFeeds_ = c == '\r' && next < tail_.size() && tail_[next] == '\n';
+    if (lineFeeds_) ++next;
     line(lineAt_, scanned_);
     scanned_ = next;
     lineAt_ = next;
@@ -132,8 +135,8 @@
 }
 
 void Stream::line(std::size_t from, std::size_t to) {
-  std::string::const_iterator const first = tail_.begin() + static_cast<std::ptrdiff_t>(from);
-  std::size_t const nameEnd = from + static_cast<std::size_t>(std::find(first, tail_.begin() + static_cast<std::ptrdiff_t>(to), ':') - first);
+  std::string::const_iterator const first = tail_.cbegin() + static_cast<std::ptrdiff_t>(from);
+  std::size_t const nameEnd = from + static_cast<std::size_t>(std::find(first, tail_.cbegin() + static_cast<std::ptrdiff_t>(to), ':') - first);
   if (tail_.compare(from, nameEnd - from, "data") == 0) event_.data = true;
   if (tail_.compare(from, nameEnd - from, "id") != 0) return;
   std::size_t value = std::min(nameEnd + 1, to);
@@ -167,7 +170,7 @@
   if (!all) return over(End::broken);
   StreamSteps out;
   if (row_ && !tail_.empty()) {
-    if (lineAt_ < tail_.size()) line(lineAt_, tail_.find_last_not_of('\r') + 1);
+    if (lineAt_ < tail_.size()) line(lineAt_, std::max(lineAt_, tail_.find_last_not_of('\r') + 1));
     lineAt_ = tail_.size();
     if (!pass(out, 0)) return out;
   }
