Give the operators one whole blueprint under one rising version

Cause: on the users' platform a configuration is one value under one version; templates and instances cannot say that two changes on one version are never both taken. Ruled out: a family per path (no common version), the register's stamp as the version (it rises by one). Changed: blueprint::readWhole and patchWhole; key and page 'blueprint'; If-Match carries the version; a list's replicas may have an id; templates fill shares; Tuning::awaitInForce; verbs in the command line.

--- a/blueprint/include/corkward/blueprint/blueprint.h
+++ b/blueprint/include/corkward/blueprint/blueprint.h
@@ -111,7 +111,9 @@
 /// {"version", "set": {"paths": [...], "pools": [...]}, "drop": {"paths": [names], "pools": [names]}}; throws Error.
 QJsonObject patchWhole(QJsonObject const& current, QJsonObject const& patch);
 
-/// Limits of a blueprint.
+/// Limits of a blueprint; texts in bytes.
+inline constexpr std::size_t maxText = 128;
+inline constexpr std::size_t maxPools = 2000;
 inline constexpr std::size_t maxPaths = 10000;
 inline constexpr std::size_t maxInstances = 2000;
 inline constexpr std::size_t maxRendered = 100000;
--- a/blueprint/src/blueprint.cpp
+++ b/blueprint/src/blueprint.cpp
@@ -9,18 +9,14 @@
 
 #include <corkward/core/json.h>
 
+#include "checks.h"
+
 namespace corkward::blueprint {
 
 namespace {
 
 using core::str;
 
-void onlyFields(QJsonObject const& o, std::initializer_list<char const*> allowed, std::string const& at) {
-  for (QString const& k : o.keys())
-    if (std::none_of(allowed.begin(), allowed.end(), [&](char const* a) { return k == QLatin1String(a); }))
-      throw Error(at + "/" + str(k), "unknown field");
-}
-
 QJsonObject objectAt(QJsonObject const& o, char const* name, std::string const& at, bool needed) {
   QJsonValue const v = o.value(QLatin1String(name));
   if (v.isUndefined() && !needed) return {};
@@ -28,10 +24,6 @@
   return v.toObject();
 }
 
-bool isInteger(QJsonValue const& v) {
-  return v.isDouble() && v.toDouble() == static_cast<double>(v.toInteger());
-}
-
 bool typeFits(QString const& type, QJsonValue const& v) {
   if (type == QLatin1String("string")) return v.isString();
   if (type == QLatin1String("integer")) return isInteger(v);
@@ -134,6 +126,7 @@
     if (!validPath(p.path)) throw Error(place + "/path", "not a valid path: " + p.path);
     if (!seen.insert(p.path).second) throw Error(place + "/path", "ambiguous: " + p.path + " stands twice in " + instance);
     p.pool = str(fill(row.value("pool"), parameters, place + "/pool").toString());
+    p.shares = {Share{p.pool, 1}};
     QJsonValue const cls = fill(row.value("class"), parameters, place + "/class");
     ClassRow const* found = nullptr;
     for (ClassRow const& c : classTable)
@@ -238,12 +231,18 @@
   QJsonArray const rows = value.value("replicas").toArray();
   if (rows.size() > 4096) throw Error("/replicas", "more than 4096");
   std::set<std::string> seen;
+  std::set<std::string> ids;
   for (qsizetype i = 0; i < rows.size(); ++i) {
     std::string const at = "/replicas/" + std::to_string(i);
     if (!rows.at(i).isObject()) throw Error(at, "must be an object");
     QJsonObject const row = rows.at(i).toObject();
-    onlyFields(row, {"address", "zone", "state"}, at);
+    onlyFields(row, {"id", "address", "zone", "state"}, at);
     Replica r;
+    if (row.contains("id")) {
+      r.id = str(row.value("id").toString());
+      if (r.id.empty() || r.id.size() > maxText) throw Error(at + "/id", "must be a text of 1 to " + std::to_string(maxText) + " bytes");
+      if (!ids.insert(r.id).second) throw Error(at + "/id", "stands twice");
+    }
     r.address = str(row.value("address").toString());
     std::size_t const colon = r.address.rfind(':');
     bool digits = colon != std::string::npos && colon > 0 && colon + 1 < r.address.size() && r.address.size() - colon <= 6;
--- /dev/null
+++ b/blueprint/src/checks.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <QJsonObject>
+#include <algorithm>
+#include <initializer_list>
+#include <string>
+
+#include <corkward/blueprint/blueprint.h>
+#include <corkward/core/json.h>
+
+namespace corkward::blueprint {
+
+/// Denies fields that are not among the allowed ones.
+inline void onlyFields(QJsonObject const& o, std::initializer_list<char const*> allowed, std::string const& at) {
+  for (QJsonObject::const_iterator it = o.begin(); it != o.end(); ++it) {
+    QString const k = it.key();
+    if (std::none_of(allowed.begin(), allowed.end(), [&](char const* a) { return k == QLatin1String(a); }))
+      throw Error(at + "/" + core::str(k), "unknown field");
+  }
+}
+
+/// True for a number without a fraction, 3.0 among them.
+inline bool isInteger(QJsonValue const& v) {
+  return v.isDouble() && v.toDouble() == static_cast<double>(v.toInteger());
+}
+
+}  // namespace corkward::blueprint
--- /dev/null
+++ b/blueprint/src/whole.cpp
@@ -0,0 +1,259 @@
+#include <QJsonArray>
+#include <limits>
+#include <set>
+#include <unordered_map>
+#include <unordered_set>
+#include <utility>
+
+#include "checks.h"
+
+namespace corkward::blueprint {
+
+namespace {
+
+using core::str;
+
+constexpr core::Tick never = std::numeric_limits<core::Tick>::max();
+/// Largest number of milliseconds, bytes, tokens or requests that a blueprint may say.
+constexpr qint64 mostNumber = qint64{1} << 40;
+constexpr qint64 mostCount = qint64{1} << 30;
+constexpr qint64 mostVersion = qint64{1} << 53;
+constexpr std::size_t maxPlace = 1024;
+
+/// A path is of the first class whose row holds for it.
+struct ClassRule {
+  Class cls;
+  core::Tick aimAtMost;
+  core::Tick deadlineAtLeast;
+};
+
+constexpr ClassRule classRules[] = {{Class::urgent, 400, 0}, {Class::bulk, never, 10000}, {Class::quick, never, 0}};
+
+struct KindRow {
+  char const* name;
+  bool repeatable;
+  bool stream;
+};
+
+constexpr KindRow kindTable[] = {{"once", false, false}, {"repeatable", true, false}, {"stream", false, true}};
+
+QJsonArray listAt(QJsonObject const& o, char const* name, std::string const& at, std::size_t most) {
+  QJsonValue const v = o.value(QLatin1String(name));
+  if (!v.isArray()) throw Error(at + "/" + name, v.isUndefined() ? "missing" : "must be a list");
+  QJsonArray const list = v.toArray();
+  if (static_cast<std::size_t>(list.size()) > most) throw Error(at + "/" + name, "more than " + std::to_string(most));
+  return list;
+}
+
+QJsonObject itemAt(QJsonArray const& list, qsizetype i, std::string const& at) {
+  QJsonValue const v = list.at(i);
+  if (!v.isObject()) throw Error(at, "must be an object");
+  return v.toObject();
+}
+
+void objectIfSaid(QJsonObject const& o, char const* name, std::string const& at) {
+  QJsonValue const v = o.value(QLatin1String(name));
+  if (!v.isUndefined() && !v.isObject()) throw Error(at + "/" + name, "must be an object");
+}
+
+std::string text(QJsonObject const& o, char const* name, std::size_t longest, std::string const& at) {
+  QJsonValue const v = o.value(QLatin1String(name));
+  std::string const out = str(v.toString());
+  if (out.empty() || out.size() > longest) throw Error(at + "/" + name, "must be a text of 1 to " + std::to_string(longest) + " bytes");
+  return out;
+}
+
+qint64 integer(QJsonObject const& o, char const* name, qint64 least, qint64 most, qint64 otherwise, std::string const& at) {
+  QJsonValue const v = o.value(QLatin1String(name));
+  if (v.isUndefined()) return otherwise;
+  if (!isInteger(v) || v.toInteger() < least || v.toInteger() > most)
+    throw Error(at + "/" + name, "must be an integer, " + std::to_string(least) + " to " + std::to_string(most));
+  return v.toInteger();
+}
+
+qint64 neededInteger(QJsonObject const& o, char const* name, qint64 least, qint64 most, std::string const& at) {
+  if (!o.contains(QLatin1String(name))) throw Error(at + "/" + name, "missing");
+  return integer(o, name, least, most, 0, at);
+}
+
+bool flag(QJsonObject const& o, char const* name, std::string const& at) {
+  QJsonValue const v = o.value(QLatin1String(name));
+  if (!v.isUndefined() && !v.isBool()) throw Error(at + "/" + name, "must be true or false");
+  return v.toBool();
+}
+
+using PoolNames = std::unordered_set<std::string>;
+
+std::string knownPool(QJsonObject const& o, PoolNames const& pools, std::string const& at) {
+  std::string const name = text(o, "pool", maxText, at);
+  if (pools.count(name) == 0) throw Error(at + "/pool", "no pool named " + name);
+  return name;
+}
+
+std::vector<Share> readShares(QJsonObject const& row, PoolNames const& pools, std::string const& at) {
+  if (row.contains("pool")) {
+    if (row.contains("shares")) throw Error(at + "/shares", "stands beside pool");
+    return {Share{knownPool(row, pools, at), 1}};
+  }
+  QJsonValue const v = row.value("shares");
+  if (!v.isArray()) throw Error(at + (v.isUndefined() ? "/pool" : "/shares"), v.isUndefined() ? "missing, and no shares" : "must be a list");
+  std::vector<Share> out;
+  QJsonArray const list = v.toArray();
+  for (qsizetype i = 0; i < list.size(); ++i) {
+    std::string const place = at + "/shares/" + std::to_string(i);
+    QJsonObject const one = itemAt(list, i, place);
+    onlyFields(one, {"pool", "share"}, place);
+    Share const share{knownPool(one, pools, place), static_cast<std::uint32_t>(neededInteger(one, "share", 0, mostCount, place))};
+    if (share.weight > 0) out.push_back(share);
+  }
+  if (out.empty()) throw Error(at + "/shares", "the weights sum to 0");
+  return out;
+}
+
+PoolTerms readPoolTerms(QJsonObject const& row, std::string const& at) {
+  onlyFields(row, {"name", "standing", "connections", "coldRate", "coldMs", "slots", "tokens", "extra"}, at);
+  PoolTerms out;
+  out.name = text(row, "name", maxText, at);
+  if (row.contains("standing") && text(row, "standing", maxPlace, at).front() != '/')
+    throw Error(at + "/standing", "must begin with /");
+  out.connections = static_cast<int>(integer(row, "connections", 0, mostCount, 0, at));
+  QJsonValue const rate = row.value("coldRate");
+  out.coldRate = rate.toDouble(rate.isUndefined() ? 0 : -1);
+  if (!(out.coldRate >= 0 && out.coldRate <= static_cast<double>(mostCount)))
+    throw Error(at + "/coldRate", "must be a number, 0 to " + std::to_string(mostCount));
+  out.coldFor = integer(row, "coldMs", 0, mostNumber, 0, at);
+  out.slots = static_cast<int>(integer(row, "slots", 0, mostCount, 0, at));
+  out.tokens = integer(row, "tokens", 0, mostNumber, 0, at);
+  objectIfSaid(row, "extra", at);
+  return out;
+}
+
+Path readPath(QJsonObject const& row, PoolNames const& pools, std::string const& at) {
+  onlyFields(row, {"name", "host", "prefix", "kind", "deadlineMs", "aimMs", "gapAimMs", "urgency", "tries", "resumable", "affine", "pool",
+                   "shares", "extra"},
+             at);
+  Path out;
+  out.instance = text(row, "name", maxText, at);
+  out.host = text(row, "host", maxPlace, at);
+  out.prefix = text(row, "prefix", maxPlace, at);
+  if (out.prefix.front() != '/' || out.prefix.back() != '/') throw Error(at + "/prefix", "must begin and end with /");
+  QString const kind = row.value("kind").toString();
+  KindRow const* const found =
+      std::find_if(std::begin(kindTable), std::end(kindTable), [&](KindRow const& k) { return kind == QLatin1String(k.name); });
+  if (found == std::end(kindTable)) throw Error(at + "/kind", "must be once, repeatable or stream");
+  out.deadline = neededInteger(row, "deadlineMs", 1, mostNumber, at);
+  out.aim = integer(row, "aimMs", 0, mostNumber, 0, at);
+  core::Tick const aim = out.aim > 0 ? out.aim : never;
+  out.cls = std::find_if(std::begin(classRules), std::end(classRules), [&](ClassRule const& r) {
+              return aim <= r.aimAtMost && out.deadline >= r.deadlineAtLeast;
+            })->cls;
+  if (out.aim == 0) out.aim = std::find_if(std::begin(classTable), std::end(classTable), [&](ClassRow const& c) { return c.cls == out.cls; })->aim;
+  out.gapAim = integer(row, "gapAimMs", 0, mostNumber, 0, at);
+  out.urgency = static_cast<int>(integer(row, "urgency", 0, 9, 5, at));
+  out.tries = static_cast<int>(integer(row, "tries", 1, mostCount, 1, at));
+  out.stream = found->stream;
+  out.resumable = flag(row, "resumable", at) && out.stream;
+  out.repeatable = found->repeatable || out.resumable;
+  flag(row, "affine", at);
+  out.shares = readShares(row, pools, at);
+  out.pool = out.shares.front().pool;
+  objectIfSaid(row, "extra", at);
+  return out;
+}
+
+DoorTerms readDoor(QJsonValue const& v) {
+  if (v.isUndefined()) return {};
+  if (!v.isObject()) throw Error("/door", "must be an object");
+  QJsonObject const row = v.toObject();
+  onlyFields(row, {"headBytes", "bodyBytes", "headMs", "idleMs"}, "/door");
+  DoorTerms out;
+  out.headBytes = static_cast<std::uint32_t>(integer(row, "headBytes", 0, mostCount, 0, "/door"));
+  out.bodyBytes = static_cast<std::uint64_t>(integer(row, "bodyBytes", 0, mostNumber, 0, "/door"));
+  out.headMs = integer(row, "headMs", 0, mostNumber, 0, "/door");
+  out.idleMs = integer(row, "idleMs", 0, mostNumber, 0, "/door");
+  return out;
+}
+
+/// Items of one list after the named ones were replaced, added and dropped.
+QJsonArray patchList(QJsonArray const& current, QJsonObject const& set, QJsonObject const& drop, char const* list) {
+  std::unordered_map<std::string, QJsonValue> fresh;
+  std::vector<std::string> order;
+  QJsonArray const items = set.contains(QLatin1String(list)) ? listAt(set, list, "/set", maxPaths) : QJsonArray();
+  for (qsizetype i = 0; i < items.size(); ++i) {
+    std::string const at = std::string("/set/") + list + "/" + std::to_string(i);
+    std::string const name = text(itemAt(items, i, at), "name", maxText, at);
+    if (!fresh.emplace(name, items.at(i)).second) throw Error(at + "/name", "stands twice");
+    order.push_back(name);
+  }
+  std::unordered_set<std::string> gone;
+  QJsonArray const names = drop.contains(QLatin1String(list)) ? listAt(drop, list, "/drop", maxPaths) : QJsonArray();
+  for (qsizetype i = 0; i < names.size(); ++i) {
+    std::string const at = std::string("/drop/") + list + "/" + std::to_string(i);
+    if (!names.at(i).isString()) throw Error(at, "must be a name");
+    std::string const name = str(names.at(i).toString());
+    if (fresh.count(name) > 0) throw Error(at, "is set in the same change");
+    gone.insert(name);
+  }
+  QJsonArray out;
+  for (QJsonValue const item : current) {
+    std::string const name = str(item.toObject().value("name").toString());
+    if (gone.count(name) > 0) continue;
+    std::unordered_map<std::string, QJsonValue>::iterator const it = fresh.find(name);
+    out.append(it == fresh.end() ? item : it->second);
+    if (it != fresh.end()) fresh.erase(it);
+  }
+  for (std::string const& name : order) {
+    std::unordered_map<std::string, QJsonValue>::const_iterator const it = fresh.find(name);
+    if (it != fresh.end()) out.append(it->second);
+  }
+  return out;
+}
+
+}  // namespace
+
+Whole readWhole(QJsonObject const& spec) {
+  onlyFields(spec, {"version", "paths", "pools", "door", "extra"}, "");
+  Whole out;
+  out.version = static_cast<std::uint64_t>(neededInteger(spec, "version", 1, mostVersion, ""));
+  PoolNames pools;
+  QJsonArray const poolRows = listAt(spec, "pools", "", maxPools);
+  for (qsizetype i = 0; i < poolRows.size(); ++i) {
+    std::string const at = "/pools/" + std::to_string(i);
+    out.pools.push_back(readPoolTerms(itemAt(poolRows, i, at), at));
+    if (!pools.insert(out.pools.back().name).second) throw Error(at + "/name", "stands twice");
+  }
+  std::unordered_set<std::string> names;
+  std::set<std::pair<std::string, std::string>> places;
+  QJsonArray const pathRows = listAt(spec, "paths", "", maxPaths);
+  out.paths.reserve(static_cast<std::size_t>(pathRows.size()));
+  for (qsizetype i = 0; i < pathRows.size(); ++i) {
+    std::string const at = "/paths/" + std::to_string(i);
+    out.paths.push_back(readPath(itemAt(pathRows, i, at), pools, at));
+    Path const& p = out.paths.back();
+    if (!names.insert(p.instance).second) throw Error(at + "/name", "stands twice");
+    if (!places.emplace(p.host, p.prefix).second) throw Error(at + "/prefix", "another path has the same host and prefix");
+  }
+  out.door = readDoor(spec.value("door"));
+  objectIfSaid(spec, "extra", "");
+  return out;
+}
+
+QJsonObject patchWhole(QJsonObject const& current, QJsonObject const& patch) {
+  onlyFields(patch, {"version", "set", "drop", "door", "extra"}, "");
+  if (!patch.contains("version")) throw Error("/version", "missing");
+  for (char const* part : {"set", "drop"}) {
+    objectIfSaid(patch, part, "");
+    onlyFields(patch.value(QLatin1String(part)).toObject(), {"paths", "pools"}, std::string("/") + part);
+  }
+  QJsonObject const set = patch.value("set").toObject();
+  QJsonObject const drop = patch.value("drop").toObject();
+  QJsonObject out = current;
+  for (char const* list : {"paths", "pools"})
+    if (set.contains(QLatin1String(list)) || drop.contains(QLatin1String(list)))
+      out.insert(QLatin1String(list), patchList(current.value(QLatin1String(list)).toArray(), set, drop, list));
+  for (char const* field : {"version", "door", "extra"})
+    if (patch.contains(QLatin1String(field))) out.insert(QLatin1String(field), patch.value(QLatin1String(field)));
+  return out;
+}
+
+}  // namespace corkward::blueprint
--- a/door/include/corkward/door/mapping.h
+++ b/door/include/corkward/door/mapping.h
@@ -22,7 +22,7 @@
 /// Reads an operator's or the platform's request as a call. The change id is the caller's, or the given one.
 signal::Call operatorCall(Request const& request, std::string const& freshChangeId);
 
-/// Header fields of an operator's answer: type, ETag from the stamp, Retry-After.
+/// Header fields of an operator's answer: type, ETag from the version or the stamp, Retry-After.
 Fields operatorFields(int status, QJsonObject const& body);
 
 /// Header fields and body of a denial, or of an outcome that is not known.
--- a/door/src/mapping.cpp
+++ b/door/src/mapping.cpp
@@ -86,7 +86,8 @@
 
 Fields operatorFields(int status, QJsonObject const& body) {
   Fields out{{"content-type", "application/json"}};
-  if (body.contains("stamp") && status < 300) out["etag"] = "\"" + std::to_string(body.value("stamp").toInteger()) + "\"";
+  char const* const tag = body.contains("version") ? "version" : "stamp";
+  if (body.contains(tag) && status < 300) out["etag"] = "\"" + std::to_string(body.value(tag).toInteger()) + "\"";
   if (status == 503) out["retry-after"] = "1";
   return out;
 }
--- a/programs/cli/declare.cpp
+++ b/programs/cli/declare.cpp
@@ -172,6 +172,8 @@
   if (prune)
     for (QJsonValue const v : read(ask, "/v1/templates").body.value("templates").toArray()) families.try_emplace(core::str(v.toString()));
   std::map<std::string, bool> pools;
+  for (QJsonValue const p : read(ask, "/v1/blueprint").body.value("spec").toObject().value("pools").toArray())
+    pools[core::str(p.toObject().value("name").toString())] = true;
   blueprint::PoolKnown const known = [&](std::string const& pool) {
     std::map<std::string, bool>::const_iterator const it = pools.find(pool);
     return it != pools.end() ? it->second : (pools[pool] = read(ask, "/v1/platform/pools/" + pool).status == 200);
--- a/programs/cli/main.cpp
+++ b/programs/cli/main.cpp
@@ -31,6 +31,9 @@
     {"instance-put", "T I FILE", "make or replace an instance (--stamp, 0 for a new one)"},
     {"instance-patch", "T I FILE", "change part of an instance by a merge patch (--stamp)"},
     {"instance-delete", "T I", "remove an instance (--stamp)"},
+    {"blueprint-get", "", "read the whole blueprint"},
+    {"blueprint-put", "FILE", "replace the whole blueprint (--stamp, the version it was built on, 0 when there is none so far)"},
+    {"blueprint-patch", "FILE", "set and drop named items of the whole blueprint (--stamp, the version it was built on)"},
     {"evacuate", "ZONE", "evacuate a zone"},
     {"lift", "ZONE", "lift a zone's evacuation"},
     {"evacuation", "ZONE", "read whether a zone is evacuated"},
@@ -77,6 +80,7 @@
   if (c == "evacuation") return {"GET", "/v1/evacuations/" + words[1], ""};
   if (c == "node-gone") return {"DELETE", "/v1/nodes/" + words[1], ""};
   bool const body = method == "PUT" || method == "PATCH";
+  if (c.rfind("blueprint-", 0) == 0) return {method, "/v1/blueprint", body ? words[1] : ""};
   if (c.rfind("pool-", 0) == 0) return {method, "/v1/platform/pools/" + words[1], body ? words[2] : ""};
   if (c.rfind("template-", 0) == 0) return {method, "/v1/templates/" + words[1], body ? words[2] : ""};
   return {method, "/v1/templates/" + words[1] + "/instances/" + words[2], body ? words[3] : ""};
@@ -125,7 +129,7 @@
   int wait = 0;
   flags.add_options()("substation", po::value(&substations)->default_value({"127.0.0.1:9100"}, "127.0.0.1:9100"),
                       "address of a substation, ip:port; when given more than once, the first that answers")(
-      "stamp", po::value<std::string>(&stamp), "stamp that the change is built on; 0 to make a new one")(
+      "stamp", po::value<std::string>(&stamp), "stamp that the change is built on (of the whole blueprint: its version); 0 to make a new one")(
       "change-id", po::value<std::string>(&changeId), "id of the change; a fresh one when left out")("dry-run", "check the change, change nothing")(
       "prune", "apply and diff: remove what is in force and not declared")(
       "json", "print one JSON object")("limit", po::value<int>(&limit)->default_value(15), "seconds to wait for the answer, 1 to 300")(
--- a/programs/substation/main.cpp
+++ b/programs/substation/main.cpp
@@ -13,6 +13,7 @@
 #include <corkward/door/server.h>
 #include <corkward/ledger/ledger.h>
 #include <corkward/signal/link.h>
+#include <corkward/substation/judge.h>
 #include <corkward/substation/plane.h>
 
 #include "clock.h"
@@ -37,7 +38,7 @@
         log_(std::make_unique<ledger::Ledger>(*folder_)),
         plane_(contactOf(s, "substation"), freshName(), s.seeds, s.founders, seed_),
         link_(this, s.link, [this](signal::Envelope e) { run(plane_.arrived(now(), e.from, e.message)); }, s.listen),
-        server_(s.http, door::Limits{.body = 2U << 20}, events()),
+        server_(s.http, door::Limits{.body = substation::maxWholeBody}, events()),
         disk_(1) {
     lockFolder();
     ledger::Recovered got = log_->recover();
--- a/substation/include/corkward/substation/plane.h
+++ b/substation/include/corkward/substation/plane.h
@@ -32,6 +32,8 @@
   /// Lease of a duty that processes outside ask for, such as the alert watch.
   Tick dutyLease = 15000;
   Tick probeAfter = 400;
+  /// False: a change is answered as soon as it is on a majority of the disks.
+  bool awaitInForce = true;
 };
 
 /// Answers an operator's call that came in at this process's own door.
@@ -160,6 +162,8 @@
   std::map<std::string, Settling> settling_;
   std::map<std::string, signal::Hint> hints_;
   std::map<std::string, Nacelle> nacelles_;
+  /// Pools of the whole blueprint in place.
+  std::set<std::string> wholePools_;
   std::map<std::string, Lease> leases_;
   Tick started_ = 0;
   Tick rosterAt_ = 0;
--- a/substation/src/judge.cpp
+++ b/substation/src/judge.cpp
@@ -127,6 +127,62 @@
   return v;
 }
 
+Verdict replayWhole(std::uint64_t stamp, qint64 version, std::string const& changeId) {
+  Verdict v = replay(200, stamp, changeId);
+  v.body.insert("version", version);
+  return v;
+}
+
+Verdict denyWhole(Verdict v, std::uint64_t stamp, qint64 version) {
+  v.body.insert("version", version);
+  v.body.insert("stamp", static_cast<qint64>(stamp));
+  return v;
+}
+
+Verdict judgeWhole(std::uint64_t stamp, QJsonObject const& current, signal::Call const& call) {
+  QJsonObject const spec = current.value("spec").toObject();
+  qint64 const have = spec.value("version").toInteger();
+  if (call.method == "GET") {
+    if (have == 0) return deny(404, "not found", "no blueprint so far");
+    Verdict v;
+    v.body = QJsonObject{{"spec", spec}, {"version", have}, {"stamp", static_cast<qint64>(stamp)}};
+    return v;
+  }
+  if (call.method != "PUT" && call.method != "PATCH") return deny(405, "method not allowed", "the blueprint is read, put or patched");
+  if (call.ifMatch.empty())
+    return deny(428, "version missing", "say If-Match with the version the change was built on, 0 when there is none so far");
+  try {
+    QJsonObject next = readBody(call);
+    qint64 const version = next.value("version").toInteger();
+    if (call.method == "PUT" && version == have && have > 0 && next == spec) return replayWhole(stamp, have, call.changeId);
+    if (bare(call.ifMatch) != std::to_string(have))
+      return denyWhole(deny(412, "stale version", "built on " + bare(call.ifMatch) + ", but the newest is " + std::to_string(have)), stamp, have);
+    if (call.method == "PATCH" && have == 0) return deny(404, "not found", "no blueprint so far");
+    if (version <= have)
+      return denyWhole(deny(422, "not a valid blueprint", "must be an integer above " + std::to_string(have), "/version"), stamp, have);
+    if (call.method == "PATCH") {
+      next = blueprint::patchWhole(spec, next);
+      if (core::jsonText(next).size() > maxWholeBody) return deny(413, "too large", "the blueprint would pass its limit");
+    }
+    blueprint::readWhole(next);
+    Verdict v;
+    v.status = have == 0 ? 201 : 200;
+    v.body = QJsonObject{{"changeId", core::qstr(call.changeId)}, {"version", version}, {"stamp", static_cast<qint64>(stamp) + 1}};
+    if (call.dryRun) {
+      v.status = 200;
+      v.body.insert("dryRun", true);
+      return v;
+    }
+    v.change = true;
+    v.value = QJsonObject{{"spec", next}};
+    return v;
+  } catch (core::JsonError const& e) {
+    return deny(400, "malformed", e.what(), "/");
+  } catch (blueprint::Error const& e) {
+    return deny(422, "not a valid blueprint", e.reason(), e.pointer());
+  }
+}
+
 Verdict judgePool(std::uint64_t stamp, QJsonObject const& current, signal::Call const& call) {
   if (call.method == "GET") {
     if (stamp == 0) return deny(404, "not found", "no such pool");
@@ -229,6 +285,7 @@
 
 std::optional<Target> targetOf(std::string const& path) {
   std::vector<std::string> const parts = split(path);
+  if (parts.size() == 2 && parts[0] == "v1" && parts[1] == "blueprint") return Target{blueprint::wholeKey, "", ""};
   if (parts.size() < 3 || parts[0] != "v1") return std::nullopt;
   if (parts[1] == "templates" && blueprint::validName(parts[2])) {
     if (parts.size() == 3) return Target{"family:" + parts[2], parts[2], ""};
@@ -253,7 +310,9 @@
     if (call.method == "GET" || call.dryRun || call.changeId.empty() || o.value("id").toString() != core::qstr(call.changeId)) continue;
     if (o.value("digest").toString() != digestOf(call))
       return deny(409, "change id reused", "the id " + call.changeId + " stands for another change");
-    return replay(o.value("status").toInt(), static_cast<std::uint64_t>(o.value("stamp").toInteger()), call.changeId);
+    Verdict again = replay(o.value("status").toInt(), static_cast<std::uint64_t>(o.value("stamp").toInteger()), call.changeId);
+    if (o.contains("version")) again.body.insert("version", o.value("version"));
+    return again;
   }
   QJsonObject bare = value;
   bare.remove("changes");
@@ -262,11 +321,15 @@
               : key.rfind("zone:", 0) == 0 ? judgeZone(stamp, bare, call)
               : key.rfind("alert:", 0) == 0 ? judgeAlert(stamp, bare, call)
               : key == "roster"            ? judgeRoster(stamp, bare, call)
+              : key == blueprint::wholeKey ? judgeWhole(stamp, bare, call)
                                            : deny(404, "not found", "no such key");
   if (!v.change) return v;
-  if (!call.changeId.empty())
-    window.append(QJsonObject{{"id", core::qstr(call.changeId)}, {"digest", digestOf(call)}, {"status", v.status},
-                              {"stamp", static_cast<qint64>(stamp) + 1}});
+  if (!call.changeId.empty()) {
+    QJsonObject entry{{"id", core::qstr(call.changeId)}, {"digest", digestOf(call)}, {"status", v.status},
+                      {"stamp", static_cast<qint64>(stamp) + 1}};
+    if (v.body.contains("version")) entry.insert("version", v.body.value("version"));
+    window.append(entry);
+  }
   while (static_cast<std::size_t>(window.size()) > blueprint::changeWindow) window.removeFirst();
   v.value.insert("changes", window);
   return v;
--- a/substation/src/plane.cpp
+++ b/substation/src/plane.cpp
@@ -38,7 +38,7 @@
       mooring_(mooring::Member{std::move(memberId), self.link}, std::move(founders),
                [this](std::string const& key, std::uint64_t stamp, QJsonObject const& value, signal::Call const& call) {
                  return judge(key, stamp, value, call, [this](std::string const& pool) {
-                   return mooring_.committed().count("pool:" + pool) > 0;
+                   return wholePools_.count(pool) > 0 || mooring_.committed().count("pool:" + pool) > 0;
                  });
                },
                seed ^ 0x77, tuning.mooring) {}
@@ -60,6 +60,11 @@
   for (mooring::Committed const& c : from.commits) {
     journal_.append(now, "committed", c.key);
     if (c.key == rosterKey) rosterCommittedAt_ = now;
+    if (c.key == blueprint::wholeKey) {
+      wholePools_.clear();
+      for (QJsonValue const p : c.value.value("spec").toObject().value("pools").toArray())
+        wholePools_.insert(core::str(p.toObject().value("name").toString()));
+    }
     settling_[c.key] = Settling{c.stamp, now, -1};
     out.notes.push_back(core::Note{"committed", {{"key", c.key}, {"stamp", std::to_string(c.stamp)}}});
   }
@@ -73,7 +78,7 @@
   std::map<std::uint64_t, CallState>::const_iterator const it = calls_.find(d.token);
   if (it == calls_.end()) return;
   bool const replayed = d.body.value("replayed").toBool() && d.status < 300;
-  if (d.stamp == 0 && !replayed) {
+  if (!tuning_.awaitInForce || (d.stamp == 0 && !replayed)) {
     finish(out, now, d.token, d.status, d.body);
     return;
   }
@@ -121,15 +126,17 @@
     return out;
   }
   std::optional<Target> const target = targetOf(call.path);
-  bool const zoneOrPool = target && (target->key.rfind("zone:", 0) == 0 || target->key.rfind("pool:", 0) == 0);
-  bool const known = call.method == "GET" || call.method == "PUT" || call.method == "DELETE" ||
-                     (call.method == "PATCH" && !zoneOrPool);
+  bool const pool = target && target->key.rfind("pool:", 0) == 0;
+  bool const whole = target && target->key == blueprint::wholeKey;
+  bool const patched = target && !pool && target->key.rfind("zone:", 0) != 0;
+  bool const known = call.method == "GET" || call.method == "PUT" || (call.method == "DELETE" && !pool && !whole) ||
+                     (call.method == "PATCH" && patched);
   bool const node = target && target->key == rosterKey;
   if (!target || (node && (target->instance.empty() || call.method != "DELETE"))) {
     out.answers.push_back(Answer{call.token, 404, {{"error", "not found"}, {"reason", "no such page"}}});
-  } else if (!known || (call.method == "DELETE" && target->key.rfind("pool:", 0) == 0)) {
+  } else if (!known) {
     out.answers.push_back(Answer{call.token, 405, {{"error", "method not allowed"}}});
-  } else if (call.body.size() > maxBody) {
+  } else if (call.body.size() > (whole ? maxWholeBody : maxBody)) {
     out.answers.push_back(Answer{call.token, 413, {{"error", "too large"}}});
   } else if (draining_ || calls_.size() >= maxCalls) {
     out.answers.push_back(Answer{call.token, 503, {{"error", "not accepted"}, {"reason", draining_ ? "leaving" : "too many calls in hand"}}});
@@ -142,7 +149,7 @@
     state.call.token = id;
     state.since = now;
     calls_[id] = state;
-    if (call.method == "PUT" && target->key.rfind("pool:", 0) == 0 && !call.dryRun) hint(out, now, call, target->key.substr(5));
+    if (call.method == "PUT" && pool && !call.dryRun) hint(out, now, call, target->key.substr(5));
     route(out, now, id);
   }
   return out;
@@ -615,8 +622,12 @@
     for (std::map<std::string, mooring::Committed>::value_type const& c : mooring_.committed())
       for (QJsonValue const v : c.second.value.value("changes").toArray())
         if (v.toObject().value("id").toString() == id) {
-          QJsonObject const body{{"changeId", id}, {"key", core::qstr(c.first)}, {"status", v.toObject().value("status")},
-                                 {"stamp", v.toObject().value("stamp")}, {"inForce", true}};
+          QJsonObject body{{"changeId", id}, {"key", core::qstr(c.first)}, {"status", v.toObject().value("status")},
+                           {"stamp", v.toObject().value("stamp")}};
+          if (v.toObject().contains("version")) body.insert("version", v.toObject().value("version"));
+          status = 200;
+          if (!tuning_.awaitInForce) return body;
+          body.insert("inForce", true);
           std::map<std::string, Settling>::const_iterator const s = settling_.find(c.first);
           bool const force = s != settling_.end() && s->second.stamp == c.second.stamp && isInForce(now, c.first, s->second);
           status = force ? 200 : 504;
