--- a/door/src/operator_mapping.cpp
+++ b/door/src/operator_mapping.cpp
@@ -31,7 +31,8 @@
 
 WholeAnswer OwnOperatorMapping::answer(signal::Call const&, int status, QJsonObject const& body) const {
   WholeAnswer out{status, {{"content-type", "application/json"}}, core::jsonText(body) + "\n"};
-  if (body.contains("stamp") && status < 300) out.fields.emplace_back("etag", "\"" + std::to_string(body.value("stamp").toInteger()) + "\"");
+  char const* const tag = body.contains("version") ? "version" : "stamp";
+  if (body.contains(tag) && status < 300) out.fields.emplace_back("etag", "\"" + std::to_string(body.value(tag).toInteger()) + "\"");
   if (status == 503) out.fields.emplace_back("retry-after", "1");
   return out;
 }
--- a/programs/substation/substation_program.h
+++ b/programs/substation/substation_program.h
@@ -13,6 +13,7 @@
 #include <corkward/door/server.h>
 #include <corkward/ledger/ledger.h>
 #include <corkward/signal/link.h>
+#include <corkward/substation/judge.h>
 #include <corkward/substation/plane.h>
 
 #include "process.h"
@@ -26,7 +27,7 @@
 struct SubstationSurface {
   /// Where operators and the platform are listened for, all served alike; empty: at Settings::http.
   std::vector<std::string> http = {};
-  door::Limits limits = door::Limits{.body = 2U << 20};
+  door::Limits limits = door::Limits{.body = substation::maxWholeBody};
   /// How often the plane is told the time, in milliseconds.
   int clockEveryMs = 25;
   /// Answers a request that is none of an operator's; false: it is one.
