--- a/blueprint/include/corkward/blueprint/blueprint.h
+++ b/blueprint/include/corkward/blueprint/blueprint.h
@@ -111,7 +111,9 @@
 /// {"version", "set": {"paths": [...], "pools": [...]}, "drop": {"paths": [names], "pools": [names]}}; throws Error.
 QJsonObject patchWhole(QJsonObject const& current, QJsonObject const& patch);
 
-/// Limits of a blueprint.
+/// Limits of a blueprint; texts in bytes.
+inline constexpr std::size_t maxText = 128;
+inline constexpr std::size_t maxPools = 2000;
 inline constexpr std::size_t maxPaths = 10000;
 inline constexpr std::size_t maxInstances = 2000;
 inline constexpr std::size_t maxRendered = 100000;
@@ -142,6 +144,9 @@
   ReplicaState state = ReplicaState::serving;
 };
 
+/// Name of a replica within its pool: its address, and its life where the platform tells it.
+inline std::string lifeName(Replica const& r) { return r.id.empty() ? r.address : r.address + "|" + r.id; }
+
 /// The platform's list of one pool.
 struct Pool {
   std::uint64_t generation = 0;
@@ -153,5 +158,7 @@
 Pool readPool(QJsonObject const& value);
 /// The same from a value as it is kept, with the ids of its changes.
 Pool keptPool(QJsonObject value);
+/// The list as readPool reads it.
+QJsonObject poolJson(Pool const& pool);
 
 }  // namespace corkward::blueprint
--- a/door/test/door_test.cpp
+++ b/door/test/door_test.cpp
@@ -1,7 +1,5 @@
 #include <catch2/catch.hpp>
 
-#include <QCoreApplication>
-#include <QEventLoop>
 #include <QHostAddress>
 #include <QTcpServer>
 #include <QTcpSocket>
@@ -11,26 +9,15 @@
 #include <corkward/door/relay.h>
 #include <corkward/door/server.h>
 
+#include "turn.h"
+
 namespace core = corkward::core;
 namespace door = corkward::door;
+using corkward::door::test::application;
+using corkward::door::test::until;
 
 namespace {
 
-void application() {
-  static int argc = 0;
-  static QCoreApplication app(argc, nullptr);
-}
-
-/// Turns the event loop until the condition holds; false when it never does.
-template <class Condition>
-bool until(Condition condition) {
-  for (int turns = 0; turns < 200000; ++turns) {
-    if (condition()) return true;
-    QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents | QEventLoop::AllEvents, 50);
-  }
-  return false;
-}
-
 /// A replica that says exactly the given bytes and then closes, or stays.
 class Raw {
  public:
@@ -63,9 +50,9 @@
   QObject owner;
   door::Relay* relay = nullptr;
   door::Relay::Events e;
-  e.connected = [&] { relay->send("x", {}, "{}"); };
+  e.connected = [&] { relay->send({"POST", "/x"}, "{}"); };
   e.denied = [&] { got.denied = true; };
-  e.head = [&](corkward::rotor::Head h) { got.status = h.status; };
+  e.head = [&](door::ReplicaHead h) { got.status = h.status; };
   e.piece = [&](std::string bytes) { got.body += bytes; };
   e.ended = [&](bool whole) { got.ended = whole ? 1 : 0; };
   relay = new door::Relay(address, std::move(e), &owner);
@@ -111,9 +98,9 @@
   int ended = -1;
   bool paused = false;
   door::Relay::Events e;
-  e.connected = [&] { relay->send("x", {}, "{}"); };
+  e.connected = [&] { relay->send({"POST", "/x"}, "{}"); };
   e.denied = [] {};
-  e.head = [](corkward::rotor::Head) {};
+  e.head = [](door::ReplicaHead) {};
   e.piece = [&](std::string bytes) {
     got += bytes.size();
     if (got > (1 << 20) && !paused) {
--- a/substation/src/plane.cpp
+++ b/substation/src/plane.cpp
@@ -38,7 +38,7 @@
       mooring_(mooring::Member{std::move(memberId), self.link}, std::move(founders),
                [this](std::string const& key, std::uint64_t stamp, QJsonObject const& value, signal::Call const& call) {
                  return judge(key, stamp, value, call, [this](std::string const& pool) {
-                   return mooring_.committed().count("pool:" + pool) > 0;
+                   return wholePools_.count(pool) > 0 || mooring_.committed().count("pool:" + pool) > 0;
                  });
                },
                seed ^ 0x77, tuning.mooring) {}
@@ -60,6 +60,11 @@
   for (mooring::Committed const& c : from.commits) {
     journal_.append(now, "committed", c.key);
     if (c.key == rosterKey) rosterCommittedAt_ = now;
+    if (c.key == blueprint::wholeKey) {
+      wholePools_.clear();
+      for (QJsonValue const p : c.value.value("spec").toObject().value("pools").toArray())
+        wholePools_.insert(core::str(p.toObject().value("name").toString()));
+    }
     settling_[c.key] = Settling{c.stamp, now, -1};
     out.notes.push_back(core::Note{"committed", {{"key", c.key}, {"stamp", std::to_string(c.stamp)}}});
   }
@@ -73,7 +78,7 @@
   std::map<std::uint64_t, CallState>::const_iterator const it = calls_.find(d.token);
   if (it == calls_.end()) return;
   bool const replayed = d.body.value("replayed").toBool() && d.status < 300;
-  if (d.stamp == 0 && !replayed) {
+  if (!tuning_.awaitInForce || (d.stamp == 0 && !replayed)) {
     finish(out, now, d.token, d.status, d.body);
     return;
   }
@@ -121,15 +126,17 @@
     return out;
   }
   std::optional<Target> const target = targetOf(call.path);
-  bool const zoneOrPool = target && (target->key.rfind("zone:", 0) == 0 || target->key.rfind("pool:", 0) == 0);
-  bool const known = call.method == "GET" || call.method == "PUT" || call.method == "DELETE" ||
-                     (call.method == "PATCH" && !zoneOrPool);
+  bool const pool = target && target->key.rfind("pool:", 0) == 0;
+  bool const whole = target && target->key == blueprint::wholeKey;
+  bool const patched = target && !pool && target->key.rfind("zone:", 0) != 0;
+  bool const known = call.method == "GET" || call.method == "PUT" || (call.method == "DELETE" && !pool && !whole) ||
+                     (call.method == "PATCH" && patched);
   bool const node = target && target->key == rosterKey;
   if (!target || (node && (target->instance.empty() || call.method != "DELETE"))) {
     out.answers.push_back(Answer{call.token, 404, {{"error", "not found"}, {"reason", "no such page"}}});
-  } else if (!known || (call.method == "DELETE" && target->key.rfind("pool:", 0) == 0)) {
+  } else if (!known) {
     out.answers.push_back(Answer{call.token, 405, {{"error", "method not allowed"}}});
-  } else if (call.body.size() > maxBody) {
+  } else if (call.body.size() > (whole ? maxWholeBody : maxBody)) {
     out.answers.push_back(Answer{call.token, 413, {{"error", "too large"}}});
   } else if (draining_ || calls_.size() >= maxCalls) {
     out.answers.push_back(Answer{call.token, 503, {{"error", "not accepted"}, {"reason", draining_ ? "leaving" : "too many calls in hand"}}});
@@ -142,24 +149,69 @@
     state.call.token = id;
     state.since = now;
     calls_[id] = state;
-    if (call.method == "PUT" && target->key.rfind("pool:", 0) == 0 && !call.dryRun) hint(out, now, call, target->key.substr(5));
+    if (call.method == "PUT" && pool && !call.dryRun) {
+      try {
+        hint(out, now, target->key.substr(5), blueprint::readPool(core::parseJson(call.body).toObject()));
+      } catch (core::Error const&) {
+        journal_.append(now, "unreadable_list", target->key);
+      }
+    }
     route(out, now, id);
   }
   return out;
 }
 
-void Plane::hint(Commands& out, Tick now, signal::Call const& call, std::string const& pool) {
-  try {
-    blueprint::Pool const next = blueprint::readPool(core::parseJson(call.body).toObject());
-    signal::Hint h{pool, next.generation, {}, {}};
-    for (blueprint::Replica const& r : next.replicas) {
-      if (r.state == blueprint::ReplicaState::serving) h.serving.push_back(r.address);
-      if (r.state == blueprint::ReplicaState::cold) h.cold.push_back(r.address);
+void Plane::hint(Commands& out, Tick now, std::string const& pool, blueprint::Pool const& list) {
+  signal::Hint h{pool, list.generation, {}, {}};
+  for (blueprint::Replica const& r : list.replicas) {
+    if (r.state == blueprint::ReplicaState::serving) h.serving.push_back(blueprint::lifeName(r));
+    if (r.state == blueprint::ReplicaState::cold) h.cold.push_back(blueprint::lifeName(r));
+  }
+  on(out, now, "", h);
+}
+
+Commands Plane::platformLists(Tick now, std::map<std::string, blueprint::Pool> const& lists) {
+  Commands out;
+  std::map<std::string, blueprint::Pool> all = lists;
+  for (std::map<std::string, mooring::Committed>::value_type const& c : mooring_.committed())
+    if (c.first.rfind("pool:", 0) == 0) all.try_emplace(c.first.substr(5));
+  for (std::map<std::string, blueprint::Pool>::value_type& p : all) {
+    std::string const key = "pool:" + p.first;
+    std::map<std::string, mooring::Committed>::const_iterator const it = mooring_.committed().find(key);
+    QJsonObject const next = blueprint::poolJson(p.second);
+    QJsonObject have = it == mooring_.committed().end() ? QJsonObject() : it->second.value;
+    have.remove("changes");
+    have.remove("generation");
+    QJsonObject bare = next;
+    bare.remove("generation");
+    if (have == bare) {
+      hints_.erase(p.first);
+      continue;
     }
-    on(out, now, "", h);
-  } catch (core::Error const&) {
-    return;
+    std::map<std::string, signal::Hint>::const_iterator const hinted = hints_.find(p.first);
+    p.second.generation = std::max(generationOf(p.first), hinted == hints_.end() ? 0 : hinted->second.generation) + 1;
+    hint(out, now, p.first, p.second);
+    std::map<std::string, std::uint64_t>::const_iterator const before = listCalls_.find(p.first);
+    if (draining_ || calls_.size() >= maxCalls || (before != listCalls_.end() && calls_.count(before->second) > 0)) continue;
+    std::uint64_t const id = nextCall_++;
+    CallState state;
+    state.key = key;
+    state.call.token = id;
+    state.call.method = "PUT";
+    state.call.path = "/v1/platform/pools/" + p.first;
+    state.call.body = core::jsonText(blueprint::poolJson(p.second));
+    state.since = now;
+    calls_[id] = state;
+    listCalls_[p.first] = id;
+    route(out, now, id);
   }
+  return out;
+}
+
+bool Plane::readsLists(Tick now) const {
+  if (draining_ || mooring_.cohort().empty()) return false;
+  std::string const owner = mooring_.ownerLink(rosterKey, now);
+  return owner == mooring_.self().link || (owner.empty() && mooring_.cohort().front().id == mooring_.self().id);
 }
 
 std::uint64_t Plane::generationOf(std::string const& pool) const {
@@ -263,6 +315,7 @@
   n.contact = m.self;
   if (m.wantWhole && n.wantWhole < 0) n.wantWhole = now;
   if (!m.wantWhole) n.wantWhole = -1;
+  n.anyWhole = m.anyWhole;
   signal::Confirm c;
   c.tick = m.tick;
   Tick const age = mooring_.majorityAge(now);
@@ -294,7 +347,8 @@
 void Plane::push(Commands& out, Tick now, std::string const& link, Nacelle& n) {
   if (n.heard < 0 || now - n.heard > 10000) return;
   Tick const age = mooring_.majorityAge(now);
-  bool const whole = n.wantWhole >= 0 && age >= 0 && now - age >= n.wantWhole;
+  bool const confirmed = age >= 0 && now - age >= n.wantWhole;
+  bool const whole = n.wantWhole >= 0 && (n.anyWhole ? !mooring_.committed().empty() : confirmed);
   signal::News news;
   news.whole = whole;
   for (std::map<std::string, mooring::Committed>::value_type const& k : mooring_.committed()) {
@@ -615,8 +669,12 @@
     for (std::map<std::string, mooring::Committed>::value_type const& c : mooring_.committed())
       for (QJsonValue const v : c.second.value.value("changes").toArray())
         if (v.toObject().value("id").toString() == id) {
-          QJsonObject const body{{"changeId", id}, {"key", core::qstr(c.first)}, {"status", v.toObject().value("status")},
-                                 {"stamp", v.toObject().value("stamp")}, {"inForce", true}};
+          QJsonObject body{{"changeId", id}, {"key", core::qstr(c.first)}, {"status", v.toObject().value("status")},
+                           {"stamp", v.toObject().value("stamp")}};
+          if (v.toObject().contains("version")) body.insert("version", v.toObject().value("version"));
+          status = 200;
+          if (!tuning_.awaitInForce) return body;
+          body.insert("inForce", true);
           std::map<std::string, Settling>::const_iterator const s = settling_.find(c.first);
           bool const force = s != settling_.end() && s->second.stamp == c.second.stamp && isInForce(now, c.first, s->second);
           status = force ? 200 : 504;
