Rank requests at the replica by the length of their prompts

Cause: first words late by 0.5 to 1.4 s came from replicas that were reading a prompt of 20,000 to 60,000 tokens (112 tokens a ms); held at the node: 0 to 5 ms, so admission was ruled out. Short prompts now go ahead at the replica (urgency 1 under 4,000 tokens, 3 under 16,000, else 5).

--- a/rotor/include/corkward/rotor/plane.h
+++ b/rotor/include/corkward/rotor/plane.h
@@ -56,6 +56,10 @@
   double comeBack = 1.0;
   /// A draining node goes on taking requests for this long, until callers are sent elsewhere.
   Tick drainServe = 0;
+  /// At the replica short prompts go ahead of long ones, whatever the path's own rank.
+  bool ranksBySize = false;
+  std::int64_t shortTokens = 4000;
+  std::int64_t longTokens = 16000;
   /// Repeats that all nodes together may spend beyond their share, in ten seconds.
   double retryAllowance = governor::RetryBudget::allowance;
   int resumes = 2;
--- a/rotor/src/calls.cpp
+++ b/rotor/src/calls.cpp
@@ -446,7 +446,13 @@
   std::vector<Part> const& parts = call.request.parts;
   std::optional<blueprint::PoolTerms> const& terms = poolViews_[call.pool].terms;
   for (std::size_t i = 0; i + 1 < parts.size(); ++i) kept_.sent(call.replica, parts[i].hash, parts[i].tokens, terms ? terms->tokens / 2 : 0);
-  return HandOver{id, replicas_[call.replica].id, std::max<Tick>(call.until - now, 1), rows_[call.path].path.urgency};
+  int rank = rows_[call.path].path.urgency;
+  if (!parts.empty() && tuning_.ranksBySize) {
+    std::int64_t tokens = 0;
+    for (Part const& p : parts) tokens += p.tokens;
+    rank = tokens < tuning_.shortTokens ? 1 : tokens < tuning_.longTokens ? 3 : 5;
+  }
+  return HandOver{id, replicas_[call.replica].id, std::max<Tick>(call.until - now, 1), rank};
 }
 
 bool Plane::mayGoOn(Tick now, Call const& call) const {
--- a/rotor/src/news.cpp
+++ b/rotor/src/news.cpp
@@ -82,7 +82,7 @@
 }
 
 bool Plane::standing(Tick now) const {
-  if (!tuning_.fenced) return whole_;
+  if (!tuning_.fenced) return whole_ && !rows_.empty();
   std::vector<std::string> const& others = rosterOthers();
   std::size_t const size = rosterSize();
   if (!whole_ || !roster_.self || roster_.joining) return false;
