Test the whole blueprint: every invalid case, races, replays, random load over three members

Cause: the new page had no tests of its own. Ruled out: a change sent again after 64 later ones is judged anew, as documented; the test stays within.

--- a/blueprint/src/checks.h
+++ b/blueprint/src/checks.h
@@ -12,11 +12,11 @@
 
 /// Denies fields that are not among the allowed ones.
 inline void onlyFields(QJsonObject const& o, std::initializer_list<char const*> allowed, std::string const& at) {
-  for (QJsonObject::const_iterator it = o.begin(); it != o.end(); ++it) {
-    QString const k = it.key();
+  qsizetype const known = std::count_if(allowed.begin(), allowed.end(), [&](char const* a) { return o.contains(QLatin1String(a)); });
+  if (known == o.size()) return;
+  for (QString const& k : o.keys())
     if (std::none_of(allowed.begin(), allowed.end(), [&](char const* a) { return k == QLatin1String(a); }))
       throw Error(at + "/" + core::str(k), "unknown field");
-  }
 }
 
 /// True for a number without a fraction, 3.0 among them.
--- /dev/null
+++ b/blueprint/test/whole_test.cpp
@@ -0,0 +1,241 @@
+#include <catch2/catch.hpp>
+
+#include <QJsonArray>
+#include <functional>
+
+#include <corkward/blueprint/blueprint.h>
+#include <corkward/core/json.h>
+
+namespace core = corkward::core;
+namespace blueprint = corkward::blueprint;
+
+namespace {
+
+QJsonObject object(std::string const& text) { return core::parseJson(text).toObject(); }
+
+constexpr char const* pools = R"([{"name":"big","standing":"/health","connections":650,"coldRate":2.5,"coldMs":3000,"slots":128,"tokens":729140,"extra":{"weights":[1]}},
+  {"name":"small"}])";
+
+std::string path(std::string const& fields) {
+  return R"({"version":7,"pools":)" + std::string(pools) + R"(,"paths":[{"name":"p","host":"h","prefix":"/a/","kind":"once","deadlineMs":3000,"pool":"big")" +
+         (fields.empty() ? "" : "," + fields) + "}]}";
+}
+
+std::string without(std::string const& field, std::string const& instead = "") {
+  QJsonObject spec = object(path(""));
+  QJsonArray paths = spec.value("paths").toArray();
+  QJsonObject row = paths.first().toObject();
+  row.remove(core::qstr(field));
+  if (!instead.empty()) {
+    QJsonObject const more = object(instead);
+    for (QString const& k : more.keys()) row.insert(k, more.value(k));
+  }
+  paths.replace(0, row);
+  spec.insert("paths", paths);
+  return core::jsonText(spec);
+}
+
+std::string faultOf(std::string const& spec) {
+  try {
+    blueprint::readWhole(object(spec));
+  } catch (blueprint::Error const& e) {
+    return e.pointer();
+  }
+  return "";
+}
+
+std::string faultOf(char const* current, char const* patch) {
+  try {
+    blueprint::patchWhole(object(current), object(patch));
+  } catch (blueprint::Error const& e) {
+    return e.pointer();
+  }
+  return "";
+}
+
+blueprint::Path read(std::string const& fields) { return blueprint::readWhole(object(path(fields))).paths.at(0); }
+
+}  // namespace
+
+TEST_CASE("a whole blueprint is read with its defaults") {
+  blueprint::Whole const w = blueprint::readWhole(object(
+      R"({"version":7.0,"pools":)" + std::string(pools) + R"(,"door":{"headBytes":16384,"bodyBytes":4194304,"headMs":3000,"idleMs":15000},"extra":{"x":[1,{}]},
+      "paths":[{"name":"Pfad 1/ü","host":"a.example","prefix":"/x/","kind":"stream","deadlineMs":15000.0,"aimMs":800,"gapAimMs":400,"urgency":0,
+                "tries":2,"resumable":true,"affine":true,"shares":[{"pool":"small","share":0},{"pool":"big","share":90},{"pool":"small","share":10.0}],"extra":{"a":1}},
+               {"name":"b","host":"a.example","prefix":"/","kind":"repeatable","deadlineMs":1500,"pool":"small"}]})"));
+  CHECK(w.version == 7);
+  REQUIRE(w.paths.size() == 2);
+  blueprint::Path const& a = w.paths[0];
+  CHECK(a.instance == "Pfad 1/ü");
+  CHECK(a.path.empty());
+  CHECK((a.host == "a.example" && a.prefix == "/x/"));
+  CHECK((a.stream && a.resumable && a.repeatable));
+  CHECK((a.deadline == 15000 && a.aim == 800 && a.gapAim == 400 && a.urgency == 0 && a.tries == 2));
+  REQUIRE(a.shares.size() == 2);
+  CHECK((a.shares[0].pool == "big" && a.shares[0].weight == 90 && a.shares[1].pool == "small" && a.shares[1].weight == 10));
+  CHECK(a.pool == "big");
+  CHECK(a.cls == blueprint::Class::bulk);
+  blueprint::Path const& b = w.paths[1];
+  CHECK((b.repeatable && !b.stream && !b.resumable && b.tries == 1 && b.urgency == 5 && b.gapAim == 0));
+  CHECK((b.cls == blueprint::Class::quick && b.aim == 800));
+  CHECK((b.shares.size() == 1 && b.shares[0].pool == "small" && b.shares[0].weight == 1));
+  REQUIRE(w.pools.size() == 2);
+  CHECK((w.pools[0].connections == 650 && w.pools[0].coldRate == 2.5 && w.pools[0].coldFor == 3000 && w.pools[0].slots == 128 && w.pools[0].tokens == 729140));
+  CHECK((w.pools[1].connections == 0 && w.pools[1].coldRate == 0));
+  CHECK((w.door.headBytes == 16384 && w.door.bodyBytes == 4194304 && w.door.headMs == 3000 && w.door.idleMs == 15000));
+}
+
+TEST_CASE("a path's class follows from its aim and its deadline") {
+  CHECK(read(R"("aimMs":400)").cls == blueprint::Class::urgent);
+  CHECK(read(R"("aimMs":401)").cls == blueprint::Class::quick);
+  CHECK(read(R"("aimMs":0)").cls == blueprint::Class::quick);
+  blueprint::Path const slow = blueprint::readWhole(object(without("deadlineMs", R"({"deadlineMs":10000})"))).paths.at(0);
+  CHECK((slow.cls == blueprint::Class::bulk && slow.aim == 2500));
+  CHECK(blueprint::readWhole(object(without("deadlineMs", R"({"deadlineMs":9999})"))).paths.at(0).cls == blueprint::Class::quick);
+  CHECK(blueprint::readWhole(object(without("deadlineMs", R"({"deadlineMs":20000,"aimMs":100})"))).paths.at(0).cls == blueprint::Class::urgent);
+}
+
+TEST_CASE("only a stream can be resumable, and only what may run again is repeatable") {
+  CHECK_FALSE(read(R"("resumable":true)").resumable);
+  CHECK_FALSE(read("").repeatable);
+  blueprint::Path const plain = blueprint::readWhole(object(without("kind", R"({"kind":"stream"})"))).paths.at(0);
+  CHECK((plain.stream && !plain.resumable && !plain.repeatable));
+  blueprint::Path const resumed = blueprint::readWhole(object(without("kind", R"({"kind":"stream","resumable":true})"))).paths.at(0);
+  CHECK((resumed.stream && resumed.resumable && resumed.repeatable));
+  CHECK_FALSE(blueprint::readWhole(object(without("kind", R"({"kind":"repeatable","resumable":true})"))).paths.at(0).resumable);
+}
+
+TEST_CASE("what is not a valid whole blueprint is denied with its place") {
+  std::string const longText(129, 'x');
+  struct Row {
+    std::string spec;
+    char const* pointer;
+  };
+  std::string const at = R"("name":"p","host":"h","prefix":"/a/","kind":"once","deadlineMs":3000,"pool":"a")";
+  std::function<std::string(std::string const&)> const rowsOf = [](std::string const& rows) {
+    return R"({"version":1,"pools":[{"name":"a"}],"paths":[)" + rows + "]}";
+  };
+  std::function<std::string(std::string const&)> const poolsOf = [](std::string const& rows) {
+    return R"({"version":1,"paths":[],"pools":[)" + rows + "]}";
+  };
+  Row const rows[] = {
+      {"{}", "/version"},
+      {R"({"version":0,"paths":[],"pools":[]})", "/version"},
+      {R"({"version":-3,"paths":[],"pools":[]})", "/version"},
+      {R"({"version":1.5,"paths":[],"pools":[]})", "/version"},
+      {R"({"version":"1","paths":[],"pools":[]})", "/version"},
+      {R"({"version":1e300,"paths":[],"pools":[]})", "/version"},
+      {R"({"version":1,"pools":[]})", "/paths"},
+      {R"({"version":1,"paths":[]})", "/pools"},
+      {R"({"version":1,"paths":{},"pools":[]})", "/paths"},
+      {R"({"version":1,"paths":[],"pools":[],"surprise":1})", "/surprise"},
+      {R"({"version":1,"paths":[],"pools":[],"extra":7})", "/extra"},
+      {R"({"version":1,"paths":[],"pools":[],"door":[]})", "/door"},
+      {R"({"version":1,"paths":[],"pools":[],"door":{"headBytes":-1}})", "/door/headBytes"},
+      {R"({"version":1,"paths":[],"pools":[],"door":{"surprise":1}})", "/door/surprise"},
+      {poolsOf("7"), "/pools/0"},
+      {poolsOf("{}"), "/pools/0/name"},
+      {poolsOf(R"({"name":""})"), "/pools/0/name"},
+      {poolsOf(R"({"name":")" + longText + R"("})"), "/pools/0/name"},
+      {poolsOf(R"({"name":"a"},{"name":"a"})"), "/pools/1/name"},
+      {poolsOf(R"({"name":"a","surprise":1})"), "/pools/0/surprise"},
+      {poolsOf(R"({"name":"a","standing":"health"})"), "/pools/0/standing"},
+      {poolsOf(R"({"name":"a","standing":1})"), "/pools/0/standing"},
+      {poolsOf(R"({"name":"a","connections":-1})"), "/pools/0/connections"},
+      {poolsOf(R"({"name":"a","coldRate":-0.5})"), "/pools/0/coldRate"},
+      {poolsOf(R"({"name":"a","coldRate":"2"})"), "/pools/0/coldRate"},
+      {poolsOf(R"({"name":"a","coldMs":0.5})"), "/pools/0/coldMs"},
+      {poolsOf(R"({"name":"a","slots":"8"})"), "/pools/0/slots"},
+      {poolsOf(R"({"name":"a","tokens":-8})"), "/pools/0/tokens"},
+      {poolsOf(R"({"name":"a","extra":[]})"), "/pools/0/extra"},
+      {rowsOf("[]"), "/paths/0"},
+      {rowsOf("{" + at + R"(,"surprise":1})"), "/paths/0/surprise"},
+      {rowsOf("{" + at + R"(},{"name":"p","host":"h","prefix":"/b/","kind":"once","deadlineMs":3000,"pool":"a"})"), "/paths/1/name"},
+      {rowsOf("{" + at + R"(},{"name":"q","host":"h","prefix":"/a/","kind":"stream","deadlineMs":30,"pool":"a"})"), "/paths/1/prefix"},
+      {without("name"), "/paths/0/name"},
+      {without("name", R"({"name":")" + longText + R"("})"), "/paths/0/name"},
+      {without("host"), "/paths/0/host"},
+      {without("host", R"({"host":7})"), "/paths/0/host"},
+      {without("prefix"), "/paths/0/prefix"},
+      {without("prefix", R"({"prefix":"a/"})"), "/paths/0/prefix"},
+      {without("prefix", R"({"prefix":"/a"})"), "/paths/0/prefix"},
+      {without("kind"), "/paths/0/kind"},
+      {without("kind", R"({"kind":"twice"})"), "/paths/0/kind"},
+      {without("deadlineMs"), "/paths/0/deadlineMs"},
+      {without("deadlineMs", R"({"deadlineMs":0})"), "/paths/0/deadlineMs"},
+      {without("deadlineMs", R"({"deadlineMs":-1})"), "/paths/0/deadlineMs"},
+      {without("deadlineMs", R"({"deadlineMs":"3000"})"), "/paths/0/deadlineMs"},
+      {without("deadlineMs", R"({"deadlineMs":null})"), "/paths/0/deadlineMs"},
+      {path(R"("aimMs":-1)"), "/paths/0/aimMs"},
+      {path(R"("gapAimMs":true)"), "/paths/0/gapAimMs"},
+      {path(R"("urgency":10)"), "/paths/0/urgency"},
+      {path(R"("urgency":-1)"), "/paths/0/urgency"},
+      {path(R"("tries":0)"), "/paths/0/tries"},
+      {path(R"("resumable":1)"), "/paths/0/resumable"},
+      {path(R"("affine":"yes")"), "/paths/0/affine"},
+      {path(R"("extra":"x")"), "/paths/0/extra"},
+      {without("pool"), "/paths/0/pool"},
+      {without("pool", R"({"pool":"nowhere"})"), "/paths/0/pool"},
+      {path(R"("shares":[{"pool":"big","share":1}])"), "/paths/0/shares"},
+      {without("pool", R"({"shares":{}})"), "/paths/0/shares"},
+      {without("pool", R"({"shares":[]})"), "/paths/0/shares"},
+      {without("pool", R"({"shares":[{"pool":"big","share":0},{"pool":"small","share":0}]})"), "/paths/0/shares"},
+      {without("pool", R"({"shares":[{"pool":"big","share":2},{"pool":"small","share":-1}]})"), "/paths/0/shares/1/share"},
+      {without("pool", R"({"shares":[{"pool":"big"}]})"), "/paths/0/shares/0/share"},
+      {without("pool", R"({"shares":[{"pool":"big","share":1},{"pool":"nowhere","share":0}]})"), "/paths/0/shares/1/pool"},
+      {without("pool", R"({"shares":[{"pool":"big","share":1,"surprise":1}]})"), "/paths/0/shares/0/surprise"},
+      {without("pool", R"({"shares":[1]})"), "/paths/0/shares/0"}};
+  CHECK(faultOf(path("")).empty());
+  for (Row const& r : rows) {
+    INFO(r.spec);
+    CHECK(faultOf(r.spec) == r.pointer);
+  }
+}
+
+TEST_CASE("a patch replaces in place, appends and drops, and says the new version") {
+  char const* const current = R"({"version":3,"extra":{"old":1},"door":{"headMs":5},"pools":[{"name":"a"},{"name":"b"}],
+    "paths":[{"name":"x","n":1},{"name":"y","n":2},{"name":"z","n":3}]})";
+  QJsonObject const out = blueprint::patchWhole(object(current), object(R"({"version":9,"set":{"paths":[{"name":"new","n":7},{"name":"y","n":8}]},
+    "drop":{"paths":["x","never"],"pools":["a"]},"extra":{"fresh":2}})"));
+  CHECK(out == object(R"({"version":9,"extra":{"fresh":2},"door":{"headMs":5},"pools":[{"name":"b"}],
+    "paths":[{"name":"y","n":8},{"name":"z","n":3},{"name":"new","n":7}]})"));
+  CHECK(blueprint::patchWhole(object(current), object(R"({"version":4,"door":{}})")).value("door").toObject().isEmpty());
+  CHECK(faultOf(current, R"({"set":{}})") == "/version");
+  CHECK(faultOf(current, R"({"version":4,"surprise":{}})") == "/surprise");
+  CHECK(faultOf(current, R"({"version":4,"set":[]})") == "/set");
+  CHECK(faultOf(current, R"({"version":4,"set":{"door":{}}})") == "/set/door");
+  CHECK(faultOf(current, R"({"version":4,"set":{"paths":{}}})") == "/set/paths");
+  CHECK(faultOf(current, R"({"version":4,"set":{"paths":[7]}})") == "/set/paths/0");
+  CHECK(faultOf(current, R"({"version":4,"set":{"paths":[{}]}})") == "/set/paths/0/name");
+  CHECK(faultOf(current, R"({"version":4,"set":{"paths":[{"name":"x"},{"name":"x"}]}})") == "/set/paths/1/name");
+  CHECK(faultOf(current, R"({"version":4,"drop":{"pools":[7]}})") == "/drop/pools/0");
+  CHECK(faultOf(current, R"({"version":4,"set":{"paths":[{"name":"x"}]},"drop":{"paths":["x"]}})") == "/drop/paths/0");
+}
+
+TEST_CASE("a rendered path shares its requests over its one pool") {
+  QJsonObject const family{{"template", object(R"({"spec":{"paths":[{"path":"a","pool":"model","class":"short"}]},"stamp":1})")},
+                           {"instances", object(R"({"i":{"spec":{},"stamp":2}})")}};
+  blueprint::Path const p = blueprint::render("t", family).at(0);
+  REQUIRE(p.shares.size() == 1);
+  CHECK((p.shares[0].pool == "model" && p.shares[0].weight == 1));
+}
+
+TEST_CASE("a replica may have a name of its own life") {
+  blueprint::Pool const p = blueprint::readPool(object(
+      R"({"generation":1,"replicas":[{"id":"i-7f","address":"127.0.0.1:80","zone":"z","state":"cold"},{"address":"127.0.0.1:81","zone":"z","state":"cold"}]})"));
+  CHECK((p.replicas.at(0).id == "i-7f" && p.replicas.at(1).id.empty()));
+  std::function<std::string(std::string const&, std::string const&)> const fault = [](std::string const& one, std::string const& two) -> std::string {
+    try {
+      blueprint::readPool(object(R"({"generation":1,"replicas":[{"id":)" + one + R"(,"address":"127.0.0.1:80","zone":"z","state":"cold"},{"id":)" + two +
+                                 R"(,"address":"127.0.0.1:81","zone":"z","state":"cold"}]})"));
+    } catch (blueprint::Error const& e) {
+      return e.pointer();
+    }
+    return "";
+  };
+  CHECK(fault(R"("a")", R"("b")").empty());
+  CHECK(fault(R"("a")", R"("a")") == "/replicas/1/id");
+  CHECK(fault(R"("")", R"("a")") == "/replicas/0/id");
+  CHECK(fault("7", R"("a")") == "/replicas/0/id");
+  CHECK(fault("\"" + std::string(129, 'x') + "\"", R"("a")") == "/replicas/0/id");
+}
--- a/core/src/json.cpp
+++ b/core/src/json.cpp
@@ -2,7 +2,9 @@
 #include <corkward/core/json.h>
 
 #include <QJsonDocument>
+#include <algorithm>
 #include <simdjson.h>
+#include <vector>
 
 namespace corkward::core {
 
@@ -10,39 +12,21 @@
 
 constexpr int maxDepth = 32;
 
-QJsonValue convert(simdjson::dom::element const e, int depth) {
+/// Denies what the values of Qt cannot hold or would hold differently.
+void check(simdjson::dom::element const e, int depth) {
   if (depth > maxDepth) throw JsonError("nested deeper than 32");
-  switch (e.type()) {
-    case simdjson::dom::element_type::ARRAY: {
-      QJsonArray out;
-      for (simdjson::dom::element const item : simdjson::dom::array(e)) out.append(convert(item, depth + 1));
-      return out;
-    }
-    case simdjson::dom::element_type::OBJECT: {
-      QJsonObject out;
-      for (simdjson::dom::key_value_pair const field : simdjson::dom::object(e)) {
-        QString const key = QString::fromUtf8(field.key.data(), static_cast<qsizetype>(field.key.size()));
-        if (out.contains(key)) throw JsonError("duplicate key \"" + str(key) + "\"");
-        out.insert(key, convert(field.value, depth + 1));
-      }
-      return out;
-    }
-    case simdjson::dom::element_type::INT64:
-      return QJsonValue(static_cast<qint64>(std::int64_t(e)));
-    case simdjson::dom::element_type::UINT64:
-      throw JsonError("integer out of range");
-    case simdjson::dom::element_type::DOUBLE:
-      return QJsonValue(double(e));
-    case simdjson::dom::element_type::STRING: {
-      std::string_view const s = std::string_view(e);
-      return QString::fromUtf8(s.data(), static_cast<qsizetype>(s.size()));
-    }
-    case simdjson::dom::element_type::BOOL:
-      return QJsonValue(bool(e));
-    case simdjson::dom::element_type::NULL_VALUE:
-      break;
+  if (e.type() == simdjson::dom::element_type::UINT64) throw JsonError("integer out of range");
+  if (e.is_array())
+    for (simdjson::dom::element const item : simdjson::dom::array(e)) check(item, depth + 1);
+  if (!e.is_object()) return;
+  std::vector<std::string_view> keys;
+  for (simdjson::dom::key_value_pair const field : simdjson::dom::object(e)) {
+    keys.push_back(field.key);
+    check(field.value, depth + 1);
   }
-  return QJsonValue(QJsonValue::Null);
+  std::sort(keys.begin(), keys.end());
+  std::vector<std::string_view>::const_iterator const twice = std::adjacent_find(keys.begin(), keys.end());
+  if (twice != keys.end()) throw JsonError("duplicate key \"" + std::string(*twice) + "\"");
 }
 
 }  // namespace
@@ -52,7 +36,11 @@
   simdjson::dom::element root;
   simdjson::error_code const ec = parser.parse(text.data(), text.size()).get(root);
   if (ec != simdjson::SUCCESS) throw JsonError(simdjson::error_message(ec));
-  return convert(root, 0);
+  check(root, 0);
+  QJsonParseError error;
+  QJsonArray const wrapped = QJsonDocument::fromJson("[" + QByteArray::fromRawData(text.data(), static_cast<qsizetype>(text.size())) + "]", &error).array();
+  if (error.error != QJsonParseError::NoError) throw JsonError(error.errorString().toStdString());
+  return wrapped.first();
 }
 
 std::string jsonText(QJsonValue const& value) {
--- a/substation/src/judge.cpp
+++ b/substation/src/judge.cpp
@@ -139,6 +139,12 @@
   return v;
 }
 
+/// Upper bound of the whole blueprint's text after a change, without writing it out.
+qint64 wholeBytes(QJsonArray const& window, signal::Call const& call) {
+  qint64 const before = call.method == "PATCH" ? window.last().toObject().value("bytes").toInteger(maxWholeBody) : 0;
+  return before + static_cast<qint64>(call.body.size());
+}
+
 Verdict judgeWhole(std::uint64_t stamp, QJsonObject const& current, signal::Call const& call) {
   QJsonObject const spec = current.value("spec").toObject();
   qint64 const have = spec.value("version").toInteger();
@@ -162,7 +168,8 @@
       return denyWhole(deny(422, "not a valid blueprint", "must be an integer above " + std::to_string(have), "/version"), stamp, have);
     if (call.method == "PATCH") {
       next = blueprint::patchWhole(spec, next);
-      if (core::jsonText(next).size() > maxWholeBody) return deny(413, "too large", "the blueprint would pass its limit");
+      bool const mayPass = wholeBytes(current.value("changes").toArray(), call) > static_cast<qint64>(maxWholeBody);
+      if (mayPass && core::jsonText(next).size() > maxWholeBody) return deny(413, "too large", "the blueprint would pass its limit");
     }
     blueprint::readWhole(next);
     Verdict v;
@@ -321,13 +328,17 @@
               : key.rfind("zone:", 0) == 0 ? judgeZone(stamp, bare, call)
               : key.rfind("alert:", 0) == 0 ? judgeAlert(stamp, bare, call)
               : key == "roster"            ? judgeRoster(stamp, bare, call)
-              : key == blueprint::wholeKey ? judgeWhole(stamp, bare, call)
+              : key == blueprint::wholeKey ? judgeWhole(stamp, value, call)
                                            : deny(404, "not found", "no such key");
   if (!v.change) return v;
-  if (!call.changeId.empty()) {
+  bool const whole = key == blueprint::wholeKey;
+  if (whole || !call.changeId.empty()) {
     QJsonObject entry{{"id", core::qstr(call.changeId)}, {"digest", digestOf(call)}, {"status", v.status},
                       {"stamp", static_cast<qint64>(stamp) + 1}};
-    if (v.body.contains("version")) entry.insert("version", v.body.value("version"));
+    if (whole) {
+      entry.insert("version", v.body.value("version"));
+      entry.insert("bytes", wholeBytes(window, call));
+    }
     window.append(entry);
   }
   while (static_cast<std::size_t>(window.size()) > blueprint::changeWindow) window.removeFirst();
--- /dev/null
+++ b/substation/test/whole_test.cpp
@@ -0,0 +1,455 @@
+#include <catch2/catch.hpp>
+
+#include <QJsonArray>
+#include <functional>
+
+#include <corkward/blueprint/blueprint.h>
+#include <corkward/core/json.h>
+#include <corkward/substation/judge.h>
+
+#include "rig.h"
+
+namespace core = corkward::core;
+namespace signal = corkward::signal;
+namespace mooring = corkward::mooring;
+namespace blueprint = corkward::blueprint;
+namespace substation = corkward::substation;
+using substation::Rig;
+
+namespace {
+
+constexpr char const* page = "/v1/blueprint";
+
+QJsonObject pathRow(std::string const& name, std::string const& pool = "big") {
+  return QJsonObject{{"name", core::qstr(name)}, {"host", "h"}, {"prefix", core::qstr("/" + name + "/")}, {"kind", "once"}, {"deadlineMs", 3000}, {"pool", core::qstr(pool)}};
+}
+
+QJsonObject spec(qint64 version, std::vector<std::string> const& paths = {"a"}, QString const& by = "") {
+  QJsonArray rows;
+  for (std::string const& p : paths) rows.append(pathRow(p));
+  return QJsonObject{{"version", version}, {"paths", rows}, {"pools", QJsonArray{QJsonObject{{"name", "big"}}}}, {"extra", QJsonObject{{"by", by}}}};
+}
+
+QJsonObject patchOf(qint64 version, std::vector<std::string> const& paths, QString const& by = "") {
+  QJsonArray rows;
+  for (std::string const& p : paths) rows.append(pathRow(p));
+  return QJsonObject{{"version", version}, {"set", QJsonObject{{"paths", rows}}}, {"extra", QJsonObject{{"by", by}}}};
+}
+
+/// Calls on the page of the whole blueprint, each waited for.
+struct Desk {
+  Rig rig;
+  substation::Answer last;
+
+  int call(std::string const& method, std::string const& body = "", std::string const& ifMatch = "", std::string const& id = "") {
+    std::uint64_t const t = rig.call(method, page, body, ifMatch, id);
+    rig.run(700);
+    last = rig.answers[t];
+    return last.status;
+  }
+  int put(QJsonObject const& value, std::string const& ifMatch, std::string const& id = "") { return call("PUT", core::jsonText(value), ifMatch, id); }
+  int patch(QJsonObject const& value, std::string const& ifMatch, std::string const& id = "") { return call("PATCH", core::jsonText(value), ifMatch, id); }
+  qint64 version() {
+    call("GET");
+    return last.body.value("version").toInteger();
+  }
+};
+
+}  // namespace
+
+TEST_CASE("the whole blueprint is put, read and patched under its own version") {
+  Desk d;
+  d.rig.alive = {"a", "b", "c"};
+  d.rig.run(6000);
+  CHECK(d.call("GET") == 404);
+  CHECK(d.patch(patchOf(5, {"b"}), "0") == 404);
+  CHECK(d.put(spec(5), "") == 428);
+  CHECK(d.put(spec(5), "1") == 412);
+  REQUIRE(d.put(spec(5), "0", "first") == 201);
+  CHECK(d.last.body.value("version").toInteger() == 5);
+  CHECK(d.last.body.value("stamp").toInteger() == 1);
+  CHECK(d.last.body.value("inForce").toBool());
+  CHECK(d.call("GET") == 200);
+  CHECK(d.last.body.value("spec").toObject() == spec(5));
+  CHECK((d.last.body.value("version").toInteger() == 5 && d.last.body.value("stamp").toInteger() == 1));
+  CHECK(d.patch(patchOf(9, {"b"}), "\"5\"", "second") == 200);
+  CHECK((d.last.body.value("version").toInteger() == 9 && d.last.body.value("stamp").toInteger() == 2));
+  CHECK(d.call("GET") == 200);
+  CHECK(d.last.body.value("spec").toObject() == spec(9, {"a", "b"}));
+  CHECK(d.put(spec(20), "5") == 412);
+  CHECK((d.last.body.value("version").toInteger() == 9 && d.last.body.value("stamp").toInteger() == 2));
+  CHECK(d.patch(patchOf(20, {"c"}), "2") == 412);
+  CHECK(d.call("DELETE", "", "9") == 405);
+  CHECK(d.version() == 9);
+  QJsonObject const kept = d.rig.plane.mooring().committed().at(blueprint::wholeKey).value;
+  CHECK(kept.keys() == QStringList{"changes", "spec"});
+  std::uint64_t const asked = d.rig.call("GET", "/v1/changes/second");
+  CHECK((d.rig.statusOf(asked) == 200 && d.rig.answers[asked].body.value("version").toInteger() == 9));
+}
+
+TEST_CASE("a change of the whole blueprint that is not valid changes nothing") {
+  Desk d;
+  REQUIRE(d.put(spec(5), "0") == 201);
+  struct Row {
+    char const* method;
+    std::string body;
+    int status;
+    char const* pointer;
+  };
+  QJsonObject unknownPool = spec(6);
+  unknownPool.insert("paths", QJsonArray{pathRow("a", "nowhere")});
+  Row const rows[] = {{"PUT", "", 400, "/"},
+                      {"PUT", "{", 400, "/"},
+                      {"PUT", "[]", 400, "/"},
+                      {"PUT", R"({"version":6,"version":7})", 400, "/"},
+                      {"PUT", R"({"version":99999999999999999999})", 400, "/"},
+                      {"PUT", "{}", 422, "/version"},
+                      {"PUT", core::jsonText(spec(4)), 422, "/version"},
+                      {"PUT", core::jsonText(spec(5, {"other"})), 422, "/version"},
+                      {"PUT", R"({"version":"6","paths":[],"pools":[]})", 422, "/version"},
+                      {"PUT", R"({"version":6.5,"paths":[],"pools":[]})", 422, "/version"},
+                      {"PUT", R"({"version":6,"paths":[]})", 422, "/pools"},
+                      {"PUT", R"({"version":6,"paths":[],"pools":[],"surprise":1})", 422, "/surprise"},
+                      {"PUT", core::jsonText(unknownPool), 422, "/paths/0/pool"},
+                      {"PUT", core::jsonText(spec(6, {"a", "a"})), 422, "/paths/1/name"},
+                      {"PATCH", "7", 400, "/"},
+                      {"PATCH", "{}", 422, "/version"},
+                      {"PATCH", core::jsonText(patchOf(5, {"b"})), 422, "/version"},
+                      {"PATCH", R"({"version":6,"surprise":1})", 422, "/surprise"},
+                      {"PATCH", R"({"version":6,"drop":{"pools":["big"]}})", 422, "/paths/0/pool"},
+                      {"PATCH", R"({"version":6,"set":{"paths":[{"name":"b"}]}})", 422, "/paths/1/host"},
+                      {"PATCH", R"({"version":6,"set":{"paths":[{"name":"b","host":"h","prefix":"/a/","kind":"once","deadlineMs":1,"pool":"big"}]}})", 422, "/paths/1/prefix"},
+                      {"PATCH", R"({"version":6,"door":7})", 422, "/door"}};
+  for (Row const& r : rows) {
+    INFO(r.method << " " << r.body);
+    CHECK(d.call(r.method, r.body, "5") == r.status);
+    CHECK(core::str(d.last.body.value("pointer").toString()) == r.pointer);
+    CHECK(d.call(r.method, r.body, "4") >= 400);
+  }
+  CHECK(d.call("GET") == 200);
+  CHECK(d.last.body.value("spec").toObject() == spec(5));
+  CHECK(d.last.body.value("stamp").toInteger() == 1);
+}
+
+TEST_CASE("a change of the whole blueprint that is sent again is answered as it was") {
+  Desk d;
+  REQUIRE(d.put(spec(5), "0", "one") == 201);
+  REQUIRE(d.patch(patchOf(6, {"b"}), "5", "two") == 200);
+  REQUIRE(d.put(spec(7, {"c"}), "6", "three") == 200);
+  CHECK(d.put(spec(5), "0", "one") == 201);
+  CHECK((d.last.body.value("replayed").toBool() && d.last.body.value("version").toInteger() == 5 && d.last.body.value("stamp").toInteger() == 1));
+  CHECK(d.patch(patchOf(6, {"b"}), "5", "two") == 200);
+  CHECK((d.last.body.value("replayed").toBool() && d.last.body.value("version").toInteger() == 6));
+  CHECK(d.patch(patchOf(6, {"x"}), "5", "two") == 409);
+  CHECK(d.patch(patchOf(8, {"b"}), "7", "two") == 409);
+  for (char const* ifMatch : {"0", "5", "6", "7", "99"}) {
+    CHECK(d.put(spec(7, {"c"}), ifMatch) == 200);
+    CHECK((d.last.body.value("replayed").toBool() && d.last.body.value("version").toInteger() == 7 && d.last.body.value("stamp").toInteger() == 3));
+  }
+  CHECK(d.put(spec(6, {"b"}), "5") == 412);
+  CHECK(d.put(spec(7, {"d"}), "6") == 412);
+  CHECK(d.version() == 7);
+}
+
+TEST_CASE("of two changes on one version of the whole blueprint one is taken") {
+  Desk d;
+  REQUIRE(d.put(spec(5), "0") == 201);
+  std::uint64_t const one = d.rig.call("PUT", page, core::jsonText(spec(6, {"x"})), "5");
+  std::uint64_t const two = d.rig.call("PATCH", page, core::jsonText(patchOf(8, {"y"})), "5");
+  std::uint64_t const three = d.rig.call("PUT", page, core::jsonText(spec(6, {"z"})), "5");
+  d.rig.run(700);
+  CHECK(d.rig.statusOf(one) == 200);
+  CHECK(d.rig.statusOf(two) == 412);
+  CHECK(d.rig.statusOf(three) == 412);
+  CHECK(d.version() == 6);
+}
+
+TEST_CASE("a dry run checks the whole blueprint and changes nothing") {
+  Desk d;
+  signal::Call c;
+  c.token = 77;
+  c.method = "PUT";
+  c.path = page;
+  c.ifMatch = "0";
+  c.changeId = "dry";
+  c.dryRun = true;
+  c.body = core::jsonText(spec(5));
+  d.rig.take(d.rig.plane.operatorCall(d.rig.now, c));
+  d.rig.run(700);
+  CHECK(d.rig.statusOf(77) == 200);
+  CHECK((d.rig.answers[77].body.value("dryRun").toBool() && d.rig.answers[77].body.value("version").toInteger() == 5));
+  CHECK(d.call("GET") == 404);
+}
+
+TEST_CASE("bodies of the whole blueprint may be larger than others, and it stays within its limit") {
+  Desk d;
+  QJsonObject large = spec(5);
+  large.insert("extra", QJsonObject{{"text", QString(3 << 20, 'x')}});
+  CHECK(d.put(large, "0") == 201);
+  std::uint64_t const other = d.rig.call("PUT", "/v1/templates/t", std::string((2 << 20) + 1, ' '), "0");
+  CHECK(d.rig.statusOf(other) == 413);
+  CHECK(d.call("PUT", std::string(substation::maxWholeBody + 1, ' '), "5") == 413);
+  std::vector<int> statuses;
+  for (int i = 0; i < 4; ++i) {
+    QJsonObject row = pathRow("p" + std::to_string(i));
+    row.insert("extra", QJsonObject{{"text", QString(2 << 20, 'x')}});
+    statuses.push_back(d.patch(QJsonObject{{"version", 6 + i}, {"set", QJsonObject{{"paths", QJsonArray{row}}}}}, std::to_string(5 + i)));
+  }
+  CHECK(statuses == std::vector<int>{200, 200, 413, 412});
+  QJsonObject row = pathRow("p0");
+  row.insert("extra", QJsonObject{{"text", QString(2 << 20, 'y')}});
+  CHECK(d.patch(QJsonObject{{"version", 8}, {"set", QJsonObject{{"paths", QJsonArray{row}}}}}, "7") == 200);
+  CHECK(d.version() == 8);
+}
+
+TEST_CASE("a family may name pools of the whole blueprint in place") {
+  Desk d;
+  constexpr char const* body = R"({"paths":[{"path":"a","pool":"big","class":"short"}]})";
+  std::function<int(char const*, char const*)> const put = [&](char const* path, char const* text) {
+    std::uint64_t const t = d.rig.call("PUT", path, text, "0");
+    d.rig.run(700);
+    return d.rig.statusOf(t);
+  };
+  CHECK(put("/v1/templates/t", body) == 201);
+  CHECK(put("/v1/templates/t/instances/i", "{}") == 422);
+  REQUIRE(d.put(spec(5), "0") == 201);
+  CHECK(put("/v1/templates/t/instances/i", "{}") == 201);
+  QJsonObject other = spec(6, {});
+  other.insert("pools", QJsonArray{QJsonObject{{"name", "new"}}});
+  REQUIRE(d.put(other, "5") == 200);
+  CHECK(put("/v1/templates/t/instances/j", "{}") == 422);
+}
+
+TEST_CASE("two thousand paths are put and patched") {
+  std::vector<std::string> names;
+  for (int i = 0; i < 2000; ++i) names.push_back("p" + std::to_string(i));
+  Desk d;
+  REQUIRE(d.put(spec(5, names), "0") == 201);
+  CHECK(d.patch(QJsonObject{{"version", 6}, {"set", QJsonObject{{"paths", QJsonArray{pathRow("new")}}}}, {"drop", QJsonObject{{"paths", QJsonArray{"p7"}}}}}, "5") == 200);
+  REQUIRE(d.call("GET") == 200);
+  QJsonArray const rows = d.last.body.value("spec").toObject().value("paths").toArray();
+  REQUIRE(rows.size() == 2000);
+  CHECK(rows.at(7).toObject().value("name") == "p8");
+  CHECK(rows.last().toObject().value("name") == "new");
+}
+
+TEST_CASE("without waiting for its force a change is answered as soon as it is on a majority of the disks") {
+  substation::Tuning tuning;
+  tuning.awaitInForce = false;
+  for (bool const await : {true, false}) {
+    tuning.awaitInForce = await;
+    Rig rig(tuning);
+    rig.alive = {"a", "b", "c"};
+    rig.run(6000);
+    rig.deaf = {"a", "b", "c"};
+    std::uint64_t const t = rig.call("PUT", page, core::jsonText(spec(5)), "0", "one");
+    CHECK(rig.statusOf(t) == (await ? 0 : 201));
+    std::uint64_t const asked = rig.call("GET", "/v1/changes/one");
+    CHECK(rig.statusOf(asked) == (await ? 504 : 200));
+    if (await) continue;
+    CHECK_FALSE(rig.answers[t].body.contains("inForce"));
+    CHECK_FALSE(rig.answers[asked].body.contains("inForce"));
+    std::uint64_t const again = rig.call("PUT", page, core::jsonText(spec(5)), "0", "one");
+    rig.run(200);
+    CHECK(rig.statusOf(again) == 201);
+    CHECK(rig.answers[again].body.value("replayed").toBool());
+  }
+}
+
+namespace {
+
+/// Three members with links that lose, repeat and delay, disks that take their time, and processes that die.
+struct Cohort {
+  struct Member {
+    std::unique_ptr<substation::Plane> plane;
+    std::map<std::string, std::string> disk;
+    std::uint64_t life = 0;
+    std::uint64_t seen = 0;
+  };
+  struct Event {
+    std::string to;
+    std::uint64_t life = 0;
+    std::function<substation::Commands(substation::Plane&)> run;
+  };
+  /// One change as an operator sent it.
+  struct Change {
+    std::string id;
+    signal::Call call;
+    bool valid = true;
+    int status = 0;
+  };
+
+  core::Rng rng;
+  core::Tick now = 1000;
+  std::map<std::string, Member> members;
+  std::multimap<core::Tick, Event> events;
+  std::map<std::string, Change> changes;
+  std::map<std::uint64_t, std::string> byToken;
+  std::map<std::uint64_t, qint64> reads;
+  std::map<std::uint64_t, QJsonObject> chain;
+  std::uint64_t token = 1;
+  qint64 newestRead = 0;
+  bool calm = false;
+
+  explicit Cohort(std::uint64_t seed) : rng(seed) {
+    for (char const* link : {"s1", "s2", "s3"}) start(link);
+  }
+  void start(std::string const& link) {
+    Member& m = members[link];
+    ++m.life;
+    m.seen = 0;
+    substation::Tuning tuning;
+    tuning.awaitInForce = false;
+    m.plane = std::make_unique<substation::Plane>(Rig::contact(link, "substation"), "m" + link + std::to_string(m.life), std::vector<std::string>{},
+                                                  std::vector<std::string>{"s1", "s2", "s3"}, rng.next(), tuning);
+    take(link, m.plane->restore(m.disk, false, now));
+  }
+  void later(core::Tick how, std::string const& to, std::function<substation::Commands(substation::Plane&)> run) {
+    events.emplace(now + how, Event{to, members[to].life, std::move(run)});
+  }
+  void take(std::string const& link, substation::Commands&& c) {
+    Member& m = members[link];
+    for (mooring::Persist const& p : c.persists) {
+      std::uint64_t const life = m.life;
+      later(1 + static_cast<core::Tick>(rng.below(15)), link, [this, link, life, p](substation::Plane& plane) {
+        members[link].disk[p.key] = p.payload;
+        return plane.written(now, p.ticket, true);
+      });
+    }
+    for (signal::Send const& s : c.sends) {
+      if (members.count(s.to) == 0) continue;
+      for (int copies = !calm && rng.chance(0.05) ? 0 : !calm && rng.chance(0.03) ? 2 : 1; copies > 0; --copies) {
+        signal::Message const message = s.message;
+        events.emplace(now + 1 + static_cast<core::Tick>(rng.below(20)),
+                       Event{s.to, 0, [this, link, message](substation::Plane& plane) { return plane.arrived(now, link, message); }});
+      }
+    }
+    for (substation::Answer const& a : c.answers) answered(a);
+    std::map<std::string, mooring::Committed> const& all = m.plane->mooring().committed();
+    std::map<std::string, mooring::Committed>::const_iterator const it = all.find(blueprint::wholeKey);
+    if (it == all.end() || it->second.stamp == m.seen) return;
+    CHECK(it->second.stamp > m.seen);
+    m.seen = it->second.stamp;
+    QJsonObject const kept = it->second.value.value("spec").toObject();
+    QJsonObject const known = chain.try_emplace(m.seen, kept).first->second;
+    CHECK(kept == known);
+  }
+  void answered(substation::Answer const& a) {
+    std::map<std::uint64_t, std::string>::const_iterator const it = byToken.find(a.token);
+    if (it != byToken.end()) {
+      Change& c = changes.at(it->second);
+      bool const taken = c.status == 200 || c.status == 201;
+      bool const now = a.status == 200 || a.status == 201;
+      CHECK_FALSE((taken && (a.status == 412 || a.status == 422)));
+      if (now || (!taken && a.status < 500)) c.status = a.status;
+    } else if (a.status == 200) {
+      qint64 const version = a.body.value("version").toInteger();
+      CHECK(version >= reads[a.token]);
+      newestRead = std::max(newestRead, version);
+    }
+  }
+  void send(Change const& c) {
+    signal::Call call = c.call;
+    call.token = token++;
+    byToken[call.token] = c.id;
+    std::map<std::string, Member>::iterator const to = std::next(members.begin(), static_cast<std::ptrdiff_t>(rng.below(members.size())));
+    take(to->first, to->second.plane->operatorCall(now, call));
+  }
+  void read() {
+    signal::Call call;
+    call.token = token++;
+    call.method = "GET";
+    call.path = page;
+    reads[call.token] = newestRead;
+    std::map<std::string, Member>::iterator const to = std::next(members.begin(), static_cast<std::ptrdiff_t>(rng.below(members.size())));
+    take(to->first, to->second.plane->operatorCall(now, call));
+  }
+  void operate() {
+    if (rng.chance(0.3) && !changes.empty()) {
+      send(changes.at("c" + std::to_string(changes.size() - 1 - rng.below(std::min<std::size_t>(changes.size(), blueprint::changeWindow / 2)))));
+      return;
+    }
+    Change c;
+    c.id = "c" + std::to_string(changes.size());
+    qint64 const base = chain.empty() || rng.chance(0.1) ? 0 : std::prev(chain.end(), chain.size() > 1 && rng.chance(0.2) ? 2 : 1)->second.value("version").toInteger();
+    qint64 const version = base + static_cast<qint64>(rng.below(4));
+    bool const whole = base == 0 || rng.chance(0.3);
+    std::string const name = "p" + std::to_string(rng.below(6));
+    c.valid = version > base;
+    QJsonObject body = whole ? spec(version, {name, "q"}, core::qstr(c.id)) : patchOf(version, {name}, core::qstr(c.id));
+    if (rng.chance(0.1)) {
+      body.insert("surprise", 1);
+      c.valid = false;
+    }
+    c.call.method = whole ? "PUT" : "PATCH";
+    c.call.path = page;
+    c.call.body = core::jsonText(body);
+    c.call.ifMatch = std::to_string(base);
+    c.call.changeId = c.id;
+    changes[c.id] = c;
+    send(c);
+  }
+  void step() {
+    now += 5;
+    while (!events.empty() && events.begin()->first <= now) {
+      Event const e = std::move(events.begin()->second);
+      events.erase(events.begin());
+      Member& m = members[e.to];
+      if (e.life != 0 && e.life != m.life) continue;
+      take(e.to, e.run(*m.plane));
+    }
+    if (now % 25 == 0)
+      for (std::map<std::string, Member>::value_type& m : members) take(m.first, m.second.plane->clockEvent(now));
+  }
+  std::string by(QJsonObject const& value) const { return core::str(value.value("extra").toObject().value("by").toString()); }
+  void judge() {
+    QJsonObject before;
+    std::uint64_t stamp = 0;
+    std::map<std::string, std::string> takenOn;
+    std::set<std::string> inForce;
+    for (std::map<std::uint64_t, QJsonObject>::value_type const& link : chain) {
+      CHECK(link.first == ++stamp);
+      Change const& c = changes.at(by(link.second));
+      qint64 const version = link.second.value("version").toInteger();
+      CHECK(version > before.value("version").toInteger());
+      CHECK(c.valid);
+      CHECK(c.call.ifMatch == std::to_string(before.value("version").toInteger()));
+      QJsonObject const said = core::parseJson(c.call.body).toObject();
+      CHECK(link.second == (c.call.method == "PUT" ? said : blueprint::patchWhole(before, said)));
+      CHECK(inForce.insert(c.id).second);
+      before = link.second;
+    }
+    for (std::map<std::string, Change>::value_type const& c : changes) {
+      if (c.second.status == 200 || c.second.status == 201) {
+        CHECK(inForce.count(c.first) == 1);
+        CHECK(takenOn.emplace(c.second.call.ifMatch, c.first).second);
+      }
+      if (c.second.status == 412 || c.second.status == 422) CHECK(inForce.count(c.first) == 0);
+    }
+  }
+};
+
+}  // namespace
+
+TEST_CASE("under random load and failures the whole blueprint's version rises by accepted changes alone") {
+  std::size_t most = 0;
+  std::size_t taken = 0;
+  for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+    INFO("seed " << seed);
+    Cohort c(seed);
+    while (c.now < 40000) {
+      c.step();
+      if (c.now > 4000 && c.rng.chance(0.05)) c.operate();
+      if (c.now > 4000 && c.rng.chance(0.02)) c.read();
+      if (c.now > 6000 && c.rng.chance(0.001)) c.start(std::next(c.members.begin(), static_cast<std::ptrdiff_t>(c.rng.below(3)))->first);
+    }
+    c.calm = true;
+    for (core::Tick const until = c.now + 15000; c.now < until;) c.step();
+    for (std::map<std::string, Cohort::Member>::value_type const& m : c.members) CHECK(m.second.seen == c.chain.rbegin()->first);
+    c.judge();
+    most = std::max(most, c.chain.size());
+    for (std::map<std::string, Cohort::Change>::value_type const& k : c.changes) taken += k.second.status == 200 || k.second.status == 201 ? 1 : 0;
+  }
+  CHECK(most > 20);
+  CHECK(taken > 200);
+}
