--- a/core/test/core_test.cpp
+++ b/core/test/core_test.cpp
@@ -1,5 +1,7 @@
 #include <catch2/catch.hpp>
 
+#include <QJsonArray>
+
 #include <corkward/core/error.h>
 #include <corkward/core/journal.h>
 #include <corkward/core/json.h>
@@ -32,6 +34,25 @@
   CHECK_THROWS_AS(core::parseJson(deep), core::JsonError);
 }
 
+TEST_CASE("JSON is read as it was written") {
+  struct Row {
+    char const* text;
+    char const* want;
+  };
+  constexpr Row rows[] = {{"7", "7"},
+                          {" \"x\" ", "\"x\""},
+                          {"null", "null"},
+                          {"[9223372036854775807,-9223372036854775808]", "[9223372036854775807,-9223372036854775808]"},
+                          {R"({"b":[{},[],true,null,0.5],"a":"\u00e9\n"})", R"({"a":"é\n","b":[{},[],true,null,0.5]})"}};
+  for (Row const& r : rows) CHECK(core::jsonText(core::parseJson(r.text)) == r.want);
+  CHECK(core::parseJson("[3.0]").toArray().first().toInteger() == 3);
+  CHECK(core::parseJson("[1e2]").toArray().first().toInteger() == 100);
+  for (char const* text : {R"({"a":1,"\u0061":2})", R"([{"x":{"a":1,"b":2,"a":3}}])", "[18446744073709551615]", "1 2", "{}]", "\xef\xbb\xbf{", "],["})
+    CHECK_THROWS_AS(core::parseJson(text), core::JsonError);
+  CHECK(core::parseJson(std::string(32, '[') + std::string(32, ']')).isArray());
+  CHECK_THROWS_AS(core::parseJson(std::string(34, '[') + std::string(34, ']')), core::JsonError);
+}
+
 TEST_CASE("names get dense indices and the journal stays bounded") {
   core::Names names;
   CHECK(names.index("a") == 0);
--- a/door/test/door_test.cpp
+++ b/door/test/door_test.cpp
@@ -8,6 +8,7 @@
 #include <QTimer>
 
 #include <corkward/core/types.h>
+#include <corkward/door/mapping.h>
 #include <corkward/door/relay.h>
 #include <corkward/door/server.h>
 
@@ -191,3 +192,9 @@
   CHECK(got.find("corkward-outcome: not-run") != std::string::npos);
   CHECK(first.bytesAvailable() == 0);
 }
+
+TEST_CASE("an answer's ETag is what a change built on it says in If-Match") {
+  CHECK(door::operatorFields(200, QJsonObject{{"stamp", 3}}).at("etag") == "\"3\"");
+  CHECK(door::operatorFields(200, QJsonObject{{"stamp", 3}, {"version", 70}}).at("etag") == "\"70\"");
+  CHECK(door::operatorFields(412, QJsonObject{{"stamp", 3}, {"version", 70}}).count("etag") == 0);
+}
--- a/yard/test/fleet_test.cpp
+++ b/yard/test/fleet_test.cpp
@@ -417,6 +417,24 @@
   yard::Fleet::Tool const asJson = run("corkward", {"template-get", "neu", "--json"}, "");
   CHECK(core::parseJson(asJson.out).toObject().value("stamp").toInteger() == 1);
 
+  std::string const whole = CORKWARD_SOURCE "/examples/blueprint.json";
+  CHECK(run("corkward", {"blueprint-get"}, "").code == 3);
+  CHECK(run("corkward", {"blueprint-put", whole, "--stamp", "0", "--dry-run"}, "").code == 0);
+  CHECK(run("corkward", {"blueprint-get"}, "").code == 3);
+  CHECK(run("corkward", {"blueprint-put", whole}, "").code == 3);
+  CHECK(run("corkward", {"blueprint-put", whole, "--stamp", "0"}, "").code == 0);
+  CHECK(run("corkward", {"blueprint-put", whole, "--stamp", "4"}, "").out.find("replayed") != std::string::npos);
+  CHECK(run("corkward", {"blueprint-patch", "-", "--stamp", "0"}, R"({"version":9})").code == 4);
+  CHECK(run("corkward", {"blueprint-patch", "-", "--stamp", "7"}, R"({"version":9,"drop":{"pools":["model"]}})").code == 3);
+  CHECK(run("corkward", {"blueprint-patch", "-", "--stamp", "7"}, R"({"version":9,"drop":{"paths":["pitch"]}})").code == 0);
+  QJsonObject const read = core::parseJson(run("corkward", {"blueprint-get", "--json"}, "").out).toObject();
+  CHECK((read.value("stamp").toInteger() == 9 && read.value("body").toObject().value("version").toInteger() == 9));
+  CHECK(read.value("body").toObject().value("spec").toObject().value("paths").toArray().size() == 1);
+  QJsonObject large = read.value("body").toObject().value("spec").toObject();
+  large.insert("version", 10);
+  large.insert("extra", QJsonObject{{"text", QString(3 << 20, 'x')}});
+  CHECK(run("corkward", {"blueprint-put", "-", "--stamp", "9"}, core::jsonText(large)).code == 0);
+
   std::string const books = CORKWARD_SOURCE "/examples/runbooks/";
   CHECK(run("corkward-workorder", {books + "evacuate-zone.json"}, "").code == 2);
   CHECK(run("corkward-workorder", {books + "evacuate-zone.json", "--set", "zone=z2", "--check"}, "").code == 0);
