--- a/door/test/server_test.cpp
+++ b/door/test/server_test.cpp
@@ -2,6 +2,7 @@
 
 #include <QHostAddress>
 #include <QTcpSocket>
+#include <algorithm>
 
 #include <corkward/door/mapping.h>
 #include <corkward/door/operator_mapping.h>
@@ -176,11 +177,7 @@
 TEST_CASE("a burst of connections does not hold up a caller that is there") {
   application();
   Rig rig;
-  std::size_t welcomed = 0;
-  rig.answer = [&](door::Request const& r) {
-    if (welcomed == 0) welcomed = rig.server.connections();
-    rig.server.answer(r.id, 200, {}, "served");
-  };
+  rig.answer = [&](door::Request const& r) { rig.server.answer(r.id, 200, {}, "served"); };
   Client c(rig.server.address());
   REQUIRE(until([&] { return rig.server.connections() == 1; }));
   std::vector<std::unique_ptr<Client>> burst;
@@ -190,9 +187,14 @@
   }
   c.say(request("GET"));
   c.socket.flush();
-  REQUIRE(until([&] { return !rig.requests.empty(); }));
-  CHECK(welcomed < 100);
-  REQUIRE(until([&] { return rig.server.connections() == 501; }));
+  std::size_t most = 0;
+  while (rig.server.connections() < 501) {
+    std::size_t const before = rig.server.connections();
+    QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents);
+    most = std::max(most, rig.server.connections() - before);
+  }
+  CHECK(most <= 64);
+  CHECK(rig.requests.size() == 1);
   for (std::unique_ptr<Client> const& b : burst) b->say(request("GET"));
   REQUIRE(until([&] { return rig.requests.size() == 501; }));
 }
