Count own tokens that are not read yet in the pick

Cause: the pick saw requests in flight, not what they make a replica read. Now tokens sent and not yet answered count.

--- a/rotor/include/corkward/rotor/plane.h
+++ b/rotor/include/corkward/rotor/plane.h
@@ -242,6 +242,8 @@
     Tick handedAt = 0;
     Index replica = 0;
     bool counted = false;
+    /// Tokens counted in Replica::reading.
+    std::int64_t reading = 0;
     bool echo = false;
     bool runKnown = false;
     bool dispatched = false;
@@ -277,6 +279,8 @@
     std::uint64_t hash = 0;
     blueprint::ReplicaState state = blueprint::ReplicaState::leaving;
     bool listed = false;
+    /// Tokens that this node has sent and that are not read yet, as far as it knows.
+    std::int64_t reading = 0;
     /// Taken away by a list that is newer than the one in force.
     bool away = false;
     Tick coolUntil = 0;
@@ -348,6 +352,8 @@
   void forgetRoutes(std::string const& owner);
   void addRow(std::string const& owner, std::string const& route, blueprint::Path const& path, std::string const& instance);
   HandOver handOver(Tick now, CallId id);
+  std::int64_t unread(Call const& call, Index replica, Index home) const;
+  void haveRead(Call& call);
   bool mayGoOn(Tick now, Call const& call) const;
   bool resumeElsewhere(Commands& out, Tick now, CallId id);
   std::int64_t choose(Tick now, Call const& call, std::vector<governor::Candidate> const& choices) const;
--- a/rotor/src/calls.cpp
+++ b/rotor/src/calls.cpp
@@ -288,6 +288,22 @@
   return best;
 }
 
+std::int64_t Plane::unread(Call const& call, Index replica, Index home) const {
+  std::int64_t out = 0;
+  bool kept = true;
+  for (std::size_t i = 0; i + 1 < call.request.parts.size(); ++i) {
+    kept = kept && (replica == home || kept_.has(replica, call.request.parts[i].hash));
+    if (!kept) out += call.request.parts[i].tokens;
+  }
+  return out;
+}
+
+void Plane::haveRead(Call& call) {
+  if (call.reading == 0) return;
+  replicas_[call.replica].reading -= call.reading;
+  call.reading = 0;
+}
+
 std::int64_t Plane::choose(Tick, Call const& call, std::vector<governor::Candidate> const& all) const {
   governor::Scaler const& scaler = credits_.at({call.pool, rows_[call.path].instance}).scaler;
   std::vector<governor::Candidate> choices;
@@ -302,14 +318,8 @@
   double bestCost = 0;
   std::uint64_t bestOrder = 0;
   for (governor::Candidate const& c : choices) {
-    double cost = scaler.inFlightAt(c.replica) * tuning_.figures.inFlightTokens;
-    if (c.replica != at) {
-      bool kept = true;
-      for (std::size_t i = 0; i + 1 < call.request.parts.size(); ++i) {
-        kept = kept && kept_.has(c.replica, call.request.parts[i].hash);
-        if (!kept) cost += static_cast<double>(call.request.parts[i].tokens);
-      }
-    }
+    double const cost = scaler.inFlightAt(c.replica) * tuning_.figures.inFlightTokens +
+                        static_cast<double>(unread(call, c.replica, at) + replicas_[c.replica].reading);
     std::uint64_t const order = core::Rng(call.request.parts[call.request.parts.size() - 2].hash ^ replicas_[c.replica].hash).next();
     if (best >= 0 && (cost > bestCost || (cost == bestCost && order >= bestOrder))) continue;
     best = static_cast<std::int64_t>(c.replica);
@@ -350,6 +360,7 @@
 }
 
 void Plane::uncount(Commands& out, Tick now, Call& call) {
+  haveRead(call);
   if (!call.counted) return;
   call.counted = false;
   Row const& row = rows_[call.path];
@@ -444,6 +455,10 @@
   Call& call = calls_.at(id);
   call.handedTo.push_back(call.replica);
   std::vector<Part> const& parts = call.request.parts;
+  if (parts.size() > 1) {
+    call.reading = unread(call, call.replica, home(call)) + parts.back().tokens;
+    replicas_[call.replica].reading += call.reading;
+  }
   std::optional<blueprint::PoolTerms> const& terms = poolViews_[call.pool].terms;
   for (std::size_t i = 0; i + 1 < parts.size(); ++i) kept_.sent(call.replica, parts[i].hash, parts[i].tokens, terms ? terms->tokens / 2 : 0);
   int rank = rows_[call.path].path.urgency;
@@ -520,6 +535,7 @@
   Call& call = it->second;
   Row const& row = rows_[call.path];
   bool const first = !call.runKnown && call.resumes == 0;
+  haveRead(call);
   call.phase = Phase::streaming;
   call.phaseAt = now;
   call.runKnown = runKnown;
