Weigh shared parts read anew, and see a replica held up by what own requests wait

Cause: a replica that reads a prompt of 20,000 to 60,000 tokens holds up all that come to it, and the prompts of other nodes are not seen; shared parts were moved for a few requests in flight. A token of a shared part now weighs four, and what an own request waits longer than its tokens explain counts as held-up work there. Ruled out: the load told in answers (most say none waiting; it comes only after the wait).

--- a/governor/include/corkward/governor/governor.h
+++ b/governor/include/corkward/governor/governor.h
@@ -36,6 +36,12 @@
   double ease = 1.0;
   /// What one request in flight weighs in the pick, in tokens to be read anew.
   double inFlightTokens = 300.0;
+  /// What a token of a shared part weighs that would be read anew.
+  double unreadWeight = 4.0;
+  /// Tokens that a replica is taken to read in a millisecond, and how long a first word may take beyond that. What an
+  /// own request has waited longer counts as work that its replica is held up by.
+  double readPerMs = 100.0;
+  Tick wordSlack = 60;
   /// Parts of prompts that a node remembers to have sent.
   std::size_t parts = 40000;
   /// Share of the cap that long requests may fill.
--- a/rotor/src/calls.cpp
+++ b/rotor/src/calls.cpp
@@ -304,7 +304,7 @@
   call.reading = 0;
 }
 
-std::int64_t Plane::choose(Tick, Call const& call, std::vector<governor::Candidate> const& all) const {
+std::int64_t Plane::choose(Tick now, Call const& call, std::vector<governor::Candidate> const& all) const {
   governor::Scaler const& scaler = credits_.at({call.pool, rows_[call.path].instance}).scaler;
   std::vector<governor::Candidate> choices;
   for (governor::Candidate const& c : all)
@@ -314,12 +314,22 @@
     return governor::pick(scaler, choices, call.prefix == 0 ? seed_ ^ call.request.call : call.prefix, last);
   }
   Index const at = home(call);
+  std::unordered_map<Index, double> heldUp;
+  for (std::unordered_map<CallId, Call>::value_type const& c : calls_) {
+    Call const& other = c.second;
+    if (other.phase != Phase::handed || other.reading == 0) continue;
+    double const late = static_cast<double>(now - other.handedAt - tuning_.figures.wordSlack) * tuning_.figures.readPerMs -
+                        static_cast<double>(other.reading);
+    double& worst = heldUp[other.replica];
+    worst = std::max(worst, late);
+  }
   std::int64_t best = -1;
   double bestCost = 0;
   std::uint64_t bestOrder = 0;
   for (governor::Candidate const& c : choices) {
-    double const cost = scaler.inFlightAt(c.replica) * tuning_.figures.inFlightTokens +
-                        static_cast<double>(unread(call, c.replica, at) + replicas_[c.replica].reading);
+    double const cost = scaler.inFlightAt(c.replica) * tuning_.figures.inFlightTokens + heldUp[c.replica] +
+                        tuning_.figures.unreadWeight * static_cast<double>(unread(call, c.replica, at)) +
+                        static_cast<double>(replicas_[c.replica].reading);
     std::uint64_t const order = core::Rng(call.request.parts[call.request.parts.size() - 2].hash ^ replicas_[c.replica].hash).next();
     if (best >= 0 && (cost > bestCost || (cost == bestCost && order >= bestOrder))) continue;
     best = static_cast<std::int64_t>(c.replica);
