--- a/yard/sim/internal.h
+++ b/yard/sim/internal.h
@@ -11,5 +11,6 @@
 inline constexpr char const* family = "family:desk";
 inline constexpr char const* templatePath = "/v1/templates/desk";
 inline constexpr Tick settleFor = 25000;
+inline constexpr Tick trafficFrom = 17500;
 
 }  // namespace corkward::yard
--- a/yard/sim/sweep.cpp
+++ b/yard/sim/sweep.cpp
@@ -26,6 +26,8 @@
   Tick every = 0;
   std::string deployment;
   bool plain = false;
+  int nacelles = 0;
+  bool traffic = false;
   governor::Figures figures = governor::figures;
   po::options_description flags("yard-sweep: simulated fleets over many seeds");
   flags.add_options()("from", po::value(&from), "first seed")("count", po::value(&count), "seeds")("jobs", po::value(&jobs), "threads")(
@@ -34,7 +36,7 @@
       "deployment", po::value(&deployment), "calm, at the sizes of harmattan or lernkarten")("plain", po::bool_switch(&plain), "whole pool, fewest in flight")(
       "width", po::value(&figures.width), "each width")("calm-for", po::value(&figures.calmFor), "give-back wait, ms")(
       "slack", po::value(&figures.prefixSlack), "prefix slack")("prefixes", po::value(&prefixes), "other prefixes")("skip", po::value(&skip), "ms at the start whose first words do not count")("first-limit", po::value(&figures.firstLimit), "limit per replica at the start")(
-      "bulk-share", po::value(&figures.bulkShare), "share of the cap for long requests")("counts", po::bool_switch(&counts), "print what each run counted")("list", "list the failures")("help", "print this");
+      "bulk-share", po::value(&figures.bulkShare), "share of the cap for long requests")("nacelles", po::value(&nacelles), "how many instead of eight")("traffic", po::bool_switch(&traffic), "print messages and bytes a second and node, by sender and kind")("counts", po::bool_switch(&counts), "print what each run counted")("list", "list the failures")("help", "print this");
   po::variables_map vm;
   try {
     po::store(po::parse_command_line(argc, argv, flags), vm);
@@ -88,6 +90,8 @@
             plan.demand = 140;
           }
         }
+        if (nacelles > 0) plan.nacelles = nacelles;
+        plan.traffic = traffic;
         if (demand > 0) plan.demand = demand;
         plan.surge = surge;
         plan.prefixes = prefixes;
@@ -116,6 +120,12 @@
           for (std::string const& t : result.timeline) std::cout << " " << t << ";";
           std::cout << "\n";
         }
+        double const seconds = static_cast<double>(plan.length - 10000) / 1000.0;
+        for (std::map<std::pair<std::string, std::string>, std::pair<std::size_t, std::size_t>>::value_type const& t : result.traffic) {
+          double const each = seconds * (t.first.first == "nacelle" ? plan.nacelles : plan.substations);
+          std::cout << "seed " << seed << " traffic " << t.first.first << " " << t.first.second << " messages=" << static_cast<double>(t.second.first) / each
+                    << " bytes=" << static_cast<double>(t.second.second) / each << "\n";
+        }
         if (counts) {
           std::cout << "seed " << seed;
           for (std::map<std::string, std::size_t>::value_type const& c : result.counts) std::cout << " " << c.first << "=" << c.second;
--- a/yard/sim/world.cpp
+++ b/yard/sim/world.cpp
@@ -206,8 +206,16 @@
   return out;
 }
 
+void World::tally(std::string const& from, signal::Send const& s) {
+  if (!plan_.traffic || now_ < trafficFrom || now_ >= trafficFrom - 10000 + plan_.length) return;
+  std::pair<std::size_t, std::size_t>& t = result_.traffic[{node(from)->disk ? "substation" : "nacelle", signal::kind(s.message)}];
+  ++t.first;
+  t.second += signal::pack(signal::Envelope{from, s.message}).size();
+}
+
 void World::send(std::string const& from, signal::Send const& s) {
   ++result_.counts["messages"];
+  tally(from, s);
   Node const* const to = node(s.to);
   if (to == nullptr || !to->alive || !passes(from, s.to)) return;
   if (plan_.mutation == Mutation::forgetHints && std::holds_alternative<signal::Hint>(s.message)) return;
@@ -336,7 +344,7 @@
         change("family:desk/" + std::string(name), "", "PUT", std::string(templatePath) + "/instances/" + name, R"({"parameters":{"site":"s"}})", "0", "");
     });
   });
-  Tick const begin = 7500;
+  Tick const begin = trafficFrom - 10000;
   at(begin, [this] {
     callerArrives();
     operatorTurn();
--- a/yard/sim/world.h
+++ b/yard/sim/world.h
@@ -154,6 +154,8 @@
   double clockSpread = 0.002;
   /// First words count only for callers that began so long after the first one.
   Tick skip = 0;
+  /// Messages are packed and counted, by kind and by the role of the sender; costs time.
+  bool traffic = false;
 };
 
 /// What a run showed.
@@ -166,6 +168,8 @@
   std::map<std::string, std::vector<Tick>> firstWords;
   std::map<std::string, std::vector<Tick>> servedWords;
   std::vector<Tick> ackTimes;
+  /// Messages and bytes sent while failures last and the first 10 s are over, by the sender's role and the kind.
+  std::map<std::pair<std::string, std::string>, std::pair<std::size_t, std::size_t>> traffic;
   double partSum = 0;
   std::size_t partSamples = 0;
 };
@@ -289,6 +293,7 @@
   void freeze(Node& n, Tick how);
   void clock(std::string const& link, std::uint64_t life);
   void send(std::string const& from, signal::Send const& s);
+  void tally(std::string const& from, signal::Send const& s);
   bool passes(std::string const& from, std::string const& to);
   void run(Node& n, substation::Commands&& c);
   void run(Node& n, rotor::Commands&& c);
