--- a/lookout/include/corkward/lookout/lookout.h
+++ b/lookout/include/corkward/lookout/lookout.h
@@ -12,11 +12,14 @@
 using core::Tick;
 
 /// Starting values of the membership.
-inline constexpr Tick shuffleEvery = 400;
-inline constexpr Tick suspectAfter = 2500;
+/// How often contacts are shuffled while few are known, and then.
+inline constexpr Tick shuffleAtFirst = 400;
+inline constexpr Tick shuffleEvery = 1200;
+inline constexpr std::size_t fewContacts = 6;
+inline constexpr Tick suspectAfter = 7500;
 inline constexpr Tick dropAfter = 120000;
 inline constexpr std::size_t viewBound = 48;
-inline constexpr std::size_t sampleSize = 12;
+inline constexpr std::size_t sampleSize = 8;
 
 enum class Standing { alive, suspected, unknown };
 
--- a/lookout/src/lookout.cpp
+++ b/lookout/src/lookout.cpp
@@ -65,7 +65,7 @@
 std::vector<signal::Send> Lookout::clockEvent(Tick now) {
   std::vector<signal::Send> out;
   if (now < shuffleAt_) return out;
-  shuffleAt_ = now + shuffleEvery;
+  shuffleAt_ = now + (view_.size() < fewContacts ? shuffleAtFirst : shuffleEvery);
   for (std::map<std::string, Seen>::iterator it = view_.begin(); it != view_.end();)
     it = now - it->second.at > dropAfter ? view_.erase(it) : std::next(it);
   std::vector<std::string> targets;
--- a/rotor/include/corkward/rotor/plane.h
+++ b/rotor/include/corkward/rotor/plane.h
@@ -24,7 +24,19 @@
   /// How long a confirmation of standing holds, counted from when it was asked for.
   Tick confirmFor = 1500;
   Tick askEvery = 300;
-  Tick touchEvery = 300;
+  /// How often neighbours are contacted while control confirms, and while it does not.
+  Tick touchAtRest = 1000;
+  Tick touchEvery = 200;
+  /// How many of them.
+  std::size_t neighboursAtRest = 2;
+  std::size_t neighbours = 6;
+  /// How long a neighbour is kept before another takes its place.
+  Tick neighbourFor = 10000;
+  /// How long one that was silent is passed over, when there are others.
+  Tick passOver = 10000;
+  /// Substations that are asked for confirmations, and how many when some do not answer.
+  std::size_t heldLinks = 2;
+  std::size_t heldLinksMost = 4;
   Tick seenWait = 500;
   /// How long ids are remembered.
   Tick seenFor = 600000;
@@ -38,7 +50,6 @@
   Tick dimWait = 10000;
   /// How long a node that is new on the roster waits for the others to know of it, at the most.
   Tick joinLimit = 10000;
-  Tick joinFence = 1700;
   std::size_t seenBound = 100000;
   Tick connectLimit = 700;
   Tick coolFor = 1500;
@@ -290,19 +301,31 @@
   struct RosterView {
     std::uint64_t stamp = 0;
     std::vector<std::string> others;
-    std::vector<std::string> previous;
+    /// All links with their zones, this node's own among them; ages go in this order.
+    std::map<std::string, std::string> zones;
     std::size_t size = 0;
     bool self = false;
     /// Others may not know yet that this node serves; see standing.
     bool joining = false;
     Tick joinedAt = 0;
-    Tick knownAt = -1;
   };
   struct Confirmation {
     Tick at = -1;
+    signal::Digest digest;
     signal::Stamps stamps;
     Tick good = -1;
   };
+  /// A process that is asked again and again.
+  struct HeldLink {
+    Tick since = 0;
+    /// First question that has had no answer; below zero: none.
+    Tick unanswered = -1;
+    /// Newest answer that was of use.
+    Tick good = -1;
+    Tick silentAt = -1;
+    bool wantStamps = false;
+    Tick namedAt = -1;
+  };
   using CreditKey = std::pair<Index, Index>;
 
   void apply(Commands& out, Tick now, std::vector<signal::Item> const& items);
@@ -314,7 +337,18 @@
   bool usable(Tick now, Index replica) const;
   bool evacuated(std::string const& zone) const;
   bool knowsAll(signal::Stamps const& stamps) const;
+  bool knows(signal::Digest const& digest, signal::Stamps const& stamps) const;
+  bool confirmedWithin(Tick now, Tick age) const;
+  bool mostHeard(Tick now) const;
   void refreshStanding();
+  void countHeard(std::string const& from, signal::Touch const& echo);
+  void considerWhole(Commands& out, Tick now, std::string const& from);
+  std::string ages(Tick now) const;
+  void chooseSubstations(Tick now);
+  void sendAsk(Commands& out, Tick now, std::string const& to);
+  std::vector<std::string> chooseNeighbours(Tick now, std::size_t wanted, Tick every);
+  void touchNeighbours(Commands& out, Tick now);
+  void sendMissing(Commands& out, std::string const& to, signal::Stamps const& have) const;
   std::vector<std::string> const& rosterOthers() const { return roster_.others; }
   std::size_t rosterSize() const { return roster_.size; }
   void foldRoster(Tick now, std::uint64_t stamp, QJsonObject const& value);
@@ -380,9 +414,21 @@
   std::map<std::string, std::vector<std::string>> familyRoutes_;
   std::set<std::string> evacuated_;
   std::map<std::string, Confirmation> confirmations_;
-  std::map<std::string, Confirmation> touches_;
+  /// Echoes that name what is not known here yet.
+  std::map<std::string, signal::Touch> echoes_;
+  /// Newest tick at which that nacelle had nothing in force that this one lacks now.
+  std::map<std::string, Tick> heard_;
+  /// Digest of the keys, and those it had before in this life, newest last.
+  signal::Digest digest_;
+  std::deque<signal::Digest> had_;
+  std::map<std::string, HeldLink> substations_;
+  std::map<std::string, HeldLink> neighbours_;
+  std::map<std::string, Tick> silent_;
+  std::vector<std::string> held_;
   std::map<std::string, Tick> fetchedAt_;
-  std::set<std::string> wholeFrom_;
+  /// A neighbour has sent a whole image.
+  bool imageSeen_ = false;
+  core::Rng rng_;
   std::map<CreditKey, Credit> credits_;
   std::map<Index, Warm> warm_;
   governor::Prefixes prefixes_;
@@ -400,7 +446,7 @@
   std::vector<std::string> cohortIds_;
   std::vector<std::string> cohortLinks_;
   Tick askAt_ = 0;
-  Tick touchAt_ = 0;
+  Tick touchedAt_ = 0;
   Tick warmAt_ = 0;
   Tick lookAt_ = 0;
   Tick freeAt_ = 0;
--- a/rotor/src/internal.h
+++ b/rotor/src/internal.h
@@ -9,6 +9,9 @@
 inline constexpr Tick lookEvery = 100;
 inline constexpr Tick freeEvery = 10000;
 inline constexpr std::size_t leftAtOnce = 5000;
+/// What stands for "not known" among the ages of a Touch.
+inline constexpr int unknownAge = 255;
+inline constexpr std::size_t digestsKept = 64;
 
 inline std::size_t majorityOf(std::size_t n) { return n / 2 + 1; }
 
--- a/rotor/src/news.cpp
+++ b/rotor/src/news.cpp
@@ -1,5 +1,7 @@
 #include <QJsonArray>
 #include <algorithm>
+#include <functional>
+#include <tuple>
 
 #include <corkward/core/json.h>
 
@@ -28,10 +30,45 @@
                      [&](signal::Stamps::value_type const& s) { return stampOf(s.first) >= s.second; });
 }
 
+bool Plane::knows(signal::Digest const& digest, signal::Stamps const& stamps) const {
+  if (std::find(had_.begin(), had_.end(), digest) != had_.end()) return true;
+  return signal::digestOf(stamps) == digest && knowsAll(stamps);
+}
+
 void Plane::refreshStanding() {
-  for (std::map<std::string, Confirmation>* const group : {&confirmations_, &touches_})
-    for (std::map<std::string, Confirmation>::value_type& c : *group)
-      if (c.second.at > c.second.good && knowsAll(c.second.stamps)) c.second.good = c.second.at;
+  for (std::map<std::string, Confirmation>::value_type& c : confirmations_)
+    if (c.second.at > c.second.good && knows(c.second.digest, c.second.stamps)) c.second.good = c.second.at;
+  for (std::map<std::string, signal::Touch>::iterator e = echoes_.begin(); e != echoes_.end();) {
+    bool const known = knows(e->second.digest, e->second.stamps);
+    if (known) countHeard(e->first, e->second);
+    e = known ? echoes_.erase(e) : std::next(e);
+  }
+}
+
+void Plane::countHeard(std::string const& from, signal::Touch const& echo) {
+  if (!echo.whole) return;
+  std::function<void(std::string const&, Tick)> const heard = [this](std::string const& link, Tick at) {
+    Tick& newest = heard_.try_emplace(link, at).first->second;
+    newest = std::max(newest, at);
+  };
+  heard(from, echo.tick);
+  if (echo.roster != roster_.stamp || echo.ages.size() != roster_.zones.size()) return;
+  std::size_t place = 0;
+  for (std::map<std::string, std::string>::value_type const& z : roster_.zones) {
+    int const age = static_cast<unsigned char>(echo.ages[place++]);
+    if (age < unknownAge && z.first != lookout_.self().link) heard(z.first, echo.tick - age * signal::ageUnit);
+  }
+}
+
+std::string Plane::ages(Tick now) const {
+  std::string out;
+  for (std::map<std::string, std::string>::value_type const& z : roster_.zones) {
+    std::map<std::string, Tick>::const_iterator const it = heard_.find(z.first);
+    Tick const age = z.first == lookout_.self().link ? 0 : it == heard_.end() ? tuning_.confirmFor + 1 : now - it->second;
+    Tick const units = (age + signal::ageUnit - 1) / signal::ageUnit;
+    out += static_cast<char>(age > tuning_.confirmFor || units >= unknownAge ? unknownAge : units);
+  }
+  return out;
 }
 
 void Plane::foldRoster(Tick now, std::uint64_t stamp, QJsonObject const& value) {
@@ -40,38 +77,22 @@
   for (QJsonValue const v : value.value("nodes").toArray()) {
     std::string const link = core::str(v.toObject().value("link").toString());
     ++view.size;
+    view.zones[link] = core::str(v.toObject().value("zone").toString());
     if (link == lookout_.self().link)
       view.self = true;
     else
       view.others.push_back(link);
   }
   bool before = roster_.self && !roster_.joining;
-  for (QJsonValue const v : value.value("previous").toArray()) {
-    std::string const link = core::str(v.toObject().value("link").toString());
-    if (link == lookout_.self().link)
-      before = true;
-    else
-      view.previous.push_back(link);
-  }
+  for (QJsonValue const v : value.value("previous").toArray())
+    before = before || core::str(v.toObject().value("link").toString()) == lookout_.self().link;
   view.joining = !before;
   view.joinedAt = now;
   roster_ = std::move(view);
 }
 
 void Plane::watchJoining(Tick now) {
-  if (!roster_.joining || !roster_.self) return;
-  if (roster_.knownAt < 0) {
-    std::size_t n = 0;
-    for (std::string const& link : roster_.previous) {
-      std::map<std::string, Confirmation>::const_iterator const it = touches_.find(link);
-      if (it == touches_.end()) continue;
-      signal::Stamps::const_iterator const stamp = it->second.stamps.find(rosterKey);
-      n += stamp != it->second.stamps.end() && stamp->second >= roster_.stamp ? 1 : 0;
-    }
-    if (roster_.previous.empty() || n >= majorityOf(roster_.previous.size())) roster_.knownAt = now;
-  }
-  bool const known = roster_.knownAt >= 0 && now - roster_.knownAt >= tuning_.joinFence;
-  if (known || now - roster_.joinedAt >= tuning_.joinLimit) roster_.joining = false;
+  if (roster_.joining && roster_.self && now - roster_.joinedAt >= tuning_.joinLimit) roster_.joining = false;
 }
 
 std::vector<std::string> Plane::substations(Tick now) const {
@@ -81,20 +102,131 @@
   return std::vector<std::string>(out.begin(), out.end());
 }
 
+void Plane::chooseSubstations(Tick now) {
+  Tick const patience = 2 * tuning_.askEvery + tuning_.askEvery / 2;
+  for (std::string const& link : held_) {
+    HeldLink& l = substations_[link];
+    if (l.unanswered < 0 || now - l.unanswered <= patience) continue;
+    l.silentAt = now;
+    l.unanswered = -1;
+  }
+  std::map<std::string, std::string> zones;
+  for (signal::Contact const& c : lookout_.ofRole("substation", now)) zones[c.link] = c.zone;
+  std::map<std::tuple<Tick, bool, std::uint64_t>, std::string> ranked;
+  for (std::string const& link : substations(now)) {
+    HeldLink& l = substations_[link];
+    bool const silent = l.silentAt >= 0 && now - l.silentAt < tuning_.passOver;
+    ranked[{silent ? l.silentAt : 0, zones[link] != lookout_.self().zone, core::stableHash(link + lookout_.self().link)}] = link;
+  }
+  held_.clear();
+  std::size_t live = 0;
+  for (std::map<std::tuple<Tick, bool, std::uint64_t>, std::string>::value_type const& r : ranked) {
+    if (live >= tuning_.heldLinks || held_.size() >= tuning_.heldLinksMost) break;
+    HeldLink const& l = substations_.at(r.second);
+    live += l.good >= 0 && now - l.good <= patience ? 1 : 0;
+    held_.push_back(r.second);
+  }
+}
+
+void Plane::sendAsk(Commands& out, Tick now, std::string const& to) {
+  HeldLink& l = substations_[to];
+  l.since = now;
+  if (l.unanswered < 0) l.unanswered = now;
+  signal::Ask ask{now, lookout_.self(), !whole_, !tuning_.fenced, digest_, {}};
+  if (l.wantStamps) {
+    ask.stamps = stamps();
+    l.wantStamps = false;
+    l.namedAt = now;
+  }
+  out.sends.push_back(signal::Send{to, std::move(ask)});
+}
+
+std::vector<std::string> Plane::chooseNeighbours(Tick now, std::size_t wanted, Tick every) {
+  std::vector<std::string> known = rosterOthers();
+  if (known.empty() || !whole_)
+    for (signal::Contact const& c : lookout_.ofRole("nacelle", now)) known.push_back(c.link);
+  std::sort(known.begin(), known.end());
+  known.erase(std::unique(known.begin(), known.end()), known.end());
+  std::erase_if(neighbours_, [&](std::map<std::string, HeldLink>::value_type const& n) {
+    bool const silent = n.second.unanswered >= 0 && now - n.second.unanswered > every + every / 2;
+    if (silent) silent_[n.first] = now;
+    return silent || now - n.second.since > tuning_.neighbourFor || !std::binary_search(known.begin(), known.end(), n.first);
+  });
+  std::function<bool(std::string const&)> const near = [&](std::string const& link) {
+    std::map<std::string, std::string>::const_iterator const it = roster_.zones.find(link);
+    return it != roster_.zones.end() && it->second == lookout_.self().zone;
+  };
+  std::vector<std::string> free;
+  for (std::string const& link : known)
+    if (neighbours_.count(link) == 0) free.push_back(link);
+  for (std::size_t i = free.size(); i > 1; --i) std::swap(free[i - 1], free[rng_.below(i)]);
+  std::stable_sort(free.begin(), free.end(), [&](std::string const& a, std::string const& b) {
+    std::function<bool(std::string const&)> const silent = [&](std::string const& link) {
+      std::map<std::string, Tick>::const_iterator const it = silent_.find(link);
+      return it != silent_.end() && now - it->second < tuning_.passOver;
+    };
+    return !silent(a) && silent(b);
+  });
+  while (neighbours_.size() > wanted) neighbours_.erase(std::next(neighbours_.begin(), static_cast<std::ptrdiff_t>(rng_.below(neighbours_.size()))));
+  while (neighbours_.size() < wanted && !free.empty()) {
+    std::size_t nearOnes = 0;
+    for (std::map<std::string, HeldLink>::value_type const& n : neighbours_) nearOnes += near(n.first) ? 1 : 0;
+    bool const wantNear = 3 * nearOnes < wanted;
+    std::vector<std::string>::iterator it = std::find_if(free.begin(), free.end(), [&](std::string const& l) {
+      std::map<std::string, Tick>::const_iterator const s = silent_.find(l);
+      return near(l) == wantNear && (s == silent_.end() || now - s->second >= tuning_.passOver);
+    });
+    if (it == free.end()) it = free.begin();
+    neighbours_[*it].since = now - static_cast<Tick>(rng_.below(static_cast<std::uint64_t>(tuning_.neighbourFor / 2)));
+    free.erase(it);
+  }
+  std::vector<std::string> out;
+  for (std::map<std::string, HeldLink>::value_type const& n : neighbours_) out.push_back(n.first);
+  return out;
+}
+
+void Plane::touchNeighbours(Commands& out, Tick now) {
+  bool const lacking = tuning_.fenced ? !confirmedWithin(now, tuning_.askEvery + tuning_.askEvery / 2) : !whole_;
+  Tick const every = lacking ? tuning_.touchEvery : tuning_.touchAtRest;
+  if (now - touchedAt_ < every) return;
+  touchedAt_ = now;
+  signal::Touch touch;
+  touch.tick = now;
+  touch.whole = whole_;
+  touch.link = lookout_.self().link;
+  touch.digest = digest_;
+  touch.wantAges = lacking && tuning_.fenced;
+  touch.hints = hints();
+  bool const wantWhole = !whole_ && !imageSeen_ && now - started_ > 2000;
+  std::vector<std::string> const to = chooseNeighbours(now, lacking ? tuning_.neighbours : tuning_.neighboursAtRest, every);
+  std::size_t const asked = wantWhole && !to.empty() ? rng_.below(to.size()) : to.size();
+  for (std::size_t i = 0; i < to.size(); ++i) {
+    HeldLink& n = neighbours_[to[i]];
+    if (n.unanswered < 0) n.unanswered = now;
+    touch.wantWhole = i == asked;
+    out.sends.push_back(signal::Send{to[i], touch});
+  }
+}
+
+bool Plane::confirmedWithin(Tick now, Tick age) const {
+  return std::any_of(confirmations_.begin(), confirmations_.end(),
+                     [&](std::map<std::string, Confirmation>::value_type const& c) { return c.second.good >= 0 && now - c.second.good <= age; });
+}
+
+bool Plane::mostHeard(Tick now) const {
+  if (rosterSize() < tuning_.leastRoster) return false;
+  std::size_t fresh = 1;
+  for (std::string const& link : rosterOthers()) {
+    std::map<std::string, Tick>::const_iterator const it = heard_.find(link);
+    fresh += it != heard_.end() && now - it->second <= tuning_.confirmFor ? 1 : 0;
+  }
+  return fresh >= majorityOf(rosterSize());
+}
+
 bool Plane::standing(Tick now) const {
   if (!tuning_.fenced) return whole_;
-  std::vector<std::string> const& others = rosterOthers();
-  std::size_t const size = rosterSize();
   if (!whole_ || !roster_.self || roster_.joining) return false;
-  for (std::map<std::string, Confirmation>::value_type const& c : confirmations_)
-    if (c.second.good >= 0 && now - c.second.good <= tuning_.confirmFor) return true;
-  if (size < tuning_.leastRoster) return false;
-  std::size_t fresh = 1;
-  for (std::string const& link : others) {
-    std::map<std::string, Confirmation>::const_iterator const it = touches_.find(link);
-    fresh += it != touches_.end() && it->second.good >= 0 && now - it->second.good <= tuning_.confirmFor ? 1 : 0;
-  }
-  return fresh >= majorityOf(size);
+  return confirmedWithin(now, tuning_.confirmFor) || mostHeard(now);
 }
 
 bool Plane::evacuated(std::string const& zone) const { return evacuated_.count(zone) > 0; }
@@ -107,11 +239,15 @@
 void Plane::apply(Commands& out, Tick now, std::vector<signal::Item> const& items) {
   bool any = false;
   for (signal::Item const& item : items) {
-    if (item.stamp <= stampOf(item.key)) continue;
+    std::uint64_t const before = stampOf(item.key);
+    if (item.stamp <= before) continue;
     applyOne(out, now, item);
+    digest_.replace(item.key, before, stampOf(item.key));
     any = true;
   }
   if (!any) return;
+  had_.push_back(digest_);
+  if (had_.size() > digestsKept) had_.pop_front();
   refreshStanding();
   refreshCandidates(out, now);
 }
@@ -266,30 +402,42 @@
     if (!fromNacelle || !tuning_.fenced) {
       whole_ = true;
       note(out, now, "whole-image", {{"from", from}});
-    } else {
-      wholeFrom_.insert(from);
-      std::size_t n = 0;
-      for (std::string const& link : rosterOthers()) n += wholeFrom_.count(link);
-      if (rosterSize() >= tuning_.leastRoster && n >= majorityOf(rosterSize())) {
-        whole_ = true;
-        note(out, now, "whole-image", {{"from", "neighbours"}});
-      }
     }
+    imageSeen_ = true;
   }
-  signal::NewsAck ack{m.number, lookout_.self().link, lookout_.self().inc, false, stamps()};
-  std::set<std::string> to;
-  for (std::string const& s : substations(now)) to.insert(s);
-  if (!fromNacelle) to.insert(from);
+  considerWhole(out, now, from);
+  signal::NewsAck ack{m.number, lookout_.self().link, lookout_.self().inc, {}, digest_};
+  if (!m.whole)
+    for (signal::Item const& i : m.items) ack.stamps[i.key] = stampOf(i.key);
+  std::set<std::string> to(held_.begin(), held_.end());
+  if (m.number > 0) to.insert(from);
   for (std::string const& s : to) out.sends.push_back(signal::Send{s, ack});
 }
 
+void Plane::considerWhole(Commands& out, Tick now, std::string const& from) {
+  if (whole_ || !imageSeen_ || !mostHeard(now)) return;
+  whole_ = true;
+  note(out, now, "whole-image", {{"from", "neighbours"}, {"last", from}});
+}
+
 void Plane::on(Commands& out, Tick now, std::string const& from, signal::Confirm const& m) {
   for (signal::Hint const& h : m.hints) takeHint(out, now, h);
+  std::map<std::string, HeldLink>::iterator const held = substations_.find(from);
+  if (held != substations_.end()) {
+    if (m.inTouch) {
+      held->second.unanswered = -1;
+      held->second.good = now;
+    }
+    held->second.wantStamps = m.wantStamps;
+    if (m.wantStamps && now - held->second.namedAt >= tuning_.askEvery / 3) sendAsk(out, now, from);
+  }
+  if (m.roster > 0 && m.roster >= roster_.stamp) roster_.joining = false;
   if (!m.inTouch || m.age < 0 || m.tick > now) return;
   Confirmation& c = confirmations_[from];
   Tick const at = m.tick - m.age;
   if (at > c.at) {
     c.at = at;
+    c.digest = m.digest;
     c.stamps = m.stamps;
   }
   refreshStanding();
@@ -297,12 +445,22 @@
 
 void Plane::on(Commands& out, Tick now, std::string const&, signal::Hint const& m) {
   if (!takeHint(out, now, m)) return;
-  std::set<std::string> to;
-  for (std::string const& link : rosterOthers()) to.insert(link);
-  for (std::string const& link : substations(now)) to.insert(link);
+  std::vector<std::string> others = rosterOthers();
+  for (std::size_t i = others.size(); i > 1; --i) std::swap(others[i - 1], others[rng_.below(i)]);
+  std::set<std::string> to(others.begin(), others.begin() + static_cast<std::ptrdiff_t>(std::min(others.size(), tuning_.neighbours)));
+  to.insert(held_.begin(), held_.end());
   for (std::string const& link : to) out.sends.push_back(signal::Send{link, m});
 }
 
+void Plane::sendMissing(Commands& out, std::string const& to, signal::Stamps const& have) const {
+  signal::News news;
+  for (std::map<std::string, Key>::value_type const& k : keys_) {
+    signal::Stamps::const_iterator const it = have.find(k.first);
+    if (it == have.end() || it->second < k.second.stamp) news.items.push_back(signal::Item{k.first, k.second.stamp, k.second.value});
+  }
+  if (!news.items.empty()) out.sends.push_back(signal::Send{to, std::move(news)});
+}
+
 void Plane::on(Commands& out, Tick now, std::string const& from, signal::Touch const& m) {
   if (m.link != from) return;
   for (signal::Hint const& h : m.hints) takeHint(out, now, h);
@@ -312,10 +470,14 @@
     echo.echo = true;
     echo.whole = whole_;
     echo.link = lookout_.self().link;
-    echo.inc = lookout_.self().inc;
-    echo.stamps = stamps();
+    echo.digest = digest_;
+    if (!(m.digest == digest_)) echo.stamps = stamps();
+    if (m.wantAges && whole_) {
+      echo.roster = roster_.stamp;
+      echo.ages = ages(now);
+    }
     echo.hints = hints();
-    out.sends.push_back(signal::Send{from, echo});
+    out.sends.push_back(signal::Send{from, std::move(echo)});
     if (m.wantWhole && whole_) {
       signal::News news;
       news.whole = true;
@@ -323,14 +485,18 @@
         news.items.push_back(signal::Item{k.first, k.second.stamp, k.second.value});
       out.sends.push_back(signal::Send{from, std::move(news)});
     }
-  } else if (m.whole && m.tick <= now) {
-    Confirmation& c = touches_[from];
-    if (m.tick > c.at) {
-      c.at = m.tick;
-      c.stamps = m.stamps;
-    }
-    refreshStanding();
+    return;
+  }
+  std::map<std::string, HeldLink>::iterator const n = neighbours_.find(from);
+  if (n != neighbours_.end()) n->second.unanswered = -1;
+  if (m.tick > now) return;
+  if (knows(m.digest, m.stamps)) {
+    countHeard(from, m);
+  } else {
+    echoes_[from] = m;
   }
+  considerWhole(out, now, from);
+  if (!(signal::digestOf(m.stamps) == m.digest)) return;
   for (signal::Stamps::value_type const& s : m.stamps) {
     if (stampOf(s.first) >= s.second) continue;
     Tick& at = fetchedAt_[s.first];
@@ -338,6 +504,7 @@
     at = now;
     out.sends.push_back(signal::Send{from, signal::Fetch{s.first, false, "", 0}});
   }
+  if (whole_ && m.whole && m.digest.count > 0 && !(m.digest == digest_)) sendMissing(out, from, m.stamps);
 }
 
 void Plane::on(Commands& out, Tick, std::string const& from, signal::Fetch const& m) {
--- a/rotor/src/plane.cpp
+++ b/rotor/src/plane.cpp
@@ -7,8 +7,17 @@
 
 namespace corkward::rotor {
 
+namespace {
+
+void append(Commands& out, Commands const& more) {
+  out.calls.insert(out.calls.end(), more.calls.begin(), more.calls.end());
+  out.notes.insert(out.notes.end(), more.notes.begin(), more.notes.end());
+}
+
+}  // namespace
+
 Plane::Plane(signal::Contact self, std::vector<std::string> seeds, std::uint64_t seed, Tuning tuning)
-    : tuning_(tuning), seed_(seed), who_(self.link + "#" + std::to_string(seed)), lookout_(std::move(self), std::move(seeds), seed ^ 0x91) {}
+    : tuning_(tuning), seed_(seed), who_(self.link + "#" + std::to_string(seed)), lookout_(std::move(self), std::move(seeds), seed ^ 0x91), rng_(seed ^ 0x3b) {}
 
 void Plane::count(Tick now, std::string const& what, std::string const& about) { journal_.append(now, what, about); }
 
@@ -55,25 +64,10 @@
   watchJoining(now);
   if (now >= askAt_) {
     askAt_ = now + tuning_.askEvery;
-    signal::Ask const ask{now, lookout_.self(), !whole_, !tuning_.fenced, stamps()};
-    for (std::string const& s : substations(now)) out.sends.push_back(signal::Send{s, ask});
-  }
-  if (now >= touchAt_) {
-    touchAt_ = now + tuning_.touchEvery;
-    signal::Touch touch;
-    touch.tick = now;
-    touch.whole = whole_;
-    touch.wantWhole = !whole_ && now - started_ > 2000;
-    touch.link = lookout_.self().link;
-    touch.inc = lookout_.self().inc;
-    touch.stamps = stamps();
-    touch.hints = hints();
-    std::set<std::string> to;
-    for (std::string const& link : rosterOthers()) to.insert(link);
-    if (!whole_)
-      for (signal::Contact const& c : lookout_.ofRole("nacelle", now)) to.insert(c.link);
-    for (std::string const& link : to) out.sends.push_back(signal::Send{link, touch});
+    chooseSubstations(now);
+    for (std::string const& s : held_) sendAsk(out, now, s);
   }
+  touchNeighbours(out, now);
   std::vector<signal::Send> sends = lookout_.clockEvent(now);
   std::move(sends.begin(), sends.end(), std::back_inserter(out.sends));
   if (now >= freeAt_) {
@@ -114,9 +108,8 @@
       }
       case Phase::connecting: {
         out.calls.push_back(Abandon{id});
-        Commands more = connectDenied(now, id);
-        std::move(more.calls.begin(), more.calls.end(), std::back_inserter(out.calls));
-        std::move(more.notes.begin(), more.notes.end(), std::back_inserter(out.notes));
+        Commands const more = connectDenied(now, id);
+        append(out, more);
         break;
       }
       case Phase::handed: {
@@ -132,9 +125,8 @@
       }
       case Phase::streaming: {
         out.calls.push_back(Abandon{id});
-        Commands more = ended(now, id, End::broken);
-        std::move(more.calls.begin(), more.calls.end(), std::back_inserter(out.calls));
-        std::move(more.notes.begin(), more.notes.end(), std::back_inserter(out.notes));
+        Commands const more = ended(now, id, End::broken);
+        append(out, more);
         break;
       }
     }
@@ -158,18 +150,17 @@
 }
 
 Held Plane::held() const {
-  return Held{replicaNames_.known(), instances_.known(), credits_.size(), confirmations_.size() + touches_.size() + fetchedAt_.size() + wholeFrom_.size(),
+  return Held{replicaNames_.known(), instances_.known(), credits_.size(), confirmations_.size() + echoes_.size() + heard_.size() + substations_.size() + neighbours_.size() + silent_.size() + fetchedAt_.size(),
               seen_.size(), prefixes_.size(), calls_.size()};
 }
 
 void Plane::freeGone(Tick now) {
-  std::function<bool(std::map<std::string, Confirmation>::value_type const&)> const old = [&](std::map<std::string, Confirmation>::value_type const& c) {
-    return now - c.second.at > tuning_.vouchAfter;
-  };
-  std::erase_if(confirmations_, old);
-  std::erase_if(touches_, old);
-  std::erase_if(fetchedAt_, [&](std::map<std::string, Tick>::value_type const& f) { return now - f.second > tuning_.vouchAfter; });
-  if (whole_) wholeFrom_.clear();
+  std::function<bool(Tick)> const old = [&](Tick at) { return now - at > tuning_.vouchAfter; };
+  std::erase_if(confirmations_, [&](std::map<std::string, Confirmation>::value_type const& c) { return old(c.second.at); });
+  std::erase_if(echoes_, [&](std::map<std::string, signal::Touch>::value_type const& e) { return old(e.second.tick); });
+  std::erase_if(substations_, [&](std::map<std::string, HeldLink>::value_type const& l) { return old(std::max(l.second.since, l.second.good)); });
+  for (std::map<std::string, Tick>* const times : {&heard_, &fetchedAt_, &silent_})
+    std::erase_if(*times, [&](std::map<std::string, Tick>::value_type const& t) { return old(t.second); });
   expireSeen(now);
   std::set<Index> replicasUsed;
   std::set<Index> instancesUsed;
--- a/signal/include/corkward/signal/message.h
+++ b/signal/include/corkward/signal/message.h
@@ -32,6 +32,30 @@
 /// Key -> newest stamp.
 using Stamps = std::map<std::string, std::uint64_t>;
 
+/// Stands for a set of keys with their stamps: the sum of one 64-bit hash for each pair, and how many there are.
+struct Digest {
+  std::uint64_t sum = 0;
+  std::uint64_t count = 0;
+  /// Puts the key under its newer stamp; stamp 0 stands for no such key.
+  void replace(std::string const& key, std::uint64_t before, std::uint64_t after);
+  bool operator==(Digest const&) const = default;
+};
+
+/// Digest of a set.
+Digest digestOf(Stamps const& stamps);
+
+/// One bit for each place of an agreed list, eight to a byte.
+class Bits {
+ public:
+  void set(std::size_t place);
+  bool has(std::size_t place) const { return place / 8 < bytes_.size() && (static_cast<unsigned char>(bytes_[place / 8]) >> (place % 8) & 1U) != 0; }
+  template <class F>
+  void each(F& f) { f("b", bytes_); }
+
+ private:
+  std::string bytes_;
+};
+
 /// One key with its value as it was accepted on a majority of the disks.
 struct Item {
   std::string key;
@@ -213,15 +237,44 @@
   void each(F& f) { f("n", number); f("w", whole); f("i", items); }
 };
 
-/// What a nacelle has in force; counted by the owners of the changed keys.
+/// What a nacelle has in force of the keys that the news named, and a digest of all that it has; told to the
+/// substations that hold it.
 struct NewsAck {
   std::uint64_t number = 0;
   std::string link;
   std::uint64_t inc = 0;
-  bool relayed = false;
   Stamps stamps;
+  Digest digest;
+  template <class F>
+  void each(F& f) { f("n", number); f("l", link); f("i", inc); f("s", stamps); f("d", digest); }
+};
+
+/// Which nacelles have a key under that stamp or a newer one.
+struct Reached {
+  std::string key;
+  std::uint64_t stamp = 0;
+  Bits nacelles;
+  template <class F>
+  void each(F& f) { f("k", key); f("s", stamp); f("b", nacelles); }
+};
+
+/// What a substation tells the others of the nacelles that it holds. Bits go by the links of the roster of that stamp
+/// and of the one before it, sorted.
+struct Holding {
+  std::uint64_t roster = 0;
+  Digest digest;
+  /// Heard from lately.
+  Bits heard;
+  /// Have all that the digest stands for.
+  Bits whole;
+  /// Heard from lately and not on the roster.
+  std::vector<Contact> fresh;
+  /// How far the asked changes are.
+  std::vector<Reached> reached;
+  /// Changes not yet in force as far as the sender knows; wants an answer.
+  std::vector<Reached> asked;
   template <class F>
-  void each(F& f) { f("n", number); f("l", link); f("i", inc); f("r", relayed); f("s", stamps); }
+  void each(F& f) { f("r", roster); f("d", digest); f("h", heard); f("w", whole); f("f", fresh); f("e", reached); f("a", asked); }
 };
 
 /// A nacelle asks a substation for a confirmation of its standing.
@@ -231,9 +284,12 @@
   bool wantWhole = false;
   /// The image need not be confirmed by a majority.
   bool anyWhole = false;
+  /// What the nacelle has in force.
+  Digest digest;
+  /// The same in full, when the substation asked for it.
   Stamps stamps;
   template <class F>
-  void each(F& f) { f("t", tick); f("c", self); f("w", wantWhole); f("y", anyWhole); f("s", stamps); }
+  void each(F& f) { f("t", tick); f("c", self); f("w", wantWhole); f("y", anyWhole); f("d", digest); f("s", stamps); }
 };
 
 /// A platform's list that is newer than the one in force. It only ever takes away: what it does not name, or names
@@ -251,10 +307,17 @@
   core::Tick tick = 0;
   bool inTouch = false;
   core::Tick age = 0;
+  /// What the substation knows to be on a majority of the disks: all that the nacelle must know for this to count.
+  Digest digest;
+  /// The same in full, when the asker's digest is another.
   Stamps stamps;
+  /// The substation does not know what the nacelle has.
+  bool wantStamps = false;
+  /// Newest stamp of the roster that is known to be in force.
+  std::uint64_t roster = 0;
   std::vector<Hint> hints;
   template <class F>
-  void each(F& f) { f("t", tick); f("i", inTouch); f("a", age); f("s", stamps); f("h", hints); }
+  void each(F& f) { f("t", tick); f("i", inTouch); f("a", age); f("d", digest); f("s", stamps); f("w", wantStamps); f("r", roster); f("h", hints); }
 };
 
 /// Contact between nacelles, with what each has in force.
@@ -264,13 +327,27 @@
   bool wantWhole = false;
   bool whole = false;
   std::string link;
-  std::uint64_t inc = 0;
+  Digest digest;
+  /// The same in full, in an echo when the asker's digest is another.
   Stamps stamps;
+  /// The asker lacks control, and wants ages.
+  bool wantAges = false;
+  /// Stamp of the roster that the ages go by.
+  std::uint64_t roster = 0;
+  /// For each link of that roster, sorted, one byte: in units of ageUnit, how long ago at the most that nacelle had
+  /// nothing in force which the sender lacks; 255: longer, or not known.
+  std::string ages;
   std::vector<Hint> hints;
   template <class F>
-  void each(F& f) { f("t", tick); f("e", echo); f("w", wantWhole); f("h", whole); f("l", link); f("i", inc); f("s", stamps); f("n", hints); }
+  void each(F& f) {
+    f("t", tick); f("e", echo); f("w", wantWhole); f("h", whole); f("l", link); f("d", digest); f("s", stamps); f("a", wantAges);
+    f("r", roster); f("g", ages); f("n", hints);
+  }
 };
 
+/// Milliseconds that one unit of a Touch's ages stands for.
+inline constexpr core::Tick ageUnit = 10;
+
 /// Asks the others whether a request's id may have run there, and has them remember that it was asked for here.
 struct SeenAsk {
   std::uint64_t token = 0;
@@ -338,7 +415,7 @@
 };
 
 using Message = std::variant<Shuffle, Prepare, Promise, Accept, Accepted, Commit, Handover, Beat, BeatEcho, Found, Fetch,
-                             Copy, Call, Outcome, News, NewsAck, Ask, Confirm, Hint, Touch, SeenAsk, SeenEcho, SeenLeft,
+                             Copy, Call, Outcome, News, NewsAck, Holding, Ask, Confirm, Hint, Touch, SeenAsk, SeenEcho, SeenLeft,
                              WarmAsk, WarmGrant>;
 
 /// Command: send a message to the process that listens at the link address.
--- a/signal/src/message.cpp
+++ b/signal/src/message.cpp
@@ -4,15 +4,16 @@
 #include <QCborMap>
 #include <QCborValue>
 #include <array>
+#include <functional>
 #include <type_traits>
 
 namespace corkward::signal {
 
 namespace {
 
-constexpr std::array<char const*, 25> kinds{
+constexpr std::array<char const*, 26> kinds{
     "shuffle", "prepare", "promise", "accept", "accepted", "commit", "handover", "beat",     "beat-echo",
-    "found",   "fetch",   "copy",    "call",   "outcome",  "news",   "news-ack", "ask",      "confirm",
+    "found",   "fetch",   "copy",    "call",   "outcome",  "news",   "news-ack", "holding", "ask", "confirm",
     "hint",    "touch",   "seen-ask", "seen-echo", "seen-left", "warm-ask", "warm-grant"};
 static_assert(kinds.size() == std::variant_size_v<Message>);
 
@@ -41,6 +42,7 @@
     }
     return out;
   }
+  static QCborValue put(Digest const& v) { return QCborArray{static_cast<qint64>(v.sum), static_cast<qint64>(v.count)}; }
   template <class T>
     requires requires(T t, Packer p) { t.each(p); }
   static QCborValue put(T const& v) {
@@ -85,6 +87,11 @@
       get(pairs.at(i + 1), v[key]);
     }
   }
+  static void get(QCborValue const& c, Digest& v) {
+    if (!c.isArray() || c.toArray().size() != 2 || !c.toArray().at(0).isInteger()) wrong();
+    v.sum = static_cast<std::uint64_t>(c.toArray().at(0).toInteger());
+    get(c.toArray().at(1), v.count);
+  }
   template <class T>
     requires requires(T t, Unpacker u) { t.each(u); }
   static void get(QCborValue const& c, T& v) {
@@ -111,6 +118,25 @@
 
 }  // namespace
 
+void Digest::replace(std::string const& key, std::uint64_t before, std::uint64_t after) {
+  std::function<std::uint64_t(std::uint64_t)> const part = [&](std::uint64_t stamp) {
+    return stamp == 0 ? 0 : core::stableHash(key + "=" + std::to_string(stamp));
+  };
+  sum += part(after) - part(before);
+  count += static_cast<std::uint64_t>(after > 0) - static_cast<std::uint64_t>(before > 0);
+}
+
+Digest digestOf(Stamps const& stamps) {
+  Digest out;
+  for (Stamps::value_type const& s : stamps) out.replace(s.first, 0, s.second);
+  return out;
+}
+
+void Bits::set(std::size_t place) {
+  if (bytes_.size() <= place / 8) bytes_.resize(place / 8 + 1, '\0');
+  bytes_[place / 8] = static_cast<char>(static_cast<unsigned char>(bytes_[place / 8]) | 1U << (place % 8));
+}
+
 char const* kind(Message const& message) { return kinds[message.index()]; }
 
 std::string pack(Envelope const& envelope) {
--- a/signal/test/fill.h
+++ b/signal/test/fill.h
@@ -25,6 +25,9 @@
   void fill(Stamps& v) {
     for (std::uint64_t i = rng.below(3); i > 0; --i) v[names[rng.below(names.size())]] = number();
   }
+  void fill(Digest& v) {
+    if (rng.chance(0.5)) v = Digest{rng.next(), number()};
+  }
   template <class T>
   void fill(std::vector<T>& v) {
     for (std::uint64_t i = rng.below(3); i > 0; --i) fill(v.emplace_back());
--- a/signal/test/signal_test.cpp
+++ b/signal/test/signal_test.cpp
@@ -24,6 +24,22 @@
     CHECK_THROWS_AS(signal::unpack(bytes.substr(0, cut)), signal::Error);
 }
 
+TEST_CASE("a digest follows the set, whatever the order, and comes back over the wire") {
+  signal::Stamps const stamps{{"family:desk", 5}, {"family:fault", 6}};
+  signal::Digest built;
+  built.replace("family:fault", 0, 2);
+  built.replace("family:desk", 0, 5);
+  CHECK_FALSE(built == signal::digestOf(stamps));
+  built.replace("family:fault", 2, 6);
+  CHECK(built == signal::digestOf(stamps));
+  CHECK_FALSE(built == signal::digestOf({{"family:desk", 6}, {"family:fault", 5}}));
+  built.replace("family:desk", 5, 0);
+  CHECK(built == signal::digestOf({{"family:fault", 6}}));
+  signal::Confirm c;
+  c.digest = signal::digestOf(stamps);
+  CHECK(std::get<signal::Confirm>(signal::unpack(signal::pack(signal::Envelope{"s", c})).message).digest == c.digest);
+}
+
 TEST_CASE("random bytes never pass for an envelope and never crash the reader") {
   core::Rng rng(42);
   std::string const good = signal::pack(signal::Envelope{"a", signal::SeenAsk{1, "id", 2, 0, ""}});
--- a/substation/include/corkward/substation/plane.h
+++ b/substation/include/corkward/substation/plane.h
@@ -32,6 +32,14 @@
   /// Lease of a duty that processes outside ask for, such as the alert watch.
   Tick dutyLease = 15000;
   Tick probeAfter = 400;
+  /// How often substations tell each other which nacelles they hear; how often while a change is not in force yet, and
+  /// how often as long as it is younger than that.
+  Tick holdingEvery = 500;
+  Tick holdingWhileAsking = 100;
+  Tick holdingWhileYoung = 20;
+  Tick youngFor = 400;
+  /// A nacelle that has not asked here for this long is not held here.
+  Tick heldFor = 2000;
 };
 
 /// Answers an operator's call that came in at this process's own door.
@@ -101,11 +109,27 @@
     std::uint64_t stamp = 0;
     Tick since = 0;
     Tick majorityAt = -1;
+    bool inForce = false;
+    /// Newest stamp that each nacelle is known to have; dropped when all is in force, but for the roster's.
+    signal::Stamps has;
+  };
+  /// What the roster says, folded once when it is committed.
+  struct RosterView {
+    std::set<std::string> nodes;
+    std::set<std::string> previous;
+    std::set<std::string> gone;
+    /// Nodes and those before, sorted: the places of the bits in Holding.
+    std::vector<std::string> places;
   };
   struct Nacelle {
     signal::Contact contact;
+    /// Last word of it, here or at another substation, and last question here.
     Tick heard = -1;
-    signal::Stamps stamps;
+    Tick asked = -1;
+    /// All that it lacks is in behind.
+    bool known = false;
+    /// Keys that it is not known to have as committed, with the newest stamp that it is known to have of each.
+    signal::Stamps behind;
     std::map<std::string, std::pair<std::uint64_t, Tick>> pushed;
     std::uint64_t number = 0;
     Tick refusedAt = -1;
@@ -130,15 +154,22 @@
   void finish(Commands& out, Tick now, std::uint64_t call, int status, QJsonObject body);
   void route(Commands& out, Tick now, std::uint64_t call);
   void push(Commands& out, Tick now, std::string const& link, Nacelle& n);
-  void acked(Commands& out, Tick now, std::string const& link, std::uint64_t inc, signal::Stamps const& stamps);
+  Nacelle* heardFrom(Tick now, std::string const& link, std::uint64_t inc);
+  void learned(std::string const& link, std::string const& key, std::uint64_t stamp);
+  void learnedAll(std::string const& link, Nacelle& n);
+  bool hasAll(std::string const& link, Nacelle& n, signal::Digest const& digest);
+  void committed(Tick now, mooring::Committed const& c);
+  void foldRoster(QJsonObject const& value);
+  signal::Holding holding(Tick now) const;
+  void tellHolding(Commands& out, Tick now);
   void checkForces(Commands& out, Tick now);
   bool isInForce(Tick now, std::string const& key, Settling const& s) const;
   void watchSettling(Tick now);
+  bool rosterInForce() const;
   enum class InForce { yes, majority, no };
   InForce inForce(Tick now, std::string const& key, std::uint64_t stamp, Tick since) const;
   void considerRoster(Commands& out, Tick now);
   bool rosterSettled(Tick now) const;
-  std::set<std::string> rosterLinks(char const* field) const;
   std::uint64_t committedStamp(std::string const& key) const;
   std::uint64_t generationOf(std::string const& pool) const;
   void on(Commands& out, Tick now, std::string const& from, signal::Hint const& m);
@@ -148,6 +179,7 @@
   void on(Commands& out, Tick now, std::string const& from, signal::Call const& m);
   void on(Commands& out, Tick now, std::string const& from, signal::Outcome const& m);
   void on(Commands& out, Tick now, std::string const& from, signal::NewsAck const& m);
+  void on(Commands& out, Tick now, std::string const& from, signal::Holding const& m);
   void on(Commands& out, Tick now, std::string const& from, signal::Ask const& m);
   void on(Commands& out, Tick now, std::string const& from, signal::WarmAsk const& m);
 
@@ -159,6 +191,11 @@
   std::map<std::uint64_t, CallState> calls_;
   std::vector<Force> forces_;
   std::map<std::string, Settling> settling_;
+  /// Keys whose newest change is not known to be in force.
+  std::set<std::string> unsettled_;
+  signal::Digest digest_;
+  RosterView roster_;
+  Tick holdingAt_ = 0;
   std::map<std::string, signal::Hint> hints_;
   std::map<std::string, Nacelle> nacelles_;
   std::map<std::string, Lease> leases_;
--- a/substation/src/plane.cpp
+++ b/substation/src/plane.cpp
@@ -16,6 +16,7 @@
 constexpr char const* rosterMethod = "ROSTER";
 constexpr std::size_t maxCalls = 4096;
 constexpr std::size_t maxLeases = 4096;
+constexpr std::size_t maxAsked = 32;
 
 /// A change that is on the disks but cannot be shown to be in force is no success that a script could take it for.
 QJsonObject pendingBody(QJsonObject body, std::uint64_t stamp) {
@@ -59,8 +60,7 @@
   }
   for (mooring::Committed const& c : from.commits) {
     journal_.append(now, "committed", c.key);
-    if (c.key == rosterKey) rosterCommittedAt_ = now;
-    settling_[c.key] = Settling{c.stamp, now, -1};
+    committed(now, c);
     out.notes.push_back(core::Note{"committed", {{"key", c.key}, {"stamp", std::to_string(c.stamp)}}});
   }
   for (mooring::Decided const& d : from.decided) decided(out, now, d);
@@ -175,7 +175,7 @@
   hints_[m.pool] = m;
   journal_.append(now, "leaving_hint", m.pool);
   for (std::map<std::string, Nacelle>::value_type const& n : nacelles_)
-    if (n.second.heard >= 0) out.sends.push_back(signal::Send{n.first, m});
+    if (n.second.asked >= 0) out.sends.push_back(signal::Send{n.first, m});
   for (mooring::Member const& c : mooring_.cohort())
     if (c.link != mooring_.self().link) out.sends.push_back(signal::Send{c.link, m});
 }
@@ -245,89 +245,244 @@
   finish(out, now, m.token, m.status, m.body);
 }
 
+void Plane::committed(Tick now, mooring::Committed const& c) {
+  if (c.key == rosterKey) {
+    rosterCommittedAt_ = now;
+    foldRoster(c.value);
+  }
+  Settling& s = settling_[c.key];
+  std::uint64_t const before = s.stamp;
+  s.stamp = c.stamp;
+  s.since = now;
+  s.majorityAt = -1;
+  s.inForce = false;
+  unsettled_.insert(c.key);
+  holdingAt_ = now;
+  digest_.replace(c.key, before, c.stamp);
+  for (std::map<std::string, Nacelle>::value_type& n : nacelles_)
+    if (n.second.asked >= 0) n.second.behind.try_emplace(c.key, n.second.known ? before : 0);
+}
+
+void Plane::foldRoster(QJsonObject const& value) {
+  std::function<std::set<std::string>(char const*)> const links = [&](char const* field) {
+    std::set<std::string> out;
+    for (QJsonValue const v : value.value(QLatin1String(field)).toArray())
+      out.insert(core::str(v.isString() ? v.toString() : v.toObject().value("link").toString()));
+    return out;
+  };
+  roster_ = RosterView{links("nodes"), links("previous"), links("gone"), {}};
+  std::set_union(roster_.nodes.begin(), roster_.nodes.end(), roster_.previous.begin(), roster_.previous.end(), std::back_inserter(roster_.places));
+}
+
+void Plane::learned(std::string const& link, std::string const& key, std::uint64_t stamp) {
+  std::map<std::string, Settling>::iterator const it = settling_.find(key);
+  if (it == settling_.end() || (it->second.inForce && key != rosterKey)) return;
+  std::uint64_t& has = it->second.has[link];
+  has = std::max(has, stamp);
+}
+
+void Plane::learnedAll(std::string const& link, Nacelle& n) {
+  for (std::string const& key : unsettled_) learned(link, key, settling_.at(key).stamp);
+  learned(link, rosterKey, committedStamp(rosterKey));
+  n.behind.clear();
+  n.pushed.clear();
+  n.known = true;
+}
+
+bool Plane::hasAll(std::string const& link, Nacelle& n, signal::Digest const& digest) {
+  if (!(digest == digest_)) return false;
+  learnedAll(link, n);
+  return true;
+}
+
+Plane::Nacelle* Plane::heardFrom(Tick now, std::string const& link, std::uint64_t inc) {
+  Nacelle& n = nacelles_[link];
+  if (inc < n.contact.inc) return nullptr;
+  if (inc > n.contact.inc) {
+    n.known = false;
+    n.behind.clear();
+    n.pushed.clear();
+    n.contact.inc = inc;
+    n.contact.link = link;
+  }
+  n.heard = now;
+  n.refusedAt = -1;
+  return &n;
+}
+
 void Plane::on(Commands& out, Tick now, std::string const& from, signal::NewsAck const& m) {
-  acked(out, now, m.link, m.inc, m.stamps);
-  if (m.relayed || from != m.link) return;
-  signal::NewsAck relayed = m;
-  relayed.relayed = true;
-  for (mooring::Member const& c : mooring_.cohort())
-    if (c.link != mooring_.self().link) out.sends.push_back(signal::Send{c.link, relayed});
+  if (m.link.empty() || m.link != from) return;
+  Nacelle* const n = heardFrom(now, from, m.inc);
+  if (n == nullptr) return;
+  if (!hasAll(from, *n, m.digest)) {
+    for (signal::Stamps::value_type const& s : m.stamps) {
+      learned(from, s.first, s.second);
+      signal::Stamps::iterator const behind = n->behind.find(s.first);
+      if (behind == n->behind.end()) continue;
+      behind->second = std::max(behind->second, s.second);
+      if (behind->second < committedStamp(s.first)) continue;
+      n->behind.erase(behind);
+      n->pushed.erase(s.first);
+    }
+  }
+  checkForces(out, now);
 }
 
 void Plane::on(Commands& out, Tick now, std::string const& from, signal::Ask const& m) {
   if (m.self.link.empty() || m.self.link != from) return;
   std::vector<signal::Send> sends = lookout_.heard(now, m.self);
   std::move(sends.begin(), sends.end(), std::back_inserter(out.sends));
-  acked(out, now, from, m.self.inc, m.stamps);
+  bool const current = heardFrom(now, from, m.self.inc) != nullptr;
   Nacelle& n = nacelles_[from];
   n.contact = m.self;
+  n.asked = now;
   if (m.wantWhole && n.wantWhole < 0) n.wantWhole = now;
   if (!m.wantWhole) n.wantWhole = -1;
   n.anyWhole = m.anyWhole;
+  bool exact = current && hasAll(from, n, m.digest);
+  if (current && !exact && signal::digestOf(m.stamps) == m.digest) {
+    exact = true;
+    n.known = true;
+    n.behind.clear();
+    for (std::map<std::string, mooring::Committed>::value_type const& k : mooring_.committed()) {
+      signal::Stamps::const_iterator const have = m.stamps.find(k.first);
+      std::uint64_t const stamp = have == m.stamps.end() ? 0 : have->second;
+      if (stamp > 0) learned(from, k.first, stamp);
+      if (stamp < k.second.stamp) n.behind[k.first] = stamp;
+    }
+  } else if (current && !exact && n.known) {
+    signal::Digest expected = digest_;
+    for (signal::Stamps::value_type const& b : n.behind) expected.replace(b.first, committedStamp(b.first), b.second);
+    exact = expected == m.digest;
+  }
   signal::Confirm c;
   c.tick = m.tick;
   Tick const age = mooring_.majorityAge(now);
   c.inTouch = age >= 0 && age <= tuning_.fence;
   c.age = std::max<Tick>(age, 0);
-  for (std::map<std::string, mooring::Committed>::value_type const& k : mooring_.committed()) c.stamps[k.first] = k.second.stamp;
+  c.digest = digest_;
+  if (!(m.digest == digest_))
+    for (std::map<std::string, mooring::Committed>::value_type const& k : mooring_.committed()) c.stamps[k.first] = k.second.stamp;
+  c.wantStamps = !exact;
+  c.roster = rosterInForce() ? committedStamp(rosterKey) : 0;
   for (std::map<std::string, signal::Hint>::iterator h = hints_.begin(); h != hints_.end();)
     h = h->second.generation <= generationOf(h->first) ? hints_.erase(h) : std::next(h);
   for (std::map<std::string, signal::Hint>::value_type const& h : hints_) c.hints.push_back(h.second);
   out.sends.push_back(signal::Send{from, c});
   push(out, now, from, n);
-}
-
-void Plane::acked(Commands& out, Tick now, std::string const& link, std::uint64_t inc, signal::Stamps const& stamps) {
-  Nacelle& n = nacelles_[link];
-  if (inc < n.contact.inc) return;
-  if (inc > n.contact.inc) {
-    n.stamps.clear();
-    n.pushed.clear();
-    n.contact.inc = inc;
-    n.contact.link = link;
-  }
-  n.heard = now;
-  n.refusedAt = -1;
-  for (signal::Stamps::value_type const& s : stamps) n.stamps[s.first] = std::max(n.stamps[s.first], s.second);
   checkForces(out, now);
 }
 
 void Plane::push(Commands& out, Tick now, std::string const& link, Nacelle& n) {
-  if (n.heard < 0 || now - n.heard > 10000) return;
+  if (n.asked < 0) return;
+  if (now - n.asked > 10000) {
+    n.asked = -1;
+    n.known = false;
+    n.behind.clear();
+    n.pushed.clear();
+    n.wantWhole = -1;
+    return;
+  }
   Tick const age = mooring_.majorityAge(now);
   bool const confirmed = age >= 0 && now - age >= n.wantWhole;
-  bool const whole = n.wantWhole >= 0 && (n.anyWhole ? !mooring_.committed().empty() : confirmed);
   signal::News news;
-  news.whole = whole;
-  for (std::map<std::string, mooring::Committed>::value_type const& k : mooring_.committed()) {
-    signal::Stamps::const_iterator const have = n.stamps.find(k.first);
-    if (!whole && have != n.stamps.end() && have->second >= k.second.stamp) continue;
-    std::pair<std::uint64_t, Tick>& pushed = n.pushed[k.first];
-    if (!whole && pushed.first >= k.second.stamp && now - pushed.second < tuning_.repushEvery) continue;
-    pushed = {k.second.stamp, now};
-    news.items.push_back(signal::Item{k.first, k.second.stamp, k.second.value});
-  }
-  if (news.items.empty() && !whole) return;
+  news.whole = n.wantWhole >= 0 && (n.anyWhole ? !mooring_.committed().empty() : confirmed);
+  std::function<void(std::string const&)> const add = [&](std::string const& key) {
+    std::map<std::string, mooring::Committed>::const_iterator const k = mooring_.committed().find(key);
+    if (k == mooring_.committed().end()) return;
+    n.pushed[key] = {k->second.stamp, now};
+    news.items.push_back(signal::Item{key, k->second.stamp, k->second.value});
+  };
+  if (news.whole) {
+    n.wantWhole = -1;
+    for (std::map<std::string, mooring::Committed>::value_type const& k : mooring_.committed()) add(k.first);
+  } else {
+    for (signal::Stamps::value_type const& b : n.behind) {
+      std::map<std::string, std::pair<std::uint64_t, Tick>>::const_iterator const before = n.pushed.find(b.first);
+      bool const again = before != n.pushed.end() && before->second.first >= committedStamp(b.first) && now - before->second.second < tuning_.repushEvery;
+      if (!again) add(b.first);
+    }
+    if (news.items.empty()) return;
+  }
   news.number = ++n.number;
-  if (whole) n.wantWhole = -1;
   journal_.append(now, "news_pushed", link);
   out.sends.push_back(signal::Send{link, std::move(news)});
 }
 
+signal::Holding Plane::holding(Tick now) const {
+  signal::Holding h;
+  h.roster = committedStamp(rosterKey);
+  h.digest = digest_;
+  for (std::size_t place = 0; place < roster_.places.size(); ++place) {
+    std::map<std::string, Nacelle>::const_iterator const n = nacelles_.find(roster_.places[place]);
+    if (n == nacelles_.end() || n->second.asked < 0) continue;
+    if (now - n->second.asked <= tuning_.heldFor) h.heard.set(place);
+    if (n->second.known && n->second.behind.empty()) h.whole.set(place);
+  }
+  for (std::map<std::string, Nacelle>::value_type const& n : nacelles_)
+    if (n.second.asked >= 0 && now - n.second.asked <= tuning_.heldFor && roster_.nodes.count(n.first) == 0) h.fresh.push_back(n.second.contact);
+  return h;
+}
+
+void Plane::tellHolding(Commands& out, Tick now) {
+  if (now < holdingAt_) return;
+  signal::Holding h = holding(now);
+  Tick youngest = -1;
+  std::function<void(std::string const&, std::uint64_t, Tick)> const ask = [&](std::string const& key, std::uint64_t stamp, Tick since) {
+    youngest = std::max(youngest, since);
+    if (h.asked.size() < maxAsked) h.asked.push_back(signal::Reached{key, stamp, {}});
+  };
+  for (Force const& f : forces_) ask(f.key, f.stamp, f.since);
+  for (std::string const& key : unsettled_) ask(key, settling_.at(key).stamp, settling_.at(key).since);
+  bool const young = youngest >= 0 && now - youngest < tuning_.youngFor;
+  holdingAt_ = now + (h.asked.empty() ? tuning_.holdingEvery : young ? tuning_.holdingWhileYoung : tuning_.holdingWhileAsking);
+  for (mooring::Member const& m : mooring_.cohort())
+    if (m.link != mooring_.self().link) out.sends.push_back(signal::Send{m.link, h});
+}
+
+void Plane::on(Commands& out, Tick now, std::string const& from, signal::Holding const& m) {
+  std::function<bool(mooring::Member const&)> const sender = [&](mooring::Member const& c) { return c.link == from; };
+  if (std::none_of(mooring_.cohort().begin(), mooring_.cohort().end(), sender)) return;
+  for (signal::Contact const& c : m.fresh) {
+    if (c.link.empty() || c.role != "nacelle") continue;
+    Nacelle& n = nacelles_[c.link];
+    if (n.asked >= 0 || c.inc < n.contact.inc) continue;
+    n.contact = c;
+    n.heard = now;
+  }
+  if (m.roster > 0 && m.roster == committedStamp(rosterKey)) {
+    for (std::size_t place = 0; place < roster_.places.size(); ++place) {
+      std::string const& link = roster_.places[place];
+      if (m.heard.has(place)) nacelles_[link].heard = now;
+      if (m.digest == digest_ && m.whole.has(place))
+        for (std::string const& key : unsettled_) learned(link, key, settling_.at(key).stamp);
+      for (signal::Reached const& r : m.reached)
+        if (r.nacelles.has(place)) learned(link, r.key, r.stamp);
+    }
+    checkForces(out, now);
+  }
+  if (m.asked.empty()) return;
+  signal::Holding answer = holding(now);
+  for (signal::Reached const& asked : m.asked) {
+    if (answer.reached.size() >= maxAsked) break;
+    signal::Reached r{asked.key, asked.stamp, {}};
+    bool const have = committedStamp(asked.key) >= asked.stamp;
+    for (std::size_t place = 0; place < roster_.places.size(); ++place) {
+      std::map<std::string, Nacelle>::const_iterator const n = nacelles_.find(roster_.places[place]);
+      if (n == nacelles_.end() || n->second.asked < 0) continue;
+      signal::Stamps::const_iterator const behind = n->second.behind.find(asked.key);
+      if (behind == n->second.behind.end() ? have && n->second.known : behind->second >= asked.stamp) r.nacelles.set(place);
+    }
+    answer.reached.push_back(std::move(r));
+  }
+  out.sends.push_back(signal::Send{from, std::move(answer)});
+}
+
 std::uint64_t Plane::committedStamp(std::string const& key) const {
   std::map<std::string, mooring::Committed>::const_iterator const it = mooring_.committed().find(key);
   return it == mooring_.committed().end() ? 0 : it->second.stamp;
 }
 
-std::set<std::string> Plane::rosterLinks(char const* field) const {
-  std::set<std::string> out;
-  std::map<std::string, mooring::Committed>::const_iterator const it = mooring_.committed().find(rosterKey);
-  if (it == mooring_.committed().end()) return out;
-  for (QJsonValue const v : it->second.value.value(QLatin1String(field)).toArray())
-    out.insert(core::str(v.isString() ? v.toString() : v.toObject().value("link").toString()));
-  return out;
-}
-
 bool Plane::rosterSettled(Tick now) const {
   std::uint64_t const stamp = committedStamp(rosterKey);
   if (stamp == 0) return true;
@@ -335,31 +490,40 @@
          inForce(now, rosterKey, stamp, rosterCommittedAt_) != InForce::no;
 }
 
+bool Plane::rosterInForce() const {
+  std::map<std::string, Settling>::const_iterator const it = settling_.find(rosterKey);
+  return it != settling_.end() && it->second.inForce;
+}
+
 Plane::InForce Plane::inForce(Tick now, std::string const& key, std::uint64_t stamp, Tick since) const {
+  std::map<std::string, Settling>::const_iterator const settling = settling_.find(key);
+  if (settling != settling_.end() && settling->second.inForce && settling->second.stamp >= stamp) return InForce::yes;
   Tick const age = mooring_.majorityAge(now);
-  if (age < 0 || now - age < since) return InForce::no;
+  if (age < 0 || now - age < since || settling == settling_.end()) return InForce::no;
   std::uint64_t const roster = committedStamp(rosterKey);
-  std::set<std::string> const declaredGone = rosterLinks("gone");
+  std::map<std::string, Settling>::const_iterator const rosterSettling = settling_.find(rosterKey);
+  std::function<bool(Settling const&, std::string const&, std::uint64_t)> const knows = [](Settling const& s, std::string const& link, std::uint64_t least) {
+    signal::Stamps::const_iterator const it = s.has.find(link);
+    return it != s.has.end() && it->second >= least;
+  };
   bool all = true;
   bool settled = true;
-  for (char const* field : {"nodes", "previous"}) {
-    std::set<std::string> const links = rosterLinks(field);
+  for (std::set<std::string> const* const links : {&roster_.nodes, &roster_.previous}) {
     std::size_t yes = 0;
     std::size_t onRoster = 0;
-    for (std::string const& link : links) {
+    for (std::string const& link : *links) {
       std::map<std::string, Nacelle>::const_iterator const it = nacelles_.find(link);
-      bool const known = it != nacelles_.end();
-      bool const gone = declaredGone.count(link) > 0 || (known && it->second.refusedAt > since);
-      bool const has = gone || (known && it->second.stamps.count(key) > 0 && it->second.stamps.at(key) >= stamp);
+      bool const gone = roster_.gone.count(link) > 0 || (it != nacelles_.end() && it->second.refusedAt > since);
+      bool const has = gone || knows(settling->second, link, stamp);
       yes += has ? 1 : 0;
-      onRoster += gone || (known && it->second.stamps.count(rosterKey) > 0 && it->second.stamps.at(rosterKey) >= roster) ? 1 : 0;
-      if (field == std::string("nodes")) all = all && has;
+      onRoster += gone || (rosterSettling != settling_.end() && knows(rosterSettling->second, link, roster)) ? 1 : 0;
+      if (links == &roster_.nodes) all = all && has;
     }
-    if (links.empty()) continue;
-    if (field == std::string("nodes"))
-      settled = yes >= links.size() / 2 + 1;
-    else if (now - rosterCommittedAt_ < 4 * tuning_.fence || onRoster < links.size() / 2 + 1)
-      settled = settled && yes >= links.size() / 2 + 1;
+    if (links->empty()) continue;
+    if (links == &roster_.nodes)
+      settled = yes >= links->size() / 2 + 1;
+    else if (now - rosterCommittedAt_ < 4 * tuning_.fence || onRoster < links->size() / 2 + 1)
+      settled = settled && yes >= links->size() / 2 + 1;
   }
   if (all) return InForce::yes;
   return settled ? InForce::majority : InForce::no;
@@ -371,9 +535,12 @@
 }
 
 void Plane::watchSettling(Tick now) {
-  for (std::map<std::string, mooring::Committed>::value_type const& c : mooring_.committed()) {
-    Settling& s = settling_.try_emplace(c.first, Settling{c.second.stamp, now, -1}).first->second;
-    if (s.majorityAt < 0 && inForce(now, c.first, s.stamp, s.since) != InForce::no) s.majorityAt = now;
+  for (std::set<std::string>::iterator key = unsettled_.begin(); key != unsettled_.end();) {
+    Settling& s = settling_.at(*key);
+    if (s.majorityAt < 0 && inForce(now, *key, s.stamp, s.since) != InForce::no) s.majorityAt = now;
+    s.inForce = isInForce(now, *key, s);
+    if (s.inForce && *key != rosterKey) s.has.clear();
+    key = s.inForce ? unsettled_.erase(key) : std::next(key);
   }
 }
 
@@ -415,7 +582,7 @@
     return n.second.heard >= 0 && now - n.second.heard > tuning_.forgetAfter;
   };
   if (std::any_of(nacelles_.begin(), nacelles_.end(), silent)) {
-    std::set<std::string> const kept = rosterLinks("nodes");
+    std::set<std::string> const& kept = roster_.nodes;
     std::erase_if(nacelles_, [&](std::map<std::string, Nacelle>::value_type const& n) { return silent(n) && kept.count(n.first) == 0; });
   }
   std::string const owner = mooring_.ownerLink(rosterKey, now);
@@ -428,7 +595,7 @@
     for (QJsonValue const v : it->second.value.value("nodes").toArray())
       nodes[core::str(v.toObject().value("link").toString())] = v.toObject();
   bool changed = false;
-  std::set<std::string> gone = rosterLinks("gone");
+  std::set<std::string> gone = roster_.gone;
   for (std::map<std::string, Nacelle>::value_type const& n : nacelles_) {
     if (n.second.heard < 0 || now - n.second.heard > 2000 || n.second.contact.role != "nacelle" || n.second.contact.draining ||
         nodes.count(n.first) > 0)
@@ -568,7 +735,13 @@
            {{"error", change ? "unknown" : "not confirmed"}, {"reason", "the key's owner did not answer in time; ask by the change id"}});
   }
   if (!forces_.empty()) {
-    for (std::string const& link : rosterLinks("nodes")) {
+    for (std::string const& link : roster_.nodes) {
+      std::function<bool(Force const&)> const lacks = [&](Force const& f) {
+        std::map<std::string, Settling>::const_iterator const s = settling_.find(f.key);
+        signal::Stamps::const_iterator const has = s == settling_.end() ? signal::Stamps::const_iterator() : s->second.has.find(link);
+        return s == settling_.end() || has == s->second.has.end() || has->second < f.stamp;
+      };
+      if (std::none_of(forces_.begin(), forces_.end(), lacks)) continue;
       Nacelle& n = nacelles_[link];
       if ((n.heard >= 0 && now - n.heard < tuning_.probeAfter) || now - n.probedAt < tuning_.probeAfter) continue;
       n.probedAt = now;
@@ -577,6 +750,7 @@
     checkForces(out, now);
   }
   watchSettling(now);
+  tellHolding(out, now);
   considerRoster(out, now);
   return out;
 }
@@ -635,14 +809,13 @@
   for (mooring::Member const& m : mooring_.cohort())
     members.append(QJsonObject{{"id", core::qstr(m.id)}, {"link", core::qstr(m.link)}});
   QJsonArray nodes;
-  std::set<std::string> const roster = rosterLinks("nodes");
-  for (std::string const& link : roster) {
+  for (std::string const& link : roster_.nodes) {
     std::map<std::string, Nacelle>::const_iterator const it = nacelles_.find(link);
     qint64 behind = 0;
-    for (std::map<std::string, mooring::Committed>::value_type const& c : mooring_.committed()) {
-      if (it == nacelles_.end()) continue;
-      signal::Stamps::const_iterator const have = it->second.stamps.find(c.first);
-      behind += have == it->second.stamps.end() || have->second < c.second.stamp ? 1 : 0;
+    for (std::string const& key : unsettled_) {
+      Settling const& s = settling_.at(key);
+      signal::Stamps::const_iterator const have = s.has.find(link);
+      behind += have == s.has.end() || have->second < s.stamp ? 1 : 0;
     }
     bool const seen = it != nacelles_.end() && it->second.heard >= 0;
     nodes.append(QJsonObject{{"link", core::qstr(link)},
