Count a restarted nacelle into no majority before control vouches for it; redo the proof

Cause: found in redoing the proof of docs/design.md. A nacelle that applied a change, died and started while control was down could load an older image and stand on a majority that counted itself, while its life before had been counted for the change. The former rule (an image from a majority of others, then itself counted) left a like gap between the images' and the last acknowledgement's time. Changed: until a substation's image or a confirmation counted from this life's start, a nacelle needs a majority of others. Test: rotor_test, new case. Docs: design, architecture, failures.

--- a/rotor/include/corkward/rotor/plane.h
+++ b/rotor/include/corkward/rotor/plane.h
@@ -428,6 +428,9 @@
   std::map<std::string, Tick> fetchedAt_;
   /// A neighbour has sent a whole image.
   bool imageSeen_ = false;
+  /// Control has vouched for this life's image. Until then this node is none of the majority that it stands on: its life
+  /// before may have been counted for a change that it lacks now.
+  bool vouched_ = false;
   core::Rng rng_;
   std::map<CreditKey, Credit> credits_;
   std::map<Index, Warm> warm_;
--- a/rotor/src/news.cpp
+++ b/rotor/src/news.cpp
@@ -37,7 +37,10 @@
 
 void Plane::refreshStanding() {
   for (std::map<std::string, Confirmation>::value_type& c : confirmations_)
-    if (c.second.at > c.second.good && knows(c.second.digest, c.second.stamps)) c.second.good = c.second.at;
+    if (c.second.at > c.second.good && knows(c.second.digest, c.second.stamps)) {
+      c.second.good = c.second.at;
+      vouched_ = vouched_ || c.second.at >= started_;
+    }
   for (std::map<std::string, signal::Touch>::iterator e = echoes_.begin(); e != echoes_.end();) {
     bool const known = knows(e->second.digest, e->second.stamps);
     if (known) countHeard(e->first, e->second);
@@ -215,7 +218,7 @@
 
 bool Plane::mostHeard(Tick now) const {
   if (rosterSize() < tuning_.leastRoster) return false;
-  std::size_t fresh = 1;
+  std::size_t fresh = vouched_ ? 1 : 0;
   for (std::string const& link : rosterOthers()) {
     std::map<std::string, Tick>::const_iterator const it = heard_.find(link);
     fresh += it != heard_.end() && now - it->second <= tuning_.confirmFor ? 1 : 0;
@@ -401,6 +404,7 @@
   if (m.whole && !whole_ && (tuning_.fenced || !m.items.empty())) {
     if (!fromNacelle || !tuning_.fenced) {
       whole_ = true;
+      vouched_ = !fromNacelle;
       note(out, now, "whole-image", {{"from", from}});
     }
     imageSeen_ = true;
--- a/rotor/test/rotor_test.cpp
+++ b/rotor/test/rotor_test.cpp
@@ -447,6 +447,45 @@
   CHECK(echo->ages == std::string{'\x00', '\x0a', '\x32', '\xff', '\x5a'});
 }
 
+TEST_CASE("a node that restarts without control stands on a majority of others, itself not counted until control vouches for it") {
+  rotor::Plane plane(Rig::self(), {"s1"}, 7);
+  plane.started(1000);
+  QJsonArray nodes;
+  for (char const* link : {"n1", "n2", "n3", "n4", "n5"}) nodes.append(QJsonObject{{"link", link}});
+  signal::News news;
+  news.whole = true;
+  news.items = {{"roster", 2, QJsonObject{{"nodes", nodes}, {"previous", nodes}}}};
+  plane.arrived(5000, "n2", news);
+  signal::Touch t;
+  t.tick = 5000;
+  t.echo = true;
+  t.whole = true;
+  std::function<bool(char const*)> const standsWith = [&](char const* link) {
+    t.link = link;
+    plane.arrived(5005, link, t);
+    return plane.standing(5010);
+  };
+  CHECK_FALSE(standsWith("n2"));
+  CHECK_FALSE(standsWith("n3"));
+  CHECK(standsWith("n4"));
+  t.tick = 7000;
+  t.link = "n2";
+  plane.arrived(7005, "n2", t);
+  CHECK_FALSE(plane.standing(7010));
+  signal::Confirm c;
+  c.tick = 7000;
+  c.inTouch = true;
+  c.age = 1400;
+  plane.arrived(7010, "s1", c);
+  CHECK(plane.standing(7100));
+  CHECK_FALSE(plane.standing(7101));
+  t.link = "n2";
+  plane.arrived(7200, "n2", t);
+  t.link = "n3";
+  plane.arrived(7200, "n3", t);
+  CHECK(plane.standing(7200));
+}
+
 TEST_CASE("two substations are asked, the own zone's first, and others in place of silent ones") {
   rotor::Plane plane(Rig::self(), {"s1"}, 7);
   plane.started(0);
