--- a/door/test/door_test.cpp
+++ b/door/test/door_test.cpp
@@ -7,6 +7,7 @@
 
 #include <corkward/core/types.h>
 #include <corkward/door/mapping.h>
+#include <corkward/door/operator_mapping.h>
 #include <corkward/door/relay.h>
 #include <corkward/door/server.h>
 
@@ -181,7 +182,8 @@
 }
 
 TEST_CASE("an answer's ETag is what a change built on it says in If-Match") {
-  CHECK(door::operatorFields(200, QJsonObject{{"stamp", 3}}).at("etag") == "\"3\"");
-  CHECK(door::operatorFields(200, QJsonObject{{"stamp", 3}, {"version", 70}}).at("etag") == "\"70\"");
-  CHECK(door::operatorFields(412, QJsonObject{{"stamp", 3}, {"version", 70}}).count("etag") == 0);
+  door::OwnOperatorMapping const operators;
+  CHECK(door::field(operators.answer({}, 200, QJsonObject{{"stamp", 3}}).fields, "etag") == "\"3\"");
+  CHECK(door::field(operators.answer({}, 200, QJsonObject{{"stamp", 3}, {"version", 70}}).fields, "etag") == "\"70\"");
+  CHECK(door::field(operators.answer({}, 412, QJsonObject{{"stamp", 3}, {"version", 70}}).fields, "etag").empty());
 }
--- a/yard/sim/world.cpp
+++ b/yard/sim/world.cpp
@@ -198,16 +198,29 @@
   return !rng_.chance(loss_);
 }
 
-signal::Message World::withoutHints(signal::Message const& message) const {
-  if (plan_.mutation != Mutation::forgetHints) return message;
+signal::Message World::mutated(signal::Message const& message) const {
+  if (plan_.mutation != Mutation::forgetHints && plan_.mutation != Mutation::youngAges) return message;
   signal::Message out = message;
-  if (signal::Touch* const t = std::get_if<signal::Touch>(&out)) t->hints.clear();
+  signal::Touch* const t = std::get_if<signal::Touch>(&out);
+  if (plan_.mutation == Mutation::youngAges) {
+    if (t != nullptr) t->ages.assign(t->ages.size(), '\0');
+    return out;
+  }
+  if (t != nullptr) t->hints.clear();
   if (signal::Confirm* const c = std::get_if<signal::Confirm>(&out)) c->hints.clear();
   return out;
 }
 
+void World::tally(std::string const& from, signal::Send const& s) {
+  if (!plan_.traffic || now_ < trafficFrom || now_ >= trafficFrom - 10000 + plan_.length) return;
+  std::pair<std::size_t, std::size_t>& t = result_.traffic[{node(from)->disk ? "substation" : "nacelle", signal::kind(s.message)}];
+  ++t.first;
+  t.second += signal::pack(signal::Envelope{from, s.message}).size();
+}
+
 void World::send(std::string const& from, signal::Send const& s) {
   ++result_.counts["messages"];
+  tally(from, s);
   Node const* const to = node(s.to);
   if (to == nullptr || !to->alive || !passes(from, s.to)) return;
   if (plan_.mutation == Mutation::forgetHints && std::holds_alternative<signal::Hint>(s.message)) return;
@@ -222,7 +235,7 @@
         if (n.control)
           run(n, n.control->arrived(local(n), from, message));
         else
-          run(n, n.data->arrived(local(n), from, withoutHints(message)));
+          run(n, n.data->arrived(local(n), from, mutated(message)));
       });
     });
   }
@@ -336,7 +349,7 @@
         change("family:desk/" + std::string(name), "", "PUT", std::string(templatePath) + "/instances/" + name, R"({"parameters":{"site":"s"}})", "0", "");
     });
   });
-  Tick const begin = 7500;
+  Tick const begin = trafficFrom - 10000;
   at(begin, [this] {
     callerArrives();
     operatorTurn();
--- a/yard/sim/world.h
+++ b/yard/sim/world.h
@@ -122,6 +122,7 @@
   dropOnRestart,
   noReturn,
   forgetLeaving,
+  youngAges,
   forgetHints,
   resumeGap,
   resumeRepeat,
@@ -154,6 +155,8 @@
   double clockSpread = 0.002;
   /// First words count only for callers that began so long after the first one.
   Tick skip = 0;
+  /// Messages are packed and counted, by kind and by the role of the sender; costs time.
+  bool traffic = false;
 };
 
 /// What a run showed.
@@ -166,6 +169,8 @@
   std::map<std::string, std::vector<Tick>> firstWords;
   std::map<std::string, std::vector<Tick>> servedWords;
   std::vector<Tick> ackTimes;
+  /// Messages and bytes sent while failures last and the first 10 s are over, by the sender's role and the kind.
+  std::map<std::pair<std::string, std::string>, std::pair<std::size_t, std::size_t>> traffic;
   double partSum = 0;
   std::size_t partSamples = 0;
 };
@@ -289,6 +294,7 @@
   void freeze(Node& n, Tick how);
   void clock(std::string const& link, std::uint64_t life);
   void send(std::string const& from, signal::Send const& s);
+  void tally(std::string const& from, signal::Send const& s);
   bool passes(std::string const& from, std::string const& to);
   void run(Node& n, substation::Commands&& c);
   void run(Node& n, rotor::Commands&& c);
@@ -320,7 +326,8 @@
   void platform();
   /// Shows a list to a substation and to two nacelles, again and again until it is acknowledged or overtaken.
   void showList(std::string const& pool, std::uint64_t generation, std::vector<std::string> const& leaving, std::string const& body);
-  signal::Message withoutHints(signal::Message const& message) const;
+  /// The message as the plan's mutation leaves it.
+  signal::Message mutated(signal::Message const& message) const;
   void cause(Fault f);
   void replaceReplica(std::string const& address);
   void heal();
