--- a/governor/include/corkward/governor/governor.h
+++ b/governor/include/corkward/governor/governor.h
@@ -42,12 +42,6 @@
   /// own request has waited longer counts as work that its replica is held up by.
   double readPerMs = 100.0;
   Tick wordSlack = 60;
-  /// A prompt that takes more than this share of its aim to read is long. This share of a pool's replicas, the same on
-  /// all nodes, reads the long ones (none when fewer than four serve), so that they hold up no short ones elsewhere; what
-  /// it weighs, in tokens, to send one to a replica of the other kind.
-  double longPrompt = 0.1;
-  double longReplicas = 0.25;
-  double wrongKind = 12000.0;
   /// Parts of prompts that a node remembers to have sent.
   std::size_t parts = 40000;
   /// Share of the cap that long requests may fill.
--- a/rotor/include/corkward/rotor/plane.h
+++ b/rotor/include/corkward/rotor/plane.h
@@ -290,8 +290,6 @@
     std::uint64_t hash = 0;
     blueprint::ReplicaState state = blueprint::ReplicaState::leaving;
     bool listed = false;
-    /// It is among those that read the pool's long prompts.
-    bool readsLong = false;
     /// Tokens that this node has sent and that are not read yet, as far as it knows.
     std::int64_t reading = 0;
     /// Taken away by a list that is newer than the one in force.
@@ -379,9 +377,6 @@
   HandOver handOver(Tick now, CallId id);
   std::int64_t unread(Call const& call, Index replica, Index home) const;
   void haveRead(Call& call);
-  bool isLong(Call const& call) const;
-  bool mayBeHome(Index replica) const;
-  void shareOutLong(PoolView const& view);
   bool mayGoOn(Tick now, Call const& call) const;
   bool resumeElsewhere(Commands& out, Tick now, CallId id);
   std::int64_t choose(Tick now, Call const& call, std::vector<governor::Candidate> const& choices) const;
--- a/rotor/src/calls.cpp
+++ b/rotor/src/calls.cpp
@@ -1,5 +1,4 @@
 #include <algorithm>
-#include <cmath>
 #include <functional>
 
 #include "internal.h"
@@ -61,7 +60,6 @@
 }
 
 void Plane::refreshCandidates(Commands& out, Tick now) {
-  for (PoolView const& view : poolViews_) shareOutLong(view);
   std::vector<CreditKey> keys;
   for (std::map<CreditKey, Credit>::value_type& c : credits_) {
     std::vector<governor::Candidate> all;
@@ -275,38 +273,13 @@
   return true;
 }
 
-bool Plane::isLong(Call const& call) const {
-  double const read = static_cast<double>(call.request.parts.back().tokens) / tuning_.figures.readPerMs;
-  return read > tuning_.figures.longPrompt * static_cast<double>(rows_[call.path].path.aim);
-}
-
-void Plane::shareOutLong(PoolView const& view) {
-  std::vector<std::pair<std::uint64_t, Index>> order;
-  for (Index const r : view.replicas) {
-    replicas_[r].readsLong = false;
-    if (mayBeHome(r)) order.emplace_back(core::Rng(replicas_[r].hash).next(), r);
-  }
-  if (order.size() < 4) return;
-  std::sort(order.begin(), order.end());
-  order.resize(static_cast<std::size_t>(std::lround(tuning_.figures.longReplicas * static_cast<double>(order.size()))));
-  for (std::pair<std::uint64_t, Index> const& o : order) replicas_[o.second].readsLong = true;
-}
-
-bool Plane::mayBeHome(Index replica) const {
-  Replica const& r = replicas_[replica];
-  return r.listed && !r.away && r.state == blueprint::ReplicaState::serving && !evacuated(r.zone);
-}
-
 Index Plane::home(Call const& call) const {
-  bool const isLongOne = isLong(call);
   std::uint64_t const shared = call.request.parts[call.request.parts.size() - 2].hash;
-  std::vector<Index> const& all = poolViews_[call.pool].replicas;
-  bool const longApart = std::any_of(all.begin(), all.end(), [&](Index const r) { return replicas_[r].readsLong; });
   Index best = core::Names::none;
   std::uint64_t bestOrder = 0;
   for (Index const r : poolViews_[call.pool].replicas) {
     Replica const& replica = replicas_[r];
-    if (!mayBeHome(r) || (longApart && replica.readsLong != isLongOne)) continue;
+    if (!replica.listed || replica.away || replica.state != blueprint::ReplicaState::serving || evacuated(replica.zone)) continue;
     std::uint64_t const order = core::Rng(shared ^ replica.hash).next();
     if (best != core::Names::none && order >= bestOrder) continue;
     best = r;
@@ -341,8 +314,6 @@
     return governor::pick(scaler, choices, call.prefix == 0 ? seed_ ^ call.request.call : call.prefix, last);
   }
   Index const at = home(call);
-  bool const isLongOne = isLong(call);
-  bool const longApart = std::any_of(all.begin(), all.end(), [&](governor::Candidate const& c) { return replicas_[c.replica].readsLong; });
   std::unordered_map<Index, double> heldUp;
   for (std::unordered_map<CallId, Call>::value_type const& c : calls_) {
     Call const& other = c.second;
@@ -358,8 +329,7 @@
   for (governor::Candidate const& c : choices) {
     double const cost = scaler.inFlightAt(c.replica) * tuning_.figures.inFlightTokens + heldUp[c.replica] +
                         tuning_.figures.unreadWeight * static_cast<double>(unread(call, c.replica, at)) +
-                        static_cast<double>(replicas_[c.replica].reading) +
-                        (longApart && replicas_[c.replica].readsLong != isLongOne ? tuning_.figures.wrongKind : 0.0);
+                        static_cast<double>(replicas_[c.replica].reading);
     std::uint64_t const order = core::Rng(call.request.parts[call.request.parts.size() - 2].hash ^ replicas_[c.replica].hash).next();
     if (best >= 0 && (cost > bestCost || (cost == bestCost && order >= bestOrder))) continue;
     best = static_cast<std::int64_t>(c.replica);
