--- a/substation/src/plane.cpp
+++ b/substation/src/plane.cpp
@@ -543,6 +543,11 @@
 
 Commands Plane::clockEvent(Tick now) {
   Commands out;
+  if (mooring_.seeking()) {
+    std::vector<std::string> links = lookout_.seeds();
+    for (signal::Contact const& c : lookout_.ofRole("substation", now)) links.push_back(c.link);
+    mooring_.meet(std::move(links));
+  }
   take(out, now, mooring_.clockEvent(now));
   std::vector<signal::Send> sends = lookout_.clockEvent(now);
   std::move(sends.begin(), sends.end(), std::back_inserter(out.sends));
