--- a/lookout/include/corkward/lookout/lookout.h
+++ b/lookout/include/corkward/lookout/lookout.h
@@ -35,6 +35,7 @@
 
   signal::Contact const& self() const { return self_; }
   void setSeeds(std::vector<std::string> seeds) { seeds_ = std::move(seeds); }
+  std::vector<std::string> const& seeds() const { return seeds_; }
   void setDraining() { self_.draining = true; }
   /// Contacts of a role, ages as of now.
   std::vector<signal::Contact> ofRole(std::string const& role, Tick now) const;
--- a/signal/include/corkward/signal/message.h
+++ b/signal/include/corkward/signal/message.h
@@ -155,6 +155,8 @@
   bool empty = false;
   bool voting = false;
   std::uint64_t cohort = 0;
+  /// Stamp of the cohort under which the member last brought its state up to a majority's.
+  std::uint64_t settled = 0;
   /// Empty for a member that said it has this cohort.
   QJsonObject cohortValue;
   /// What the sender knows to be on a majority of the disks.
@@ -165,7 +167,7 @@
   Stamps owned;
   template <class F>
   void each(F& f) {
-    f("t", tick); f("m", member); f("e", empty); f("v", voting); f("c", cohort); f("cv", cohortValue); f("k", known); f("d", owns); f("o", owned);
+    f("t", tick); f("m", member); f("e", empty); f("v", voting); f("c", cohort); f("s", settled); f("cv", cohortValue); f("k", known); f("d", owns); f("o", owned);
   }
 };
 
@@ -185,23 +187,6 @@
   void each(F& f) { f("t", tick); f("m", member); f("v", voting); f("d", digest); f("a", accepted); f("h", higher); f("w", wantOwned); }
 };
 
-/// Founds the cohort of the named members.
-struct Found {
-  QJsonObject cohortValue;
-  template <class F>
-  void each(F& f) { f("c", cohortValue); }
-};
-
-/// Asks for a value that is on a majority, or for all slots when copying.
-struct Fetch {
-  std::string key;
-  bool copy = false;
-  std::string member;
-  std::uint64_t cohort = 0;
-  template <class F>
-  void each(F& f) { f("k", key); f("c", copy); f("m", member); f("n", cohort); }
-};
-
 /// One slot of a member's ledger, for a member that copies.
 struct Slot {
   std::string key;
@@ -213,11 +198,25 @@
   void each(F& f) { f("k", key); f("p", promised); f("a", acceptedEpoch); f("s", stamp); f("v", value); }
 };
 
+/// Asks for a value that is on a majority, or, when copying, for all slots that are newer than the asker's.
+struct Fetch {
+  std::string key;
+  bool copy = false;
+  std::string member;
+  std::uint64_t cohort = 0;
+  /// The asker's slots without their values.
+  std::vector<Slot> have = {};
+  template <class F>
+  void each(F& f) { f("k", key); f("c", copy); f("m", member); f("n", cohort); f("h", have); }
+};
+
 struct Copy {
   std::string member;
+  /// Stamp of the cohort that the answering member goes by.
+  std::uint64_t cohort = 0;
   std::vector<Slot> slots;
   template <class F>
-  void each(F& f) { f("m", member); f("s", slots); }
+  void each(F& f) { f("m", member); f("n", cohort); f("s", slots); }
 };
 
 struct Call {
@@ -426,7 +425,7 @@
   void each(F& f) { f("t", tick); f("r", replica); f("m", member); f("o", ok); f("e", epoch); f("h", holder); }
 };
 
-using Message = std::variant<Shuffle, Prepare, Promise, Accept, Accepted, Commit, Handover, Beat, BeatEcho, Found, Fetch,
+using Message = std::variant<Shuffle, Prepare, Promise, Accept, Accepted, Commit, Handover, Beat, BeatEcho, Fetch,
                              Copy, Call, Outcome, News, NewsAck, Holding, Ask, Confirm, Hint, Touch, SeenAsk, SeenEcho, SeenLeft,
                              WarmAsk, WarmGrant>;
 
@@ -440,6 +439,8 @@
 struct Envelope {
   std::string from;
   Message message;
+  /// Name of the sending process's run.
+  std::uint64_t run = 0;
 };
 
 /// Wire form (CBOR). Throws signal::Error on anything that is not a whole, well-typed envelope.
--- a/substation/include/corkward/substation/plane.h
+++ b/substation/include/corkward/substation/plane.h
@@ -213,6 +213,7 @@
   std::set<std::string> wholePools_;
   std::map<std::string, Lease> leases_;
   Tick started_ = 0;
+  Tick joinedAt_ = -1;
   Tick rosterAt_ = 0;
   Tick rosterCommittedAt_ = 0;
   bool rosterCalling_ = false;
