--- a/rotor/include/corkward/rotor/plane.h
+++ b/rotor/include/corkward/rotor/plane.h
@@ -65,6 +65,8 @@
   double nodeLimitPerReplica = 8.0;
   /// Seconds after which a caller is asked to come back when nothing better is known.
   double comeBack = 1.0;
+  /// A nacelle in an evacuated zone says that it is not ready, though it goes on serving.
+  bool evacuationFailsReady = true;
   /// A draining node goes on taking requests for this long, until callers are sent elsewhere.
   Tick drainServe = 0;
   /// At the replica short prompts go ahead of long ones, whatever the path's own rank.
--- a/rotor/src/news.cpp
+++ b/rotor/src/news.cpp
@@ -236,7 +236,7 @@
 
 bool Plane::ready(Tick now) const {
   bool const young = tuning_.fenced && now - started_ < tuning_.youngWait;
-  return !draining_ && !young && standing(now) && !evacuated(lookout_.self().zone) && !rows_.empty();
+  return !draining_ && !young && standing(now) && !(tuning_.evacuationFailsReady && evacuated(lookout_.self().zone)) && !rows_.empty();
 }
 
 void Plane::apply(Commands& out, Tick now, std::vector<signal::Item> const& items) {
