--- a/rotor/test/stream_test.cpp
+++ b/rotor/test/stream_test.cpp
@@ -12,7 +12,7 @@
 
 std::string event(int id, std::string const& eol) {
   std::string out = id % 3 == 0 ? ": still here" + eol : "";
-  if (id % 4 == 0) out += "weight-versions: 7" + eol;
+  if (id % 4 == 0) out += "note: 7" + eol;
   return out + "id: " + std::to_string(id * 5) + eol + "data: word " + std::to_string(id) + eol + eol;
 }
 
