Add yard-capacity, which measures slopes of the real reducers with many hollow processes

Cause: the users ask what each role holds, sends and spends at 350 nodes and 2,900 tenants. Only loopback fleets of eleven processes had been measured, and the rest was guessed.

Ruled out: the yard's simulated world, which judges failures with callers and replicas and keeps all of their records, and whose messages are never packed; hooks in the reducers, since the control protocol is being changed and the rig must measure whatever stands.

Changed: hollow nacelles and substations on one virtual clock, driven by their public events; every message is packed, unpacked, tallied by kind and duty and timed.

--- /dev/null
+++ b/yard/capacity/fleet.cpp
@@ -0,0 +1,368 @@
+#include "fleet.h"
+
+#include <QJsonArray>
+#include <algorithm>
+
+#include <corkward/core/json.h>
+
+namespace corkward::yard::capacity {
+
+namespace {
+
+constexpr Tick nodeClockEvery = 20;
+constexpr Tick controlClockEvery = 25;
+constexpr Tick lookEvery = 10;
+constexpr Tick within = 1;
+constexpr Tick syncMs = 2;
+constexpr Tick answerLimit = 60000;
+
+std::string address(int net, std::size_t ix, int port) {
+  return "10." + std::to_string(net) + "." + std::to_string(ix / 250) + "." + std::to_string(ix % 250 + 1) + ":" + std::to_string(port);
+}
+
+std::string zoneName(int zone) { return "z" + std::to_string(zone + 1); }
+
+std::string templateName(std::int64_t ix) { return "desk" + std::to_string(ix + 1); }
+
+std::string modelName(std::int64_t ix) { return "model" + std::to_string(ix + 1); }
+
+}  // namespace
+
+std::string Fleet::familyOf(Sizes const& sizes, std::int64_t tenant) { return templateName(tenant % sizes.templates); }
+
+std::string Fleet::instanceOf(Sizes const& sizes, std::int64_t tenant) { return "tenant" + std::to_string(tenant / sizes.templates + 1); }
+
+Fleet::Fleet(Sizes const& sizes, rotor::Tuning const& tuning) : sizes_(sizes), tuning_(tuning), rng_(static_cast<std::uint64_t>(sizes.seed)) {
+  for (std::int64_t i = 0; i < sizes.control + sizes.nodes + 1; ++i) {
+    bool const control = i < sizes.control;
+    std::int64_t const ix = control ? i : i - sizes.control;
+    Process p;
+    p.zone = static_cast<int>(ix % sizes.zones);
+    p.region = static_cast<int>(p.zone % sizes.regions);
+    p.link = address(control ? 1 : 2, static_cast<std::size_t>(ix), 7400);
+    if (control) p.disk = std::make_unique<SimDisk>();
+    byLink_[p.link] = processes_.size();
+    processes_.push_back(std::move(p));
+    dark_.push_back(false);
+  }
+}
+
+void Fleet::push(Event event) {
+  event.order = order_++;
+  events_.push(std::move(event));
+}
+
+void Fleet::boot(std::size_t ix) {
+  Process& p = processes_[ix];
+  p.alive = true;
+  dark_[ix] = false;
+  ++p.life;
+  signal::Contact self;
+  self.link = p.link;
+  self.http = p.link.substr(0, p.link.find(':')) + ":7401";
+  self.zone = zoneName(p.zone);
+  self.inc = 1764640000000ULL + static_cast<std::uint64_t>(now_);
+  std::vector<std::string> seeds;
+  std::vector<std::string> founders;
+  for (std::size_t i = 0; i < firstNode(); ++i) {
+    if (i < 3) seeds.push_back(processes_[i].link);
+    founders.push_back(processes_[i].link);
+  }
+  if (p.disk) {
+    self.role = "substation";
+    p.control = std::make_unique<substation::Plane>(self, "m" + std::to_string(rng_.next()), seeds, founders, rng_.next());
+    p.ledger = std::make_unique<ledger::Ledger>(*p.disk);
+    ledger::Recovered const got = p.ledger->recover();
+    p.diskFree = now_;
+    take(ix, p.control->restore(got.slots, got.damaged, now_));
+  } else {
+    self.role = "nacelle";
+    p.data = std::make_unique<rotor::Plane>(self, seeds, rng_.next(), tuning_);
+    take(ix, p.data->started(now_));
+  }
+  Event e;
+  e.at = now_ + static_cast<Tick>(rng_.below(p.disk ? controlClockEvery : nodeClockEvery));
+  e.to = ix;
+  e.life = p.life;
+  push(std::move(e));
+}
+
+void Fleet::kill(std::size_t ix, bool dark) {
+  Process& p = processes_[ix];
+  p.alive = false;
+  dark_[ix] = dark;
+  p.control.reset();
+  p.data.reset();
+  p.ledger.reset();
+}
+
+bool Fleet::startControl() {
+  for (std::size_t i = 0; i < firstNode(); ++i) boot(i);
+  return until(
+      [this] {
+        return std::all_of(processes_.begin(), processes_.begin() + static_cast<std::ptrdiff_t>(firstNode()),
+                           [this](Process const& p) { return p.control->ready(now_); });
+      },
+      answerLimit);
+}
+
+bool Fleet::startNodes() {
+  for (std::size_t i = firstNode(); i < spare(); ++i) boot(i);
+  return until([this] { return standing() == static_cast<std::size_t>(sizes_.nodes); }, answerLimit);
+}
+
+void Fleet::configure() {
+  std::vector<std::uint64_t> open;
+  std::function<void()> const wait = [&] {
+    bool const all = until([&] { return std::all_of(open.begin(), open.end(), [&](std::uint64_t t) { return answer(t).has_value(); }); }, answerLimit);
+    for (std::uint64_t const t : open)
+      if (!all || answer(t)->status > 201) throw SizesError("tenants: the control machines did not take the configuration");
+    open.clear();
+  };
+  for (std::int64_t m = 0; m < sizes_.models; ++m) {
+    QJsonArray list;
+    for (std::int64_t r = m; r < sizes_.replicas; r += sizes_.models)
+      list.append(QJsonObject{{"address", core::qstr(address(9, static_cast<std::size_t>(r), 8000))},
+                              {"zone", core::qstr(zoneName(static_cast<int>(r % sizes_.zones)))},
+                              {"state", "serving"}});
+    open.push_back(call(0, "PUT", "/v1/platform/pools/" + modelName(m), core::jsonText(QJsonObject{{"generation", 1}, {"coldRate", 2}, {"replicas", list}}), ""));
+  }
+  wait();
+  for (std::int64_t t = 0; t < sizes_.templates; ++t) {
+    QJsonArray paths;
+    for (std::int64_t i = 0; i < sizes_.paths; ++i)
+      paths.append(QJsonObject{{"path", core::qstr("path" + std::to_string(i + 1))}, {"pool", core::qstr(modelName(t % sizes_.models))}, {"class", "short"}});
+    QJsonObject const site{{"type", "string"}};
+    open.push_back(call(0, "PUT", "/v1/templates/" + templateName(t), core::jsonText(QJsonObject{{"parameters", QJsonObject{{"site", site}}}, {"paths", paths}}), "0"));
+  }
+  wait();
+  for (std::int64_t i = 0; i < sizes_.tenants; ++i) {
+    open.push_back(call(0, "PUT", "/v1/templates/" + familyOf(sizes_, i) + "/instances/" + instanceOf(sizes_, i), R"({"parameters":{"site":"lagos-west"}})", "0"));
+    if (i % sizes_.templates == sizes_.templates - 1) wait();
+  }
+  wait();
+}
+
+std::uint64_t Fleet::call(std::size_t at, std::string const& method, std::string const& path, std::string const& body, std::string const& ifMatch) {
+  signal::Call c;
+  c.token = nextToken_++;
+  c.method = method;
+  c.path = path;
+  c.body = body;
+  c.ifMatch = ifMatch;
+  c.changeId = "change-" + std::to_string(sizes_.seed) + "-" + std::to_string(c.token);
+  take(at, processes_[at].control->operatorCall(now_, c));
+  return c.token;
+}
+
+std::optional<Answered> Fleet::answer(std::uint64_t token) const {
+  std::map<std::uint64_t, Answered>::const_iterator const it = answers_.find(token);
+  return it == answers_.end() ? std::nullopt : std::optional<Answered>(it->second);
+}
+
+std::uint64_t Fleet::change(std::size_t at, std::int64_t tenant) {
+  std::string const path = "/v1/templates/" + familyOf(sizes_, tenant) + "/instances/" + instanceOf(sizes_, tenant);
+  std::map<std::string, mooring::Committed> const& held = processes_[at].control->mooring().committed();
+  std::map<std::string, mooring::Committed>::const_iterator const it = held.find("family:" + familyOf(sizes_, tenant));
+  qint64 stamp = 0;
+  if (it != held.end())
+    stamp = it->second.value.value("instances").toObject().value(core::qstr(instanceOf(sizes_, tenant))).toObject().value("stamp").toInteger();
+  return call(at, "PATCH", path, R"({"parameters":{"site":"site-)" + std::to_string(nextNote_++) + R"("}})", std::to_string(stamp));
+}
+
+std::uint64_t Fleet::stampOfTenant(std::int64_t tenant) const {
+  std::uint64_t newest = 0;
+  for (Process const& p : processes_) {
+    if (!p.control) continue;
+    std::map<std::string, mooring::Committed>::const_iterator const it = p.control->mooring().committed().find("family:" + familyOf(sizes_, tenant));
+    if (it != p.control->mooring().committed().end()) newest = std::max(newest, it->second.stamp);
+  }
+  return newest;
+}
+
+std::size_t Fleet::alive(bool control) const {
+  return static_cast<std::size_t>(std::count_if(processes_.begin(), processes_.end(), [&](Process const& p) { return p.alive && (p.disk != nullptr) == control; }));
+}
+
+std::size_t Fleet::aliveIn(int region) const {
+  return static_cast<std::size_t>(
+      std::count_if(processes_.begin(), processes_.end(), [&](Process const& p) { return p.alive && p.data && (region < 0 || p.region == region); }));
+}
+
+std::size_t Fleet::standing(int region) const {
+  return static_cast<std::size_t>(std::count_if(processes_.begin(), processes_.end(), [&](Process const& p) {
+    return p.alive && p.data && (region < 0 || p.region == region) && p.data->standing(now_);
+  }));
+}
+
+void Fleet::run(Tick how) {
+  Tick const end = now_ + how;
+  while (!events_.empty() && events_.top().at <= end) {
+    Event e = std::move(const_cast<Event&>(events_.top()));
+    events_.pop();
+    now_ = e.at;
+    act(e);
+  }
+  now_ = end;
+}
+
+bool Fleet::until(std::function<bool()> const& done, Tick limit) {
+  for (Tick const end = now_ + limit; now_ < end;) {
+    if (done()) return true;
+    run(lookEvery);
+  }
+  return done();
+}
+
+void Fleet::count(bool on) {
+  counting_ = on;
+  if (!on) return;
+  countFrom_ = now_;
+  controlTallies_.clear();
+  nodeTallies_.clear();
+  controlClockUs_ = 0;
+  nodeClockUs_ = 0;
+  diskBytes_ = 0;
+}
+
+std::uint64_t Fleet::disksHold() const {
+  std::uint64_t sum = 0;
+  for (Process const& p : processes_)
+    if (p.disk)
+      for (std::string const& name : p.disk->list()) sum += p.disk->read(name).capacity();
+  return sum;
+}
+
+void Fleet::dropUnderWay() { events_ = {}; }
+
+void Fleet::act(Event& event) {
+  Process const& p = processes_[event.to];
+  if (!p.alive || p.life != event.life) return;
+  switch (event.what) {
+    case What::clock: clock(event.to); break;
+    case What::message: deliver(event); break;
+    case What::written: written(event); break;
+  }
+}
+
+void Fleet::clock(std::size_t ix) {
+  Process& p = processes_[ix];
+  double const from = counting_ ? threadUs() : 0;
+  if (p.control) {
+    substation::Commands c = p.control->clockEvent(now_);
+    if (counting_) controlClockUs_ += threadUs() - from;
+    take(ix, std::move(c));
+  } else {
+    rotor::Commands c = p.data->clockEvent(now_);
+    if (counting_) nodeClockUs_ += threadUs() - from;
+    take(ix, std::move(c));
+  }
+  Event e;
+  e.at = now_ + (p.disk ? controlClockEvery : nodeClockEvery);
+  e.to = ix;
+  e.life = p.life;
+  push(std::move(e));
+}
+
+void Fleet::deliver(Event& event) {
+  Process& p = processes_[event.to];
+  std::string const from = processes_[event.from].link;
+  signal::Envelope envelope;
+  double start = 0;
+  double unpacked = 0;
+  if (!event.bytes.empty()) {
+    start = threadUs();
+    envelope = signal::unpack(event.bytes);
+    unpacked = threadUs();
+  }
+  signal::Message const& message = event.bytes.empty() ? *event.message : envelope.message;
+  substation::Commands control;
+  rotor::Commands data;
+  if (p.control)
+    control = p.control->arrived(now_, from, message);
+  else
+    data = p.data->arrived(now_, from, message);
+  if (counting_ && !event.bytes.empty()) {
+    double const handled = threadUs();
+    Tally& t = (p.control ? controlTallies_ : nodeTallies_).of(message);
+    ++t.taken;
+    t.takenBytes += event.bytes.size();
+    t.unpackUs += unpacked - start;
+    t.handleUs += handled - unpacked;
+  }
+  if (p.control)
+    take(event.to, std::move(control));
+  else
+    take(event.to, std::move(data));
+}
+
+void Fleet::written(Event& event) {
+  Process& p = processes_[event.to];
+  bool ok = true;
+  try {
+    p.ledger->write(event.records);
+  } catch (ledger::Error const&) {
+    ok = false;
+  }
+  if (counting_)
+    for (ledger::Record const& r : event.records) diskBytes_ += ledger::frame(r).size();
+  for (std::uint64_t const t : event.tickets) take(event.to, p.control->written(now_, t, ok));
+}
+
+void Fleet::take(std::size_t ix, substation::Commands&& commands) {
+  Process& p = processes_[ix];
+  if (!commands.persists.empty()) {
+    Event e;
+    p.diskFree = std::max(p.diskFree, now_) + syncMs;
+    e.at = p.diskFree;
+    e.what = What::written;
+    e.to = ix;
+    e.life = p.life;
+    for (mooring::Persist const& m : commands.persists) {
+      e.records.push_back(ledger::Record{m.key, m.payload});
+      e.tickets.push_back(m.ticket);
+    }
+    push(std::move(e));
+  }
+  for (signal::Send const& s : commands.sends) send(ix, s);
+  for (substation::Answer const& a : commands.answers) answers_[a.token] = Answered{a.status, a.body, now_};
+  for (std::string const& link : commands.probes) {
+    std::unordered_map<std::string, std::size_t>::const_iterator const it = byLink_.find(link);
+    if (it == byLink_.end() || processes_[it->second].alive || dark_[it->second]) continue;
+    if (regionsCut_ && processes_[it->second].region != p.region) continue;
+    take(ix, p.control->probed(now_, link, true));
+  }
+}
+
+void Fleet::take(std::size_t ix, rotor::Commands&& commands) {
+  for (signal::Send const& s : commands.sends) send(ix, s);
+}
+
+Tick Fleet::delay(Process const& a, Process const& b) const { return a.region == b.region ? within : within + sizes_.apart; }
+
+void Fleet::send(std::size_t from, signal::Send const& send) {
+  Process const& p = processes_[from];
+  Event e;
+  if (counting_) {
+    double const start = threadUs();
+    e.bytes = signal::pack(signal::Envelope{p.link, send.message});
+    double const packed = threadUs();
+    Tally& t = (p.disk ? controlTallies_ : nodeTallies_).of(send.message);
+    ++t.sent;
+    t.sentBytes += e.bytes.size();
+    t.packUs += packed - start;
+  }
+  std::unordered_map<std::string, std::size_t>::const_iterator const it = byLink_.find(send.to);
+  if (it == byLink_.end()) return;
+  Process const& to = processes_[it->second];
+  if (!to.alive || (regionsCut_ && to.region != p.region)) return;
+  if (!counting_) e.message = std::make_shared<signal::Message const>(send.message);
+  e.at = now_ + delay(p, to);
+  e.what = What::message;
+  e.to = it->second;
+  e.life = to.life;
+  e.from = from;
+  push(std::move(e));
+}
+
+}  // namespace corkward::yard::capacity
--- /dev/null
+++ b/yard/capacity/tally.cpp
@@ -0,0 +1,50 @@
+#include "tally.h"
+
+#include <malloc.h>
+
+#include <algorithm>
+#include <ctime>
+
+namespace corkward::yard::capacity {
+
+std::string dutyOf(signal::Message const& message) {
+  std::string key;
+  std::visit(
+      [&](auto const& m) {
+        if constexpr (requires { m.items.front().key; })
+          if (!m.items.empty()) key = m.items.front().key;
+      },
+      message);
+  if (key == "roster") return "roster";
+  if (key.rfind("pool:", 0) == 0) return "list";
+  std::string const kind = signal::kind(message);
+  for (DutyRow const& r : dutyTable)
+    if (kind == r.kind) return r.duty;
+  return "other";
+}
+
+Tally& Tallies::of(signal::Message const& message) {
+  std::string const duty = dutyOf(message);
+  std::string const kind = signal::kind(message);
+  std::vector<Tally>::iterator const it =
+      std::find_if(all_.begin(), all_.end(), [&](Tally const& t) { return t.kind == kind && t.duty == duty; });
+  if (it != all_.end()) return *it;
+  Tally t;
+  t.duty = duty;
+  t.kind = kind;
+  all_.push_back(t);
+  return all_.back();
+}
+
+double threadUs() {
+  timespec ts{};
+  ::clock_gettime(CLOCK_THREAD_CPUTIME_ID, &ts);
+  return static_cast<double>(ts.tv_sec) * 1e6 + static_cast<double>(ts.tv_nsec) / 1e3;
+}
+
+std::uint64_t heapBytes() {
+  struct mallinfo2 const m = ::mallinfo2();
+  return m.uordblks + m.hblkhd;
+}
+
+}  // namespace corkward::yard::capacity
--- /dev/null
+++ b/yard/test/capacity_test.cpp
@@ -0,0 +1,211 @@
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <sstream>
+
+#include "fleet.h"
+#include "parts.h"
+#include "rig.h"
+
+namespace capacity = corkward::yard::capacity;
+namespace core = corkward::core;
+namespace signal = corkward::signal;
+
+namespace {
+
+struct Outcome {
+  int code = 0;
+  std::string out;
+  std::string errors;
+};
+
+Outcome rig(std::vector<std::string> const& words) {
+  std::vector<char const*> argv{"yard-capacity"};
+  for (std::string const& w : words) argv.push_back(w.c_str());
+  std::ostringstream out;
+  std::ostringstream errors;
+  Outcome o;
+  o.code = capacity::rig(static_cast<int>(argv.size()), argv.data(), out, errors);
+  o.out = out.str();
+  o.errors = errors.str();
+  return o;
+}
+
+capacity::Sizes small() {
+  capacity::Sizes s;
+  s.nodes = 4;
+  s.control = 3;
+  s.regions = 2;
+  s.zones = 4;
+  s.models = 2;
+  s.replicas = 8;
+  s.templates = 2;
+  s.tenants = 4;
+  s.seconds = 2;
+  return s;
+}
+
+double valueOf(capacity::Rows const& rows, std::string const& measure, std::string const& role, std::string const& unit) {
+  capacity::Rows::const_iterator const it =
+      std::find_if(rows.begin(), rows.end(), [&](capacity::Row const& r) { return r.measure == measure && r.role == role && r.unit == unit; });
+  REQUIRE(it != rows.end());
+  return it->value;
+}
+
+std::string followsFromTheSeed(capacity::Rows const& rows) {
+  std::ostringstream out;
+  for (capacity::Row const& r : rows)
+    if (r.kind == "counted") out << r.measure << "," << r.role << "," << r.unit << "," << r.value << "\n";
+  return out.str();
+}
+
+}  // namespace
+
+TEST_CASE("a bad argument ends with its name, the reason and 2") {
+  struct Bad {
+    std::vector<std::string> words;
+    char const* name;
+  };
+  std::vector<Bad> bad{{{}, "part"},
+                       {{"--part", "nope"}, "part"},
+                       {{"--part", "rest", "--nodes", "many"}, "nodes"},
+                       {{"--part", "rest", "--nodes"}, "nodes"},
+                       {{"--part", "rest", "--bogus", "1"}, "bogus"},
+                       {{"--part", "rest", "stray"}, "positional"},
+                       {{"--part", "rest", "--sweep", "nodes"}, "sweep"},
+                       {{"--part", "rest", "--sweep", "bogus=1"}, "bogus"},
+                       {{"--part", "rest", "--sweep", "nodes=1,two"}, "two"},
+                       {{"--part", "rest", "--sweep", "nodes=1,0"}, "nodes"},
+                       {{"--part", "rest", "--zones", "1", "--regions", "2"}, "zones"},
+                       {{"--part", "rest", "--replicas", "1", "--models", "2"}, "replicas"},
+                       {{"--part", "rest", "--templates", "1", "--tenants", "2001"}, "tenants"},
+                       {{"--part", "rest", "--templates", "1", "--tenants", "2000", "--paths", "51"}, "paths"},
+                       {{"--part", "rest", "--changes", "1", "--tenants", "0"}, "changes"},
+                       {{"--part", "split", "--regions", "1"}, "regions"},
+                       {{"--part", "state", "--nodes", "2"}, "nodes"},
+                       {{"--part", "rest", "--out", "/nonexistent/file"}, "out"}};
+  for (capacity::SizeRow const& r : capacity::sizeTable) {
+    bad.push_back({{"--part", "rest", std::string("--") + r.name, std::to_string(r.least - 1)}, r.name});
+    bad.push_back({{"--part", "rest", std::string("--") + r.name, std::to_string(r.most + 1)}, r.name});
+  }
+  for (Bad const& b : bad) {
+    Outcome const o = rig(b.words);
+    INFO(o.errors);
+    CHECK(o.code == 2);
+    CHECK(o.errors.find(b.name) != std::string::npos);
+  }
+  CHECK(rig({"--help"}).code == 0);
+}
+
+TEST_CASE("the same seed gives the same counts, and another one others") {
+  for (char const* const part : {"rest", "change", "outage", "split", "zone"}) {
+    capacity::Sizes sizes = small();
+    std::string const once = followsFromTheSeed(capacity::findPart(part)->run(sizes));
+    CHECK(once == followsFromTheSeed(capacity::findPart(part)->run(sizes)));
+    if (part != std::string("rest")) continue;
+    sizes.seed = 2;
+    CHECK(once != followsFromTheSeed(capacity::findPart(part)->run(sizes)));
+  }
+}
+
+TEST_CASE("each size of a sweep gives its rows") {
+  Outcome const o = rig({"--part", "rest", "--sweep", "nodes=2,3", "--control", "1", "--tenants", "2", "--seconds", "1"});
+  REQUIRE(o.code == 0);
+  CHECK(o.out.rfind("# yard-capacity --part rest --sweep nodes=2,3", 0) == 0);
+  CHECK(o.out.find("\nmeasure,role,unit,kind,of,size,value\n") != std::string::npos);
+  CHECK(o.out.find("\nstanding,nacelle,share,counted,nodes,2,1\n") != std::string::npos);
+  CHECK(o.out.find("\nstanding,nacelle,share,counted,nodes,3,1\n") != std::string::npos);
+}
+
+TEST_CASE("what all send is what all take, and the duties add up") {
+  capacity::Sizes sizes = small();
+  sizes.changes = 86400;
+  sizes.apart = 0;
+  sizes.seconds = 5;
+  capacity::Rows const rows = capacity::findPart("rest")->run(sizes);
+  double sent = 0;
+  double taken = 0;
+  for (char const* const role : {"nacelle", "substation"}) {
+    double const n = static_cast<double>(role == std::string("nacelle") ? sizes.nodes : sizes.control);
+    double const all = valueOf(rows, "sent.all", role, "bytes/s");
+    double duties = 0;
+    for (capacity::Row const& r : rows)
+      if (r.role == role && r.unit == "bytes/s" && r.measure.rfind("sent.", 0) == 0 && r.measure != "sent.all") duties += r.value;
+    CHECK(duties == Approx(all));
+    sent += n * all;
+    taken += n * valueOf(rows, "taken.all", role, "bytes/s");
+  }
+  CHECK(sent > 0);
+  CHECK(taken == Approx(sent).epsilon(0.02));
+  CHECK(valueOf(rows, "disk", "substation", "bytes/s") > 0);
+  CHECK(valueOf(rows, "sent.news", "substation", "bytes/s") > 0);
+}
+
+TEST_CASE("every change that is answered is in force at every node") {
+  capacity::Rows const rows = capacity::findPart("change")->run(small());
+  CHECK(valueOf(rows, "answered", "operator", "share") == 1);
+  CHECK(valueOf(rows, "in_force.most", "operator", "ms") > 0);
+  CHECK(valueOf(rows, "everywhere.most", "nacelle", "ms") > 0);
+}
+
+TEST_CASE("a hollow fleet goes by what passes between its processes") {
+  capacity::Sizes sizes = small();
+  sizes.zones = 2;
+  capacity::Fleet fleet(sizes);
+  REQUIRE(fleet.startControl());
+  fleet.configure();
+  REQUIRE(fleet.startNodes());
+  fleet.run(4000);
+  REQUIRE(fleet.standing() == 4);
+  for (std::size_t i = fleet.firstNode(); i < fleet.processes().size(); ++i) fleet.kill(i);
+  CHECK(fleet.standing() == 0);
+  CHECK(fleet.alive(false) == 0);
+  std::uint64_t const token = fleet.change(0, 0);
+  CHECK_FALSE(fleet.answer(token).has_value());
+  CHECK(fleet.until([&] { return fleet.answer(token).has_value(); }, 10000));
+  for (std::size_t i = 1; i < fleet.firstNode(); ++i) fleet.kill(i, true);
+  fleet.run(3000);
+  CHECK_FALSE(fleet.processes().front().control->ready(fleet.now()));
+}
+
+TEST_CASE("messages count for the duty they are for") {
+  CHECK(capacity::dutyOf(signal::Shuffle{}) == "shuffles");
+  CHECK(capacity::dutyOf(signal::Beat{}) == "beats");
+  signal::News news;
+  CHECK(capacity::dutyOf(news) == "news");
+  news.items.push_back(signal::Item{"family:desk", 1, {}});
+  CHECK(capacity::dutyOf(news) == "news");
+  news.items.front().key = "roster";
+  CHECK(capacity::dutyOf(news) == "roster");
+  news.items.front().key = "pool:model1";
+  CHECK(capacity::dutyOf(news) == "list");
+}
+
+TEST_CASE("the heap's bytes grow by what is held, and go back") {
+  std::uint64_t const before = capacity::heapBytes();
+  std::vector<std::string> held(100, std::string(10000, 'x'));
+  std::uint64_t const with = capacity::heapBytes();
+  CHECK(with - before >= 1000000);
+  CHECK(with - before < 1100000);
+  held = {};
+  CHECK(capacity::heapBytes() < before + 10000);
+}
+
+TEST_CASE("requests are handed over, and what they leave behind is bounded") {
+  capacity::Sizes sizes = small();
+  sizes.nodes = 1;
+  sizes.control = 1;
+  sizes.calls = 200;
+  sizes.sessions = 300;
+  sizes.prefixes = 400;
+  capacity::Rows const rows = capacity::findPart("state")->run(sizes);
+  CHECK(valueOf(rows, "held.ids", "nacelle", "ids") == 300);
+  CHECK(valueOf(rows, "held.credits", "nacelle", "credits") == 4);
+  CHECK(valueOf(rows, "held.prefixes", "nacelle", "prefixes") == 400);
+  CHECK(valueOf(rows, "calls", "nacelle", "bytes") > 200 * 100);
+  sizes.calls = 5;
+  capacity::Rows const costs = capacity::findPart("cost")->run(sizes);
+  CHECK(valueOf(costs, "in_hand", "nacelle", "calls") == 5);
+  CHECK(valueOf(costs, "request", "nacelle", "us") > 0);
+  CHECK(valueOf(costs, "piece.passed", "nacelle", "bytes") == 32);
+}
