--- a/yard/capacity/parts.cpp
+++ b/yard/capacity/parts.cpp
@@ -17,7 +17,7 @@
 constexpr char const* timed = "timed";
 constexpr char const* heap = "heap";
 constexpr Tick settle = 4000;
-constexpr Tick longest = 120000;
+constexpr Tick longest = 30000;
 constexpr Tick dayMs = 86400000;
 constexpr int changesTried = 12;
 constexpr int blocks = 15;
@@ -204,6 +204,7 @@
   for (Tally const& t : fleet.tallies(true).all())
     if (t.duty == "news" || t.duty == "roster" || t.duty == "list") bytes += static_cast<double>(t.sentBytes);
   out.push_back({"restart.image", "substation", "bytes", counted, bytes / static_cast<double>(sizes.control)});
+  fleet.count(false);
   fleet.run(settle);
   fleet.count(true);
   fleet.boot(fleet.spare());
@@ -243,9 +244,15 @@
   for (std::size_t i = 0; i < fleet.processes().size(); ++i) fleet.kill(i);
   fleet.run(1000);
   from = fleet.now();
+  fleet.count(true);
   for (std::size_t i = 0; i < fleet.processes().size(); ++i) fleet.boot(i);
   ok = fleet.until([&] { return fleet.standing() == static_cast<std::size_t>(sizes.nodes) + 1; }, longest);
   out.push_back({"recover", "nacelle", "ms", counted, ok ? static_cast<double>(fleet.now() - from) : -1});
+  for (bool const control : {false, true}) {
+    double us = fleet.clockUs(control);
+    for (Tally const& t : fleet.tallies(control).all()) us += t.packUs + t.unpackUs + t.handleUs;
+    out.push_back({"recover.cpu", control ? "substation" : "nacelle", "us", timed, us / static_cast<double>(fleet.alive(control))});
+  }
   return out;
 }
 
@@ -274,6 +281,7 @@
     out.push_back({"split.members." + name, "substation", "machines", counted, static_cast<double>(members[t.first])});
     out.push_back({"split.standing." + name, "nacelle", "share", counted, shareOf(fleet, t.first)});
     bool const taken = fleet.answer(t.second) && fleet.answer(t.second)->status == 200;
+    out.push_back({"split.status." + name, "operator", "status", counted, fleet.answer(t.second) ? static_cast<double>(fleet.answer(t.second)->status) : 0});
     out.push_back({"split.change." + name, "operator", "ms", counted, taken ? static_cast<double>(fleet.answer(t.second)->at - from) : -1});
   }
   fleet.cutRegions(false);
@@ -373,7 +381,8 @@
   if (sizes.tenants == 0) failed("tenants: requests need a tenant");
 }
 
-/// Bytes that one node and one control machine hold: configuration, credits, calls, streams, ids, prefixes.
+/// Bytes that one node and one control machine hold: configuration, credits, calls, streams, ids, prefixes. Messages are
+/// packed and unpacked from the start, since values that are handed over as they are would be shared and count once.
 Rows state(Sizes const& sizes) {
   needTenants(sizes);
   Rows out;
@@ -386,6 +395,7 @@
     disks = 0;
   };
   Fleet fleet(sizes, open());
+  fleet.count(true);
   if (!fleet.startControl()) failed("control: the cohort was not founded within its limit");
   fleet.configure();
   fleet.run(2000);
