Leave the cap as it is at a widening where the limit is raised on demand

Cause looked for: at 88 nodes and 89 replicas a node's part stayed at 10 to 15 replicas (limit 1 each, 5 requests in flight), so the replica that keeps a prompt's parts is seldom in it. The limit is now shared out at a widening and eases off below 0.85 of use.

--- a/governor/include/corkward/governor/governor.h
+++ b/governor/include/corkward/governor/governor.h
@@ -32,8 +32,10 @@
   Tick cutEvery = 500;
   /// While answers take less than this share of their aims, the limit is raised for a request that finds no room.
   double steady = 0.0;
-  /// The limit falls to this share with each look at which under half of the cap is in use.
+  /// The limit falls to this share with each look at which less than `used` of the cap is in use; below 1 a widening also
+  /// leaves the cap as it is, since the limit is raised on demand.
   double ease = 1.0;
+  double used = 0.85;
   /// What one request in flight weighs in the pick, in tokens to be read anew.
   double inFlightTokens = 300.0;
   /// What a token of a shared part weighs that would be read anew.
--- a/governor/src/governor.cpp
+++ b/governor/src/governor.cpp
@@ -69,7 +69,7 @@
 }
 
 int Scaler::look(Tick now, std::size_t held) {
-  if (f_.ease < 1.0 && inFlight_ < 0.5 * cap()) limit_ = std::max(f_.minLimit, limit_ * f_.ease);
+  if (f_.ease < 1.0 && inFlight_ < f_.used * cap()) limit_ = std::max(f_.minLimit, limit_ * f_.ease);
   double const buffered = z(held);
   std::size_t const x = part_.size();
   if (buffered >= f_.width * static_cast<double>(std::max<std::size_t>(x, 1)) && x < all_.size() && !allSlow_) {
@@ -77,6 +77,7 @@
     for (Candidate const& c : all_) {
       if (std::any_of(part_.begin(), part_.end(), [&](Candidate const& p) { return p.replica == c.replica; })) continue;
       add(c);
+      if (f_.ease < 1.0) limit_ = std::max(f_.minLimit, limit_ * static_cast<double>(x) / static_cast<double>(x + 1));
       meanAtWidening_ = mean_;
       answersSinceWidening_ = 0;
       return 1;
