--- a/signal/include/corkward/signal/link.h
+++ b/signal/include/corkward/signal/link.h
@@ -45,6 +45,8 @@
     std::uint32_t socket = 0;
     Clock::time_point dialled;
     Clock::time_point used;
+    /// How long a dial may take; twice as long after each that did not connect.
+    std::chrono::milliseconds patience{300};
     /// Run of the process that was last heard there, and how often the way had been connected by then.
     std::uint64_t run = 0;
     int connectsThen = 0;
--- a/signal/src/link.cpp
+++ b/signal/src/link.cpp
@@ -2,6 +2,7 @@
 
 #include <QMetaObject>
 #include <QRandomGenerator>
+#include <algorithm>
 #include <nng/nng.h>
 #include <nng/protocol/pipeline0/pull.h>
 #include <nng/protocol/pipeline0/push.h>
@@ -13,6 +14,7 @@
 constexpr std::size_t maxFrame = 16U << 20;
 constexpr int queued = 256;
 constexpr std::chrono::milliseconds redialAfter{300};
+constexpr std::chrono::milliseconds redialMost{4800};
 constexpr std::chrono::minutes idleAfter{2};
 constexpr std::chrono::seconds sweepEvery{10};
 
@@ -110,10 +112,12 @@
   if (connected && !toEarlierRun) {
     way.run = run;
     way.connectsThen = way.connects;
+    way.patience = redialAfter;
     return;
   }
-  if (way.used - way.dialled <= redialAfter) return;
+  if (way.used - way.dialled <= way.patience) return;
   way.run = run;
+  way.patience = std::min(2 * way.patience, redialMost);
   ++redials_;
   nng_close(socketOf(way.socket));
   if (!dial(from, way)) out_.erase(it);
--- a/yard/sim/world.cpp
+++ b/yard/sim/world.cpp
@@ -258,6 +258,8 @@
     n.writes.push_back(std::move(write));
     disk(n);
   }
+  for (core::Note const& note : c.notes)
+    if (note.event.find("member") != std::string::npos || note.event == "struck-off") ++result_.counts[note.event];
   for (core::Note const& note : c.notes)
     if (note.event == "absurd-message") violation("two values under one stamp at " + link);
   for (signal::Send const& s : c.sends) send(link, s);
--- a/yard/test/sim_test.cpp
+++ b/yard/test/sim_test.cpp
@@ -10,11 +10,12 @@
 
 namespace {
 
-void clean(yard::Plan const& plan) {
-  yard::Result const result = yard::World(plan).run();
+yard::Result clean(yard::Plan const& plan) {
+  yard::Result result = yard::World(plan).run();
   for (std::string const& v : result.violations) std::cerr << "seed " << plan.seed << ": " << v << "\n";
   CHECK(result.violations.empty());
   CHECK(result.counts.at("served") > 500);
+  return result;
 }
 
 struct Kept {
@@ -31,6 +32,7 @@
 }
 
 TEST_CASE("the cohort of disks grows, strikes off who is dark and takes back who returns", "[cohort]") {
+  std::map<std::string, std::size_t> counts;
   for (Fault const f : {Fault::growCore, Fault::longAbsence, Fault::wipeSameAddress, Fault::returnNewAddress, Fault::killControl, Fault::freezeSubstation,
                         Fault::isolateMember, Fault::splitCore, Fault::diskStall, Fault::diskDamage})
     for (int const substations : {3, 4, 6}) {
@@ -39,8 +41,9 @@
       plan.zones = 4;
       plan.replaceDarkAfter = 3000;
       plan.every = 4000;
-      clean(plan);
+      for (std::map<std::string, std::size_t>::value_type const& c : clean(plan).counts) counts[c.first] += c.second;
     }
+  for (char const* change : {"add-member", "replace-member", "strike-member", "struck-off"}) CHECK(counts[change] > 0);
   for (int const founders : {1, 2}) {
     yard::Plan plan = yard::only(static_cast<std::uint64_t>(founders), {Fault::killControl, Fault::longAbsence});
     plan.founders = founders;
