Dial anew when a machine is heard that our own way does not reach; free unused ways

Cause: the opening packets of a dial to a machine without power are dropped and sent again after 1, 3 and 7 s, so when that machine is back and already sends, the way to it stays down. A connection that lived through the power loss looks connected until its next resend.

Changed: nng's pipe notifications count connects and disconnects of each way in atomics; when a message arrives from an address whose way is unconnected for over 300 ms since its dial (twice as long after each dial that did not connect), or is still the connection made to an earlier run of that process, the socket is closed and dialled anew. Envelopes name the run of their sender. Ways neither sent to nor heard from for two minutes are closed. /metrics of a substation counts redials.

Ruled out: a new pipe at the listening socket as the sign of a new run (two sides that talk seldom would redial each other for ever); a fixed patience (a handshake that takes longer would never end).

Conclusion: signal_test shows the hanging dial with a full queue of connections, by conditions. Not mended: a connection over a healed cut, between two runs that both live, waits for its resend.

--- a/programs/substation/main.cpp
+++ b/programs/substation/main.cpp
@@ -77,7 +77,8 @@
     if (plainPage(server_, request, [this] { return plane_.ready(now()); },
                   [this] {
                     return plane_.metrics(now()) + "# TYPE corkward_garbage_frames_total counter\ncorkward_garbage_frames_total " +
-                           std::to_string(link_.garbage()) + "\n";
+                           std::to_string(link_.garbage()) + "\n# TYPE corkward_link_redials_total counter\ncorkward_link_redials_total " +
+                           std::to_string(link_.redials()) + "\n";
                   }))
       return;
     run(plane_.operatorCall(now(), door::operatorCall(request, freshName())));
--- a/signal/include/corkward/signal/link.h
+++ b/signal/include/corkward/signal/link.h
@@ -2,6 +2,7 @@
 
 #include <QObject>
 #include <atomic>
+#include <chrono>
 #include <functional>
 #include <map>
 #include <string>
@@ -14,6 +15,8 @@
 /// Held nng connections between our own processes: one pull socket listens, one push socket per cohort member dials.
 /// Messages are handed over on the thread of the object that the link was made for. What cannot be queued is dropped:
 /// every protocol above repeats itself.
+/// A dial to a machine that is down may hang for seconds after that machine is back. So a way that is not connected is
+/// dialled anew when its machine is heard, and so is one that seems connected to an earlier run of its process.
 class Link {
  public:
   /// Listens at ip:port; port 0 takes a free one. With `listen` it listens there, and is reached by others at `name`.
@@ -29,14 +32,39 @@
   void send(std::string const& to, Message const& message);
   /// Frames that were not an envelope.
   std::uint64_t garbage() const { return garbage_; }
+  /// Ways that were closed and dialled anew.
+  std::uint64_t redials() const { return redials_; }
+  /// Ways to others that are held now.
+  std::size_t held() const { return out_.size(); }
+  /// Closes and frees the ways to addresses that were neither sent to nor heard from for so long.
+  void sweep(std::chrono::milliseconds idle);
 
  private:
+  using Clock = std::chrono::steady_clock;
+  struct Out {
+    std::uint32_t socket = 0;
+    Clock::time_point dialled;
+    Clock::time_point used;
+    /// How long a dial may take; twice as long after each that did not connect.
+    std::chrono::milliseconds patience{300};
+    /// Run of the process that was last heard there, and how often the way had been connected by then.
+    std::uint64_t run = 0;
+    int connectsThen = 0;
+    /// Written by nng's threads until the socket is closed.
+    std::atomic<int> connects{0};
+    std::atomic<int> disconnects{0};
+  };
+  bool dial(std::string const& to, Out& way);
+  void heard(std::string const& from, std::uint64_t run);
   void receive();
   QObject* owner_;
   std::string address_;
   std::function<void(Envelope)> arrived_;
   std::uint32_t pull_ = 0;
-  std::map<std::string, std::uint32_t> out_;
+  std::uint64_t run_ = 0;
+  std::map<std::string, Out> out_;
+  Clock::time_point swept_;
+  std::uint64_t redials_ = 0;
   std::atomic<bool> stopping_{false};
   std::atomic<std::uint64_t> garbage_{0};
   std::thread thread_;
--- a/signal/include/corkward/signal/message.h
+++ b/signal/include/corkward/signal/message.h
@@ -349,6 +349,8 @@
 struct Envelope {
   std::string from;
   Message message;
+  /// Name of the sending process's run.
+  std::uint64_t run = 0;
 };
 
 /// Wire form (CBOR). Throws signal::Error on anything that is not a whole, well-typed envelope.
--- a/signal/src/link.cpp
+++ b/signal/src/link.cpp
@@ -1,6 +1,8 @@
 #include <corkward/signal/link.h>
 
 #include <QMetaObject>
+#include <QRandomGenerator>
+#include <algorithm>
 #include <nng/nng.h>
 #include <nng/protocol/pipeline0/pull.h>
 #include <nng/protocol/pipeline0/push.h>
@@ -11,6 +13,10 @@
 
 constexpr std::size_t maxFrame = 16U << 20;
 constexpr int queued = 256;
+constexpr std::chrono::milliseconds redialAfter{300};
+constexpr std::chrono::milliseconds redialMost{4800};
+constexpr std::chrono::minutes idleAfter{2};
+constexpr std::chrono::seconds sweepEvery{10};
 
 void check(int rv, char const* what) {
   if (rv != 0) throw Error(std::string(what) + ": " + nng_strerror(rv));
@@ -22,10 +28,14 @@
   return s;
 }
 
+void count(nng_pipe, nng_pipe_ev, void* counter) { ++*static_cast<std::atomic<int>*>(counter); }
+
 }  // namespace
 
 Link::Link(QObject* owner, std::string const& name, std::function<void(Envelope)> arrived, std::string const& listen)
-    : owner_(owner), address_(name), arrived_(std::move(arrived)) {
+    : owner_(owner), address_(name), arrived_(std::move(arrived)),
+      run_(QRandomGenerator::system()->generate()),
+      swept_(Clock::now()) {
   std::string const address = listen.empty() ? name : listen;
   nng_socket s;
   check(nng_pull0_open(&s), "nng pull socket");
@@ -49,7 +59,7 @@
   stopping_ = true;
   thread_.join();
   nng_close(socketOf(pull_));
-  for (std::map<std::string, std::uint32_t>::value_type const& o : out_) nng_close(socketOf(o.second));
+  for (std::map<std::string, Out>::value_type const& o : out_) nng_close(socketOf(o.second.socket));
 }
 
 void Link::receive() {
@@ -62,29 +72,77 @@
     try {
       Envelope envelope = unpack(bytes);
       QMetaObject::invokeMethod(
-          owner_, [this, envelope = std::move(envelope)]() { arrived_(envelope); }, Qt::QueuedConnection);
+          owner_,
+          [this, envelope = std::move(envelope)]() {
+            heard(envelope.from, envelope.run);
+            arrived_(envelope);
+          },
+          Qt::QueuedConnection);
     } catch (core::Error const&) {
       ++garbage_;
     }
   }
 }
 
+bool Link::dial(std::string const& to, Out& way) {
+  nng_socket s;
+  if (nng_push0_open(&s) != 0) return false;
+  way.socket = s.id;
+  way.connects = 0;
+  way.disconnects = 0;
+  way.connectsThen = 0;
+  way.dialled = Clock::now();
+  nng_pipe_notify(s, NNG_PIPE_EV_ADD_POST, count, &way.connects);
+  nng_pipe_notify(s, NNG_PIPE_EV_REM_POST, count, &way.disconnects);
+  nng_socket_set_int(s, NNG_OPT_SENDBUF, queued);
+  nng_socket_set_ms(s, NNG_OPT_RECONNMINT, 50);
+  nng_socket_set_ms(s, NNG_OPT_RECONNMAXT, 500);
+  if (nng_dial(s, ("tcp://" + to).c_str(), nullptr, NNG_FLAG_NONBLOCK) == 0) return true;
+  nng_close(s);
+  return false;
+}
+
+void Link::heard(std::string const& from, std::uint64_t run) {
+  std::map<std::string, Out>::iterator const it = out_.find(from);
+  if (it == out_.end()) return;
+  Out& way = it->second;
+  way.used = Clock::now();
+  bool const connected = way.connects > way.disconnects;
+  bool const toEarlierRun = way.run != 0 && way.run != run && way.connects == way.connectsThen;
+  if (connected && !toEarlierRun) {
+    way.run = run;
+    way.connectsThen = way.connects;
+    way.patience = redialAfter;
+    return;
+  }
+  if (way.used - way.dialled <= way.patience) return;
+  way.run = run;
+  way.patience = std::min(2 * way.patience, redialMost);
+  ++redials_;
+  nng_close(socketOf(way.socket));
+  if (!dial(from, way)) out_.erase(it);
+}
+
+void Link::sweep(std::chrono::milliseconds idle) {
+  swept_ = Clock::now();
+  for (std::map<std::string, Out>::iterator it = out_.begin(); it != out_.end();) {
+    bool const gone = swept_ - it->second.used >= idle;
+    if (gone) nng_close(socketOf(it->second.socket));
+    it = gone ? out_.erase(it) : std::next(it);
+  }
+}
+
 void Link::send(std::string const& to, Message const& message) {
-  std::map<std::string, std::uint32_t>::iterator it = out_.find(to);
-  if (it == out_.end()) {
-    nng_socket s;
-    if (nng_push0_open(&s) != 0) return;
-    nng_socket_set_int(s, NNG_OPT_SENDBUF, queued);
-    nng_socket_set_ms(s, NNG_OPT_RECONNMINT, 50);
-    nng_socket_set_ms(s, NNG_OPT_RECONNMAXT, 500);
-    if (nng_dial(s, ("tcp://" + to).c_str(), nullptr, NNG_FLAG_NONBLOCK) != 0) {
-      nng_close(s);
-      return;
-    }
-    it = out_.emplace(to, s.id).first;
+  Clock::time_point const now = Clock::now();
+  if (now - swept_ > sweepEvery) sweep(idleAfter);
+  std::map<std::string, Out>::iterator const it = out_.try_emplace(to).first;
+  if (it->second.socket == 0 && !dial(to, it->second)) {
+    out_.erase(it);
+    return;
   }
-  std::string bytes = pack(Envelope{address_, message});
-  nng_send(socketOf(it->second), bytes.data(), bytes.size(), NNG_FLAG_NONBLOCK);
+  it->second.used = now;
+  std::string bytes = pack(Envelope{address_, message, run_});
+  nng_send(socketOf(it->second.socket), bytes.data(), bytes.size(), NNG_FLAG_NONBLOCK);
 }
 
 }  // namespace corkward::signal
--- a/signal/src/message.cpp
+++ b/signal/src/message.cpp
@@ -116,6 +116,7 @@
 std::string pack(Envelope const& envelope) {
   QCborMap out;
   out.insert(QLatin1String("f"), Packer::put(envelope.from));
+  out.insert(QLatin1String("r"), Packer::put(envelope.run));
   out.insert(QLatin1String("k"), QCborValue(static_cast<qint64>(envelope.message.index())));
   out.insert(QLatin1String("b"), std::visit([](auto const& m) { return Packer::put(m); }, envelope.message));
   return QCborValue(out).toCbor().toStdString();
@@ -130,6 +131,7 @@
   Envelope out;
   Unpacker u{map};
   u("f", out.from);
+  u("r", out.run);
   std::uint64_t ix = 0;
   u("k", ix);
   out.message = make(ix, map.value(QLatin1String("b")));
--- a/signal/test/signal_test.cpp
+++ b/signal/test/signal_test.cpp
@@ -2,6 +2,10 @@
 
 #include <QCoreApplication>
 #include <QTimer>
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 #include <corkward/core/json.h>
 #include <corkward/signal/link.h>
 
@@ -64,3 +68,101 @@
   CHECK(QCoreApplication::exec() == 0);
   CHECK(got == std::vector<std::uint64_t>{1, 2, 3, 4, 5, 6, 7, 8, 9, 10});
 }
+
+namespace {
+
+/// A port of this machine whose opening packets are dropped, as those to a machine without power are: nobody takes the
+/// connections that wait there, and no more may wait.
+struct BlackHole {
+  int listener = ::socket(AF_INET, SOCK_STREAM, 0);
+  std::vector<int> waiting;
+  sockaddr_in at{};
+
+  BlackHole() {
+    at.sin_family = AF_INET;
+    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof at;
+    REQUIRE(::bind(listener, reinterpret_cast<sockaddr*>(&at), size) == 0);
+    REQUIRE(::getsockname(listener, reinterpret_cast<sockaddr*>(&at), &size) == 0);
+    REQUIRE(::listen(listener, 0) == 0);
+    for (int i = 0; i < 4; ++i) {
+      waiting.push_back(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+      ::connect(waiting.back(), reinterpret_cast<sockaddr*>(&at), sizeof at);
+    }
+  }
+  ~BlackHole() { end(); }
+  void end() {
+    for (int const fd : waiting) ::close(fd);
+    waiting.clear();
+    if (listener >= 0) ::close(listener);
+    listener = -1;
+  }
+  std::string address() const { return "127.0.0.1:" + std::to_string(ntohs(at.sin_port)); }
+};
+
+void waitFor(std::function<bool()> const& holds, std::function<void()> const& every) {
+  QTimer timer;
+  QObject::connect(&timer, &QTimer::timeout, [&] {
+    every();
+    if (holds()) QCoreApplication::exit(0);
+  });
+  timer.start(10);
+  QTimer::singleShot(30000, &timer, [] { QCoreApplication::exit(1); });
+  REQUIRE(QCoreApplication::exec() == 0);
+}
+
+}  // namespace
+
+TEST_CASE("a dial that hangs is made anew when the machine it goes to is heard, and a way that is not used is freed") {
+  int argc = 0;
+  QCoreApplication app(argc, nullptr);
+  QObject owner;
+  BlackHole hole;
+  std::uint64_t got = 0;
+  signal::SeenAsk const ask{1, "x", 2, 0, ""};
+  signal::Link a(&owner, "127.0.0.1:0", [](signal::Envelope) {});
+  a.send(hole.address(), ask);
+  CHECK(a.held() == 1);
+  signal::Link early(&owner, hole.address(), [](signal::Envelope) {}, "127.0.0.1:0");
+  waitFor([&] { return a.redials() > 0; }, [&] { early.send(a.address(), ask); });
+  hole.end();
+  std::unique_ptr<signal::Link> b;
+  waitFor(
+      [&] { return got > 0; },
+      [&] {
+        try {
+          if (!b) b = std::make_unique<signal::Link>(&owner, hole.address(), [&](signal::Envelope) { ++got; });
+        } catch (signal::Error const&) {
+          return;
+        }
+        b->send(a.address(), ask);
+        a.send(b->address(), ask);
+      });
+  a.sweep(std::chrono::hours(1));
+  CHECK(a.held() == 1);
+  a.sweep(std::chrono::milliseconds(0));
+  CHECK(a.held() == 0);
+}
+
+TEST_CASE("a way that goes to an earlier run of a process is dialled anew once") {
+  int argc = 0;
+  QCoreApplication app(argc, nullptr);
+  QObject owner;
+  std::uint64_t got = 0;
+  signal::SeenAsk const ask{1, "x", 2, 0, ""};
+  signal::Link a(&owner, "127.0.0.1:0", [](signal::Envelope) {});
+  signal::Link former(&owner, "127.0.0.1:0", [&](signal::Envelope) { ++got; });
+  waitFor([&] { return got > 20; }, [&] {
+    a.send(former.address(), ask);
+    former.send(a.address(), ask);
+  });
+  CHECK(a.redials() == 0);
+  signal::Link latter(&owner, former.address(), [](signal::Envelope) {}, "127.0.0.1:0");
+  waitFor([&] { return a.redials() > 0; }, [&] { latter.send(a.address(), ask); });
+  std::uint64_t const before = got;
+  waitFor([&] { return got > before + 50; }, [&] {
+    a.send(former.address(), ask);
+    latter.send(a.address(), ask);
+  });
+  CHECK(a.redials() == 1);
+}
