Let the cohort of disks grow, strike off and take back members without knowing its size

Cause: the cohort was fixed to its founders and only replaced dark members; a lost Found message or a founder killed in the wrong moment blocked founding; a struck member kept its id; a restart of all waited a second of silence although nobody owned anything.

Changed: founders count at a disk's first start and are kept with its name until it is in a cohort; each founder may found, and a cohort of stamp 1 heard in a beat is a vote (Found is gone). Empty machines beat to seeds and known substations; the cohort's owner replaces, adds or strikes off one member at a time. After each change members settle: they copy what is newer from a majority, and the next change waits for that. A struck or damaged member takes a fresh id in one record; records count only under the id they name. A restored key is campaigned for 150-400 ms after a majority is heard voting. A member's own uncommitted acceptance ages its contact; a member that just began to vote grants no leases for a lease and the fence.

Ruled out: strike-offs without settling. Repair under the old id: an answer given before the damage could still be counted.

--- a/lookout/include/corkward/lookout/lookout.h
+++ b/lookout/include/corkward/lookout/lookout.h
@@ -31,6 +31,7 @@
   std::vector<signal::Send> heard(Tick now, signal::Contact const& contact);
 
   signal::Contact const& self() const { return self_; }
+  std::vector<std::string> const& seeds() const { return seeds_; }
   void setDraining() { self_.draining = true; }
   /// Contacts of a role, ages as of now.
   std::vector<signal::Contact> ofRole(std::string const& role, Tick now) const;
--- a/mooring/include/corkward/mooring/mooring.h
+++ b/mooring/include/corkward/mooring/mooring.h
@@ -31,9 +31,14 @@
   Tick beatEvery = 150;
   Tick ownerSilence = 1000;
   Tick campaignSpread = 500;
+  /// After a restart, with a majority voting and no claim of a key: wait before it is campaigned for, and its spread.
+  Tick restartPause = 150;
+  Tick restartSpread = 250;
   Tick resendEvery = 200;
   Tick callLimit = 4000;
+  /// A member that has been silent for so long may be replaced, or struck off when three or more are left.
   Tick replaceDarkAfter = 20000;
+  std::size_t mostMembers = 9;
   Tick stallAfter = 800;
 };
 
@@ -93,10 +98,12 @@
 /// One member of the cohort: per-key registers with an owner each, synced on a majority before an answer.
 class Mooring {
  public:
-  /// Founders are link addresses, this member's own among them when it may found.
+  /// The member's id is a name that was never used before; a disk that has one keeps it, and a member that was struck off
+  /// makes its next one from it. Founders are link addresses, this member's own among them when it may found; they count
+  /// at the first start of an empty disk, which keeps them until the cohort is founded.
   Mooring(Member self, std::vector<std::string> founders, Judge judge, std::uint64_t seed, Tuning tuning = {});
 
-  /// Takes what the ledger gave back. Damaged: nothing of it counts until it was copied from the others.
+  /// Takes what the ledger gave back. Damaged: nothing of it counts, and this machine joins anew under a fresh id.
   Commands restore(std::map<std::string, std::string> const& slots, bool damaged, Tick now);
 
   Commands arrived(Tick now, std::string const& from, signal::Message const& message);
@@ -107,6 +114,10 @@
   Commands call(Tick now, std::string const& key, signal::Call const& call);
   /// Hands every owned key to a named successor.
   Commands handOver(Tick now);
+  /// True while this machine is no member or hears no majority of the members: it then asks others for its cohort.
+  bool seeking() const { return !isMember(self_.id) || quorumAt_ < 0; }
+  /// Link addresses to ask while seeking.
+  void meet(std::vector<std::string> links) { neighbours_ = std::move(links); }
 
   /// Link of the member that owns the key, empty when none is known to be alive.
   std::string ownerLink(std::string const& key, Tick now) const;
@@ -115,7 +126,7 @@
   std::map<std::string, Committed> const& committed() const { return committed_; }
   /// Age of the last contact with a majority whose accepted changes this member knows; -1: none yet.
   Tick majorityAge(Tick now) const;
-  bool voting() const { return voting_ && !diskFailed_; }
+  bool voting() const { return voting_ && !diskFailed_ && !leaving_; }
   bool diskOk() const { return !diskFailed_ && !stalled_; }
   bool empty() const { return empty_; }
   std::vector<Member> const& cohort() const { return cohort_; }
@@ -164,6 +175,7 @@
     Tick ownerHeard = 0;
     Tick campaignAt = 0;
     Tick fetchedAt = 0;
+    bool unowned = false;
   };
   struct Other {
     Tick heard = 0;
@@ -171,6 +183,7 @@
     signal::Stamps echoStamps;
     Tick goodTick = -1;
     bool voting = false;
+    std::uint64_t settled = 0;
     std::string link;
   };
 
@@ -187,14 +200,23 @@
   void chosen(Commands& out, Tick now, std::string const& key, Reg& r);
   void commit(Commands& out, Tick now, signal::Item const& item);
   void adoptCohort(Commands& out, std::uint64_t stamp, QJsonObject const& value, Tick now);
-  void persistMeta(Commands& out, bool voting);
+  void persistMeta(Commands& out, std::uint64_t ticket, bool voting, std::uint64_t settled);
+  void name(Commands& out, std::string id);
+  void leave(Commands& out, Tick now);
+  void firstVote(Commands& out, Tick now);
+  void persistSettled(Commands& out);
+  void settle(Commands& out, Tick now);
+  void accepted(Tick now, std::string const& key, Reg const& r);
   void watchDisk(Commands& out, Tick now);
+  void watchQuorum(Tick now);
+  signal::Beat standing(Tick now) const;
   void beat(Commands& out, Tick now);
   void readsAnswered(Commands& out, Tick now, std::string const& member, Tick tick, signal::Stamps const& higher);
   void refreshContact(Other& o);
+  Tick darkFor(Member const& m, Tick now) const;
   void considerCohort(Commands& out, Tick now);
+  std::vector<Member> nextCohort(std::set<std::string> const& settled, Tick now, core::Note& note) const;
   void found(Commands& out, Tick now);
-  void copied(Commands& out, Tick now, signal::Copy const& copy);
   bool majority(std::set<std::string> const& yes, std::vector<Member> const& of) const;
   bool isMember(std::string const& id) const;
   void on(Commands& out, Tick now, std::string const& from, signal::Prepare const& m);
@@ -205,22 +227,27 @@
   void on(Commands& out, Tick now, std::string const& from, signal::Handover const& m);
   void on(Commands& out, Tick now, std::string const& from, signal::Beat const& m);
   void on(Commands& out, Tick now, std::string const& from, signal::BeatEcho const& m);
-  void on(Commands& out, Tick now, std::string const& from, signal::Found const& m);
   void on(Commands& out, Tick now, std::string const& from, signal::Fetch const& m);
   void on(Commands& out, Tick now, std::string const& from, signal::Copy const& m);
 
   Member self_;
+  std::string freshId_;
+  std::uint64_t freshIds_ = 0;
   std::vector<std::string> founders_;
+  std::vector<std::string> neighbours_;
   Judge judge_;
   Tuning tuning_;
   core::Rng rng_;
   bool empty_ = true;
   bool voting_ = false;
+  bool leaving_ = false;
   bool diskFailed_ = false;
   bool stalled_ = false;
   Tick beatAt_ = 0;
   Tick copyAskedAt_ = 0;
   Tick lastClock_ = 0;
+  Tick wokeAt_ = 0;
+  Tick quorumAt_ = -1;
   std::uint64_t nextTicket_ = 1;
   std::uint64_t cohortStamp_ = 0;
   std::vector<Member> cohort_;
@@ -229,14 +256,19 @@
   std::map<std::string, Other> others_;
   std::map<std::uint64_t, std::vector<signal::Send>> deferred_;
   std::map<std::uint64_t, Tick> writing_;
-  std::uint64_t voteTicket_ = 0;
+  std::uint64_t nameTicket_ = 0;
+  std::uint64_t settleTicket_ = 0;
+  std::uint64_t settleStamp_ = 0;
+  std::uint64_t settled_ = 0;
+  /// Keys whose newest accepted value is not known to be committed, and since when.
+  std::map<std::string, Tick> unsure_;
   struct Newcomer {
     std::string link;
     Tick heard = 0;
     bool empty = false;
   };
   std::map<std::string, Newcomer> newcomers_;
-  std::map<std::string, std::vector<signal::Slot>> copies_;
+  std::set<std::string> copies_;
 };
 
 /// Members named in a cohort value.
--- a/mooring/src/mooring.cpp
+++ b/mooring/src/mooring.cpp
@@ -27,6 +27,11 @@
   return b.acceptedEpoch < a.acceptedEpoch || (a.acceptedEpoch == b.acceptedEpoch && b.stamp < a.stamp);
 }
 
+QJsonObject recordOf(std::map<std::string, std::string> const& slots, char const* name) {
+  std::map<std::string, std::string>::const_iterator const it = slots.find(name);
+  return it == slots.end() ? QJsonObject() : core::parseJson(it->second).toObject();
+}
+
 QJsonObject cohortJson(std::vector<Member> const& members) {
   QJsonArray list;
   for (Member const& m : members)
@@ -46,35 +51,43 @@
 }
 
 Mooring::Mooring(Member self, std::vector<std::string> founders, Judge judge, std::uint64_t seed, Tuning tuning)
-    : self_(std::move(self)), founders_(std::move(founders)), judge_(std::move(judge)), tuning_(tuning), rng_(seed) {}
+    : self_(std::move(self)), freshId_(self_.id), founders_(std::move(founders)), judge_(std::move(judge)), tuning_(tuning), rng_(seed) {}
 
 Commands Mooring::restore(std::map<std::string, std::string> const& slots, bool damaged, Tick now) {
   Commands out;
   lastClock_ = now;
-  std::map<std::string, std::string>::const_iterator const meta = slots.find(metaRecord);
-  if (meta != slots.end()) {
-    QJsonObject const o = core::parseJson(meta->second).toObject();
-    self_.id = core::str(o.value("id").toString());
-    voting_ = o.value("voting").toBool() && !damaged;
-  }
-  std::map<std::string, std::string>::const_iterator const config = slots.find(configRecord);
-  if (config != slots.end()) {
-    QJsonObject const o = core::parseJson(config->second).toObject();
-    adoptCohort(out, static_cast<std::uint64_t>(o.value("s").toInteger()), o.value("v").toObject(), now);
-  }
-  if (meta == slots.end() || damaged) persistMeta(out, false);
-  if (damaged) return out;
+  wokeAt_ = now;
+  QJsonObject const meta = recordOf(slots, metaRecord);
+  if (damaged) founders_.clear();
+  if (damaged || meta.isEmpty()) {
+    name(out, freshId_);
+    return out;
+  }
+  self_.id = core::str(meta.value("id").toString());
+  voting_ = meta.value("voting").toBool();
+  settled_ = static_cast<std::uint64_t>(meta.value("settled").toInteger());
+  QJsonArray const kept = meta.value("founders").toArray();
+  if (kept.isEmpty()) founders_.clear();
+  if (founders_.empty())
+    for (QJsonValue const f : kept) founders_.push_back(core::str(f.toString()));
   for (std::map<std::string, std::string>::value_type const& s : slots) {
     if (s.first.rfind(slotPrefix, 0) != 0) continue;
     QJsonObject const o = core::parseJson(s.second).toObject();
-    Reg& r = reg(s.first.substr(std::string(slotPrefix).size()));
+    if (o.value("i").toString() != core::qstr(self_.id)) continue;
+    std::string const key = s.first.substr(std::string(slotPrefix).size());
+    Reg& r = reg(key);
     r.promised = epochOf(o.value("p"));
     r.acceptedEpoch = epochOf(o.value("a"));
     r.stamp = static_cast<std::uint64_t>(o.value("s").toInteger());
     r.value = o.value("v").toObject();
     r.highest = r.promised.n;
     r.ownerHeard = now;
+    r.unowned = true;
+    accepted(now, key, r);
   }
+  QJsonObject const config = recordOf(slots, configRecord);
+  if (config.value("i").toString() == core::qstr(self_.id))
+    adoptCohort(out, static_cast<std::uint64_t>(config.value("s").toInteger()), config.value("v").toObject(), now);
   return out;
 }
 
@@ -114,6 +127,7 @@
 Tick Mooring::majorityAge(Tick now) const {
   if (!voting() || stalled_ || cohort_.empty() || !isMember(self_.id)) return -1;
   std::vector<Tick> ticks{now};
+  for (std::map<std::string, Tick>::value_type const& u : unsure_) ticks.front() = std::min(ticks.front(), u.second);
   for (Member const& m : cohort_) {
     if (m.id == self_.id) continue;
     std::map<std::string, Other>::const_iterator const it = others_.find(m.id);
@@ -143,20 +157,80 @@
   QJsonObject const o{{"p", epochJson(r.promised)},
                       {"a", epochJson(r.acceptedEpoch)},
                       {"s", static_cast<qint64>(r.stamp)},
-                      {"v", r.value}};
+                      {"v", r.value},
+                      {"i", core::qstr(self_.id)}};
   out.persists.push_back(Persist{r.ticket, slotPrefix + key, core::jsonText(o)});
   deferred_[r.ticket];
   writing_[r.ticket] = now;
 }
 
-void Mooring::persistMeta(Commands& out, bool voting) {
-  std::uint64_t const ticket = nextTicket_++;
-  if (voting) voteTicket_ = ticket;
-  out.persists.push_back(
-      Persist{ticket, metaRecord, core::jsonText(QJsonObject{{"id", core::qstr(self_.id)}, {"voting", voting}})});
+void Mooring::persistMeta(Commands& out, std::uint64_t ticket, bool voting, std::uint64_t settled) {
+  QJsonArray founders;
+  for (std::string const& f : founders_) founders.append(core::qstr(f));
+  out.persists.push_back(Persist{ticket, metaRecord,
+                                 core::jsonText(QJsonObject{{"id", core::qstr(self_.id)},
+                                                            {"voting", voting},
+                                                            {"settled", static_cast<qint64>(settled)},
+                                                            {"founders", founders}})});
   writing_[ticket] = lastClock_;
 }
 
+void Mooring::name(Commands& out, std::string id) {
+  self_.id = std::move(id);
+  nameTicket_ = nextTicket_++;
+  persistMeta(out, nameTicket_, false, 0);
+}
+
+void Mooring::leave(Commands& out, Tick now) {
+  out.notes.push_back(core::Note{"struck-off", {{"member", self_.id}}});
+  for (std::map<std::string, Reg>::value_type& r : regs_) {
+    stepDown(out, now, r.first, r.second, "struck off");
+    for (Pending const& p : r.second.queue)
+      out.decided.push_back(Decided{p.call.token, r.first, 0, 503, {{"error", "not accepted"}, {"reason", "this member was struck off"}}});
+  }
+  regs_.clear();
+  unsure_.clear();
+  deferred_.clear();
+  copies_.clear();
+  founders_.clear();
+  leaving_ = false;
+  voting_ = false;
+  empty_ = true;
+  settleTicket_ = 0;
+  settled_ = 0;
+  name(out, freshId_ + "." + std::to_string(++freshIds_));
+}
+
+void Mooring::firstVote(Commands& out, Tick now) {
+  Reg& r = reg(cohortKey);
+  if (r.stamp == 0) {
+    r.acceptedEpoch = Epoch{1, cohort_.front().id};
+    r.promised = std::max(r.promised, r.acceptedEpoch);
+    r.stamp = 1;
+    r.value = cohortJson(cohort_);
+    r.highest = std::max<std::uint64_t>(r.highest, 1);
+    r.ownerHeard = now;
+    r.unowned = true;
+    accepted(now, cohortKey, r);
+    persist(out, now, cohortKey, r);
+  }
+  persistSettled(out);
+}
+
+void Mooring::persistSettled(Commands& out) {
+  settleTicket_ = nextTicket_++;
+  settleStamp_ = cohortStamp_;
+  persistMeta(out, settleTicket_, true, cohortStamp_);
+}
+
+void Mooring::accepted(Tick now, std::string const& key, Reg const& r) {
+  std::map<std::string, Committed>::const_iterator const it = committed_.find(key);
+  if (r.stamp > (it == committed_.end() ? 0 : it->second.stamp))
+    unsure_.emplace(key, now);
+  else
+    unsure_.erase(key);
+}
+
 void Mooring::watchDisk(Commands& out, Tick now) {
   bool const stalled = !writing_.empty() && now - writing_.begin()->second > tuning_.stallAfter;
   if (stalled == stalled_) return;
@@ -187,15 +261,20 @@
     return out;
   }
   writing_.erase(ticket);
-  if (ticket == voteTicket_) {
+  if (ticket == nameTicket_) nameTicket_ = 0;
+  if (ticket == settleTicket_) {
+    settleTicket_ = 0;
+    settled_ = settleStamp_;
+    beatAt_ = 0;
+    if (!voting_) out.notes.push_back(core::Note{"member-votes", {{"member", self_.id}}});
     voting_ = true;
-    out.notes.push_back(core::Note{"member-votes", {{"member", self_.id}}});
   }
   watchDisk(out, now);
   std::map<std::uint64_t, std::vector<signal::Send>>::iterator const it = deferred_.find(ticket);
   if (it == deferred_.end()) return out;
   std::vector<signal::Send> const sends = std::move(it->second);
   deferred_.erase(it);
+  if (leaving_) return out;
   for (signal::Send const& s : sends) send(out, now, s.to, s.message);
   return out;
 }
@@ -216,6 +295,7 @@
   r.roleSince = now;
   r.sentAt = now;
   r.campaignAt = 0;
+  r.unowned = false;
   r.promises.clear();
   r.mine = Epoch{std::max({r.highest, r.promised.n, r.mine.n}) + 1, self_.id};
   r.highest = r.mine.n;
@@ -246,6 +326,7 @@
   std::uint64_t const guard = m.key == cohortKey ? cohortStamp_ : std::max(cohortStamp_, reg(cohortKey).stamp);
   Reg& r = reg(m.key);
   r.highest = std::max(r.highest, m.epoch.n);
+  r.unowned = false;
   if (guard > m.cohort || m.epoch < r.promised) {
     send(out, now, from, signal::Promise{m.key, m.epoch, self_.id, false, r.promised, {}, 0, {}});
     return;
@@ -312,7 +393,7 @@
 }
 
 void Mooring::on(Commands& out, Tick now, std::string const& from, signal::Accept const& m) {
-  bool const joining = m.key == cohortKey && !voting_ && !diskFailed_ && empty_;
+  bool const joining = m.key == cohortKey && !voting_ && !diskFailed_ && !leaving_ && empty_ && nameTicket_ == 0;
   if (stalled_ || (!voting() && !joining)) return;
   if (!joining && !isMember(m.member)) return;
   std::uint64_t const guard = m.key == cohortKey ? cohortStamp_ : std::max(cohortStamp_, reg(cohortKey).stamp);
@@ -333,9 +414,11 @@
     r.acceptedEpoch = m.epoch;
     r.stamp = m.stamp;
     r.value = m.value;
+    accepted(now, m.key, r);
     persist(out, now, m.key, r);
   }
   r.highest = std::max(r.highest, m.epoch.n);
+  r.unowned = false;
   r.ownerHeard = now;
   r.owner = m.member;
   sendWhenSynced(out, now, r, from, signal::Accepted{m.key, m.epoch, self_.id, m.stamp, true, m.epoch});
@@ -402,25 +485,34 @@
   Committed const c{item.key, item.stamp, item.value};
   committed_[item.key] = c;
   out.commits.push_back(c);
+  if (reg(item.key).stamp <= item.stamp) unsure_.erase(item.key);
   if (item.key == cohortKey) adoptCohort(out, item.stamp, item.value, now);
   for (std::map<std::string, Other>::value_type& o : others_) refreshContact(o.second);
 }
 
 void Mooring::adoptCohort(Commands& out, std::uint64_t stamp, QJsonObject const& value, Tick now) {
-  if (stamp <= cohortStamp_) return;
+  std::vector<Member> const members = membersOf(value);
+  if (stamp <= cohortStamp_ || members.empty()) return;
   cohortStamp_ = stamp;
-  cohort_ = membersOf(value);
+  cohort_ = members;
+  copies_.clear();
+  copyAskedAt_ = -1;
+  std::erase_if(others_, [&](std::map<std::string, Other>::value_type const& o) { return !isMember(o.first); });
   for (Member const& m : cohort_) {
     Other& o = others_[m.id];
     o.link = m.link;
     if (o.heard == 0) o.heard = now;
   }
-  if (!isMember(self_.id)) return;
+  if (!isMember(self_.id)) {
+    leaving_ = !empty_;
+    return;
+  }
   empty_ = false;
   std::uint64_t const ticket = nextTicket_++;
   out.persists.push_back(Persist{ticket, configRecord,
-                                 core::jsonText(QJsonObject{{"s", static_cast<qint64>(stamp)}, {"v", value}})});
+                                 core::jsonText(QJsonObject{{"s", static_cast<qint64>(stamp)}, {"v", value}, {"i", core::qstr(self_.id)}})});
   writing_[ticket] = now;
+  if (stamp == 1 && !voting_ && settleTicket_ == 0) firstVote(out, now);
 }
 
 void Mooring::on(Commands& out, Tick now, std::string const&, signal::Commit const& m) {
@@ -452,19 +544,28 @@
   return out;
 }
 
-void Mooring::beat(Commands& out, Tick now) {
-  beatAt_ = now + tuning_.beatEvery;
+signal::Beat Mooring::standing(Tick now) const {
   signal::Beat b;
   b.tick = now;
   b.member = self_.id;
   b.empty = empty_;
   b.voting = voting() && !stalled_;
   b.cohort = cohortStamp_;
+  b.settled = settled_;
   b.cohortValue = cohortJson(cohort_);
+  return b;
+}
+
+void Mooring::beat(Commands& out, Tick now) {
+  beatAt_ = now + tuning_.beatEvery;
+  if (nameTicket_ != 0) return;
+  signal::Beat b = standing(now);
   for (std::map<std::string, Reg>::value_type const& r : regs_)
     if (r.second.role == Role::owner) b.owned[r.first] = r.second.mine.n;
-  std::set<std::string> to(founders_.begin(), founders_.end());
+  std::set<std::string> to;
   for (Member const& m : cohort_) to.insert(m.link);
+  if (empty_) to.insert(founders_.begin(), founders_.end());
+  if (seeking()) to.insert(neighbours_.begin(), neighbours_.end());
   to.erase(self_.link);
   for (std::string const& link : to) out.sends.push_back(signal::Send{link, b});
 }
@@ -473,21 +574,14 @@
   if (m.cohort > cohortStamp_) adoptCohort(out, m.cohort, m.cohortValue, now);
   if (!isMember(m.member)) {
     newcomers_[m.member] = Newcomer{from, now, m.empty};
-    if (!empty_) {
-      signal::Beat b;
-      b.tick = now;
-      b.member = self_.id;
-      b.voting = voting();
-      b.cohort = cohortStamp_;
-      b.cohortValue = cohortJson(cohort_);
-      out.sends.push_back(signal::Send{from, b});
-    }
+    if (!empty_ && !leaving_) out.sends.push_back(signal::Send{from, standing(now)});
     return;
   }
   Other& o = others_[m.member];
   o.heard = now;
   o.link = from;
   o.voting = m.voting;
+  o.settled = m.settled;
   signal::BeatEcho echo;
   echo.tick = m.tick;
   echo.member = self_.id;
@@ -504,6 +598,7 @@
       r.owner = m.member;
       r.ownerHeard = now;
       r.campaignAt = 0;
+      r.unowned = false;
     }
   }
   out.sends.push_back(signal::Send{from, echo});
@@ -569,16 +664,15 @@
 
 Commands Mooring::clockEvent(Tick now) {
   Commands out;
+  if (now - lastClock_ > tuning_.ownerSilence) wokeAt_ = now;
   lastClock_ = now;
-  std::erase_if(newcomers_, [&](std::map<std::string, Newcomer>::value_type const& n) { return now - n.second.heard > tuning_.replaceDarkAfter; });
+  std::erase_if(newcomers_, [&](std::map<std::string, Newcomer>::value_type const& n) { return now - n.second.heard > tuning_.ownerSilence; });
+  if (leaving_) leave(out, now);
   watchDisk(out, now);
+  watchQuorum(now);
   if (now >= beatAt_) beat(out, now);
   if (empty_) found(out, now);
-  if (!voting_ && !diskFailed_ && isMember(self_.id) && now - copyAskedAt_ > tuning_.resendEvery) {
-    copyAskedAt_ = now;
-    for (Member const& m : cohort_)
-      if (m.id != self_.id) out.sends.push_back(signal::Send{m.link, signal::Fetch{"", true, self_.id, cohortStamp_}});
-  }
+  settle(out, now);
   std::vector<std::string> keys;
   for (std::map<std::string, Reg>::value_type const& r : regs_) keys.push_back(r.first);
   for (std::string const& key : keys) {
@@ -611,9 +705,10 @@
     }
     if (r.role == Role::owner && !r.reads.empty()) readsAnswered(out, now, self_.id, now, {});
     bool const wanted = !r.queue.empty() || r.stamp > 0 || committed_.count(key) > 0;
-    if (r.role == Role::idle && wanted && voting() && !stalled_ && now - r.ownerHeard > tuning_.ownerSilence) {
+    bool const restarted = r.unowned && quorumAt_ >= 0 && now - quorumAt_ >= tuning_.restartPause;
+    if (r.role == Role::idle && wanted && voting() && !stalled_ && (restarted || now - r.ownerHeard > tuning_.ownerSilence)) {
       if (r.campaignAt == 0)
-        r.campaignAt = now + static_cast<Tick>(rng_.below(static_cast<std::uint64_t>(tuning_.campaignSpread)));
+        r.campaignAt = now + static_cast<Tick>(rng_.below(static_cast<std::uint64_t>(restarted ? tuning_.restartSpread : tuning_.campaignSpread)));
       else if (now >= r.campaignAt)
         campaign(out, now, key, r);
     }
@@ -636,15 +731,49 @@
   return out;
 }
 
+void Mooring::watchQuorum(Tick now) {
+  std::set<std::string> heard;
+  if (voting()) heard.insert(self_.id);
+  for (std::map<std::string, Other>::value_type const& o : others_)
+    if (o.second.voting && now - o.second.heard < tuning_.ownerSilence) heard.insert(o.first);
+  if (!majority(heard, cohort_))
+    quorumAt_ = -1;
+  else if (quorumAt_ < 0)
+    quorumAt_ = now;
+}
+
+void Mooring::settle(Commands& out, Tick now) {
+  if (settled_ == cohortStamp_ || settleTicket_ != 0 || diskFailed_ || !isMember(self_.id)) return;
+  if (copies_.size() >= (cohort_.size() + (voting_ ? 0 : 1)) / 2) {
+    persistSettled(out);
+    return;
+  }
+  bool const again = copyAskedAt_ >= 0;
+  if (again && now - copyAskedAt_ <= tuning_.resendEvery) return;
+  copyAskedAt_ = now;
+  signal::Fetch fetch{"", true, self_.id, cohortStamp_};
+  for (std::map<std::string, Reg>::value_type const& r : regs_)
+    fetch.have.push_back(signal::Slot{r.first, r.second.promised, r.second.acceptedEpoch, r.second.stamp, {}});
+  for (Member const& m : cohort_) {
+    if (m.id == self_.id || copies_.count(m.id) > 0 || (!again && !others_[m.id].voting)) continue;
+    out.sends.push_back(signal::Send{m.link, fetch});
+    if (!again) return;
+  }
+}
+
 void Mooring::on(Commands& out, Tick now, std::string const& from, signal::Fetch const& m) {
   if (m.copy) {
-    if (!voting() || !isMember(m.member) || m.cohort < cohortStamp_) return;
-    signal::Copy copy;
-    copy.member = self_.id;
-    for (std::map<std::string, Reg>::value_type const& r : regs_)
-      copy.slots.push_back(signal::Slot{r.first, r.second.promised, r.second.acceptedEpoch, r.second.stamp, r.second.value});
+    if (!voting() || !isMember(m.member) || m.cohort != cohortStamp_) return;
+    std::map<std::string, signal::Slot> have;
+    for (signal::Slot const& s : m.have) have[s.key] = s;
+    signal::Copy copy{self_.id, cohortStamp_, {}};
     Reg newest;
-    for (std::map<std::string, Reg>::value_type const& r : regs_) newest.ticket = std::max(newest.ticket, r.second.ticket);
+    for (std::map<std::string, Reg>::value_type const& r : regs_) {
+      newest.ticket = std::max(newest.ticket, r.second.ticket);
+      signal::Slot const& theirs = have[r.first];
+      if (theirs.promised < r.second.promised || newer(r.second, theirs))
+        copy.slots.push_back(signal::Slot{r.first, r.second.promised, r.second.acceptedEpoch, r.second.stamp, r.second.value});
+    }
     sendWhenSynced(out, now, newest, from, copy);
     return;
   }
@@ -653,86 +782,108 @@
     out.sends.push_back(signal::Send{from, signal::Commit{reg(m.key).promised, signal::Item{m.key, it->second.stamp, it->second.value}}});
 }
 
-void Mooring::on(Commands& out, Tick now, std::string const&, signal::Copy const& m) { copied(out, now, m); }
-
-void Mooring::copied(Commands& out, Tick now, signal::Copy const& copy) {
-  if (voting_ || diskFailed_ || !isMember(self_.id) || !isMember(copy.member) || voteTicket_ != 0) return;
-  copies_[copy.member] = copy.slots;
-  if (copies_.size() < cohort_.size() / 2 + 1) return;
-  for (std::map<std::string, std::vector<signal::Slot>>::value_type const& c : copies_) {
-    for (signal::Slot const& s : c.second) {
-      Reg& r = reg(s.key);
-      r.promised = std::max(r.promised, s.promised);
-      r.highest = std::max(r.highest, s.promised.n);
-      if (s.stamp > 0 && newer(s, r)) {
-        r.acceptedEpoch = s.acceptedEpoch;
-        r.stamp = s.stamp;
-        r.value = s.value;
-      }
-      r.ownerHeard = now;
+void Mooring::on(Commands& out, Tick now, std::string const&, signal::Copy const& m) {
+  if (m.cohort != cohortStamp_ || settled_ == cohortStamp_ || settleTicket_ != 0 || diskFailed_ || !isMember(self_.id) || !isMember(m.member))
+    return;
+  copies_.insert(m.member);
+  copyAskedAt_ = -1;
+  for (signal::Slot const& s : m.slots) {
+    Reg& r = reg(s.key);
+    bool const taken = s.stamp > 0 && newer(s, r);
+    if (!taken && s.promised <= r.promised) continue;
+    r.promised = std::max(r.promised, s.promised);
+    r.highest = std::max(r.highest, s.promised.n);
+    if (taken) {
+      r.acceptedEpoch = s.acceptedEpoch;
+      r.stamp = s.stamp;
+      r.value = s.value;
+      accepted(now, s.key, r);
     }
+    if (r.role != Role::idle && r.mine < r.promised) stepDown(out, now, s.key, r, "a member has promised a higher epoch");
+    if (!voting_) r.ownerHeard = now;
+    persist(out, now, s.key, r);
   }
-  copies_.clear();
-  for (std::map<std::string, Reg>::value_type& r : regs_) persist(out, now, r.first, r.second);
-  persistMeta(out, true);
+  settle(out, now);
 }
 
 void Mooring::found(Commands& out, Tick now) {
-  if (founders_.empty() || voteTicket_ != 0 || cohortStamp_ > 0 || self_.link != *std::min_element(founders_.begin(), founders_.end())) return;
-  std::vector<Member> members{self_};
-  for (std::string const& link : founders_) {
-    if (link == self_.link) continue;
-    Member seen;
+  std::set<std::string> const links(founders_.begin(), founders_.end());
+  if (nameTicket_ != 0 || diskFailed_ || cohortStamp_ > 0 || links.count(self_.link) == 0) return;
+  std::vector<Member> members;
+  for (std::string const& link : links) {
+    Member seen = link == self_.link ? self_ : Member{};
     for (std::map<std::string, Newcomer>::value_type const& n : newcomers_)
       if (n.second.link == link && n.second.empty && now - n.second.heard < 3 * tuning_.beatEvery) seen = Member{n.first, link};
     if (seen.id.empty()) return;
     members.push_back(seen);
   }
-  std::sort(members.begin(), members.end(), [](Member const& a, Member const& b) { return a.link < b.link; });
-  QJsonObject const value = cohortJson(members);
   out.notes.push_back(core::Note{"found-cohort", {{"members", std::to_string(members.size())}}});
-  for (Member const& m : members) send(out, now, m.link, signal::Found{value});
+  adoptCohort(out, 1, cohortJson(members), now);
+  beatAt_ = 0;
 }
 
-void Mooring::on(Commands& out, Tick now, std::string const&, signal::Found const& m) {
-  std::vector<Member> const members = membersOf(m.cohortValue);
-  if (!empty_ || voting_ || diskFailed_ || voteTicket_ != 0 ||
-      std::none_of(members.begin(), members.end(), [&](Member const& f) { return f.id == self_.id; }))
-    return;
-  Reg& r = reg(cohortKey);
-  r.acceptedEpoch = Epoch{1, members.front().id};
-  r.promised = r.acceptedEpoch;
-  r.stamp = 1;
-  r.value = m.cohortValue;
-  r.highest = 1;
-  r.ownerHeard = now;
-  adoptCohort(out, 1, m.cohortValue, now);
-  persist(out, now, cohortKey, r);
-  persistMeta(out, true);
+Tick Mooring::darkFor(Member const& m, Tick now) const {
+  std::map<std::string, Other>::const_iterator const it = others_.find(m.id);
+  return m.id == self_.id || it == others_.end() ? 0 : now - std::max(it->second.heard, wokeAt_);
 }
 
 void Mooring::considerCohort(Commands& out, Tick now) {
   std::map<std::string, Reg>::iterator const it = regs_.find(cohortKey);
   if (it == regs_.end() || it->second.role != Role::owner || it->second.proposal || !it->second.queue.empty()) return;
+  std::map<std::string, Committed>::const_iterator const have = committed_.find(cohortKey);
+  if (have == committed_.end() || have->second.stamp != cohortStamp_) return;
+  std::set<std::string> ready;
+  for (Member const& m : cohort_) {
+    Other const& o = others_[m.id];
+    if (m.id == self_.id ? settled_ == cohortStamp_ : o.voting && o.settled == cohortStamp_)
+      ready.insert(m.id);
+    else if (darkFor(m, now) < tuning_.ownerSilence)
+      return;
+  }
+  if (!majority(ready, cohort_)) return;
+  core::Note note;
+  std::vector<Member> const next = nextCohort(ready, now, note);
+  if (next.empty()) return;
+  out.notes.push_back(note);
+  Proposal p;
+  p.stamp = cohortStamp_ + 1;
+  p.value = cohortJson(next);
+  propose(out, now, cohortKey, it->second, std::move(p));
+}
+
+std::vector<Member> Mooring::nextCohort(std::set<std::string> const& settled, Tick now, core::Note& note) const {
+  Member const* darkest = nullptr;
   for (Member const& m : cohort_)
-    if (m.id != self_.id && !others_[m.id].voting && now - others_[m.id].heard < tuning_.ownerSilence) return;
+    if (darkFor(m, now) > tuning_.replaceDarkAfter && (darkest == nullptr || darkFor(*darkest, now) < darkFor(m, now))) darkest = &m;
+  std::optional<Member> come;
+  Member const* gone = nullptr;
   for (std::map<std::string, Newcomer>::value_type const& n : newcomers_) {
-    if (!n.second.empty || isMember(n.first) || now - n.second.heard > tuning_.ownerSilence) continue;
-    for (Member const& old : cohort_) {
-      if (old.id == self_.id) continue;
-      Tick const dark = now - others_[old.id].heard;
-      bool const sameAddress = old.link == n.second.link && dark > tuning_.ownerSilence;
-      if (!sameAddress && dark < tuning_.replaceDarkAfter) continue;
-      std::vector<Member> next;
-      for (Member const& m : cohort_) next.push_back(m.id == old.id ? Member{n.first, n.second.link} : m);
-      out.notes.push_back(core::Note{"replace-member", {{"old", old.id}, {"new", n.first}, {"link", n.second.link}}});
-      Proposal p;
-      p.stamp = committed_.at(cohortKey).stamp + 1;
-      p.value = cohortJson(next);
-      propose(out, now, cohortKey, it->second, std::move(p));
-      return;
+    if (!n.second.empty || isMember(n.first)) continue;
+    std::vector<Member>::const_iterator const there =
+        std::find_if(cohort_.begin(), cohort_.end(), [&](Member const& m) { return m.link == n.second.link; });
+    if (there != cohort_.end() && darkFor(*there, now) <= tuning_.ownerSilence) continue;
+    if (there == cohort_.end() && come) continue;
+    come = Member{n.first, n.second.link};
+    gone = there == cohort_.end() ? darkest : &*there;
+    if (there != cohort_.end()) break;
+  }
+  std::vector<Member> next;
+  if (come && gone != nullptr) {
+    note = core::Note{"replace-member", {{"old", gone->id}, {"new", come->id}, {"link", come->link}}};
+    for (Member const& m : cohort_) next.push_back(m.id == gone->id ? *come : m);
+  } else if (come && cohort_.size() < tuning_.mostMembers) {
+    note = core::Note{"add-member", {{"new", come->id}, {"link", come->link}}};
+    next = cohort_;
+    next.push_back(*come);
+  } else if (darkest != nullptr && cohort_.size() > 3) {
+    note = core::Note{"strike-member", {{"old", darkest->id}, {"link", darkest->link}}};
+    for (Member const& m : cohort_) {
+      if (m.id == darkest->id) continue;
+      if (settled.count(m.id) == 0 || darkFor(m, now) > tuning_.ownerSilence) return {};
+      next.push_back(m);
     }
   }
+  return next;
 }
 
 }  // namespace corkward::mooring
--- /dev/null
+++ b/mooring/test/bay.h
@@ -0,0 +1,302 @@
+#pragma once
+
+#include <QJsonArray>
+#include <algorithm>
+#include <bit>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <corkward/core/json.h>
+#include <corkward/mooring/mooring.h>
+
+namespace corkward::mooring {
+
+/// Machines with a disk each in virtual time: a network with delays and cuts, disks that keep what was synced, and
+/// callers that append marks to keys. What was acknowledged and what was committed is kept apart from the members.
+class Bay {
+ public:
+  struct Machine {
+    std::string link;
+    std::unique_ptr<Mooring> member;
+    std::map<std::string, std::string> disk;
+    std::deque<std::vector<Persist>> writes;
+    std::deque<std::function<void()>> inbox;
+    bool writing = false;
+    bool frozen = false;
+    Tick diskDelay = 2;
+    int boots = 0;
+    std::uint64_t life = 0;
+  };
+
+  explicit Bay(std::uint64_t seed, Tuning tuning = {}, std::vector<std::string> seeds = {"a", "b", "c"})
+      : rng(seed), tuning_(tuning), seeds_(std::move(seeds)) {}
+
+  /// Starts the process of a machine, with its disk as it is.
+  void boot(std::string const& link, std::vector<std::string> founders = {}) {
+    Machine& m = machines[link];
+    if (m.member) return;
+    m.link = link;
+    m.frozen = false;
+    m.writing = false;
+    m.writes.clear();
+    m.inbox.clear();
+    ++m.life;
+    m.member = std::make_unique<Mooring>(Member{link + "#" + std::to_string(++m.boots), link}, std::move(founders), judge, rng.next(), tuning_);
+    take(m, m.member->restore(m.disk, false, now));
+    clock(link, m.life);
+  }
+
+  /// Ends the process; of the writes under way a random part has reached the disk.
+  void kill(std::string const& link) {
+    Machine& m = machines.at(link);
+    if (!m.member) return;
+    std::size_t keep = m.writes.empty() ? 0 : rng.below(m.writes.front().size() + 1);
+    for (std::size_t i = 0; i < keep; ++i) m.disk[m.writes.front()[i].key] = m.writes.front()[i].payload;
+    m.member.reset();
+    ++m.life;
+  }
+
+  /// Takes the machine away for good.
+  void remove(std::string const& link) {
+    kill(link);
+    machines.erase(link);
+  }
+
+  void freeze(std::string const& link) { machines.at(link).frozen = true; }
+  void thaw(std::string const& link) {
+    Machine& m = machines.at(link);
+    m.frozen = false;
+    std::deque<std::function<void()>> const inbox = std::move(m.inbox);
+    m.inbox.clear();
+    for (std::function<void()> const& act : inbox) act();
+  }
+
+  void cutOff(std::string const& link, bool on) {
+    for (std::map<std::string, Machine>::value_type const& m : machines) cut(link, m.first, on);
+  }
+  void cut(std::string const& a, std::string const& b, bool on) {
+    for (std::pair<std::string, std::string> const& p : {std::pair(a, b), std::pair(b, a)})
+      if (on)
+        cuts.insert(p);
+      else
+        cuts.erase(p);
+  }
+
+  void run(Tick how) {
+    Tick const until = now + how;
+    while (!events_.empty() && events_.top().at <= until) step();
+    now = until;
+  }
+  /// Runs until the condition holds; how long that took, -1 when it does not within the limit.
+  Tick until(std::function<bool()> const& holds, Tick limit) {
+    Tick const since = now;
+    while (!holds()) {
+      if (events_.empty() || events_.top().at > since + limit) return -1;
+      step();
+    }
+    return now - since;
+  }
+
+  Mooring& at(std::string const& link) { return *machines.at(link).member; }
+  bool votes(std::string const& link) {
+    Machine const& m = machines.at(link);
+    return m.member && m.member->voting() && memberHere(m);
+  }
+  bool allVote() {
+    for (std::map<std::string, Machine>::value_type const& m : machines)
+      if (m.second.member && !votes(m.first)) return false;
+    return true;
+  }
+  std::size_t size(std::string const& link) { return at(link).cohort().size(); }
+  bool calm() {
+    std::set<std::size_t> sizes;
+    for (std::map<std::string, Machine>::value_type const& m : machines) {
+      if (!m.second.member) return false;
+      sizes.insert(m.second.member->cohort().size());
+    }
+    return allVote() && sizes == std::set<std::size_t>{machines.size()};
+  }
+
+  /// Appends a mark to the key at the machine, or at the owner that it names.
+  std::uint64_t call(std::string const& link, std::string const& key) {
+    signal::Call c;
+    c.token = ++tokens_;
+    c.method = "PUT";
+    c.body = "m" + std::to_string(c.token);
+    hand(link, key, c);
+    return c.token;
+  }
+  int statusOf(std::uint64_t token) const { return answers.count(token) > 0 ? answers.at(token) : 0; }
+  /// Keys of which some majority of the newest cohort's disks lacks a mark that was acknowledged.
+  std::vector<std::string> lost() {
+    std::vector<Held> disks;
+    if (newest[cohortKey] == 0) return {};
+    QJsonObject const cohort = core::parseJson(committed_[{cohortKey, newest[cohortKey]}]).toObject();
+    for (Member const& c : membersOf(cohort))
+      for (std::map<std::string, Machine>::value_type const& m : machines) {
+        if (m.second.disk.count("meta") == 0) continue;
+        QJsonObject const meta = core::parseJson(m.second.disk.at("meta")).toObject();
+        if (core::str(meta.value("id").toString()) == c.id && meta.value("voting").toBool()) disks.push_back(Held{c.id, &m.second.disk, {}, false});
+      }
+    std::size_t const most = membersOf(cohort).size() / 2 + 1;
+    std::vector<std::string> out;
+    for (std::map<std::string, std::set<std::string>>::value_type const& key : acknowledged) {
+      for (Held& d : disks) d.read(key.first, key.second);
+      for (unsigned set = 0; set < 1U << disks.size(); ++set) {
+        if (static_cast<std::size_t>(std::popcount(set)) != most) continue;
+        Held const* best = nullptr;
+        for (std::size_t i = 0; i < disks.size(); ++i)
+          if ((set >> i & 1U) != 0 && (best == nullptr || best->at < disks[i].at)) best = &disks[i];
+        if (best->whole) continue;
+        out.push_back(key.first);
+        break;
+      }
+    }
+    return out;
+  }
+
+  Tick now = 1000;
+  core::Rng rng;
+  std::map<std::string, Machine> machines;
+  std::set<std::pair<std::string, std::string>> cuts;
+  double loss = 0;
+  std::map<std::uint64_t, int> answers;
+  std::map<std::string, std::set<std::string>> acknowledged;
+  std::map<std::string, std::uint64_t> newest;
+  std::vector<std::string> wrong;
+  std::function<void(std::string const& from, signal::Send const& send)> watch;
+
+ private:
+  struct Event {
+    Tick at;
+    std::uint64_t order;
+    std::function<void()> act;
+    bool operator<(Event const& o) const { return at != o.at ? at > o.at : order > o.order; }
+  };
+
+  /// What one member's disk holds of a key: the newest accepted, and whether all acknowledged marks stand in it.
+  struct Held {
+    std::string id;
+    std::map<std::string, std::string> const* disk;
+    std::pair<Epoch, std::uint64_t> at;
+    bool whole = false;
+    void read(std::string const& key, std::set<std::string> const& want) {
+      at = {};
+      whole = false;
+      std::map<std::string, std::string>::const_iterator const it = disk->find("slot:" + key);
+      if (it == disk->end()) return;
+      QJsonObject const o = core::parseJson(it->second).toObject();
+      if (core::str(o.value("i").toString()) != id) return;
+      QJsonObject const e = o.value("a").toObject();
+      at = {Epoch{static_cast<std::uint64_t>(e.value("n").toInteger()), core::str(e.value("m").toString())},
+            static_cast<std::uint64_t>(o.value("s").toInteger())};
+      std::set<std::string> have;
+      for (QJsonValue const v : o.value("v").toObject().value("marks").toArray()) have.insert(core::str(v.toString()));
+      whole = std::includes(have.begin(), have.end(), want.begin(), want.end());
+    }
+  };
+  void hand(std::string const& link, std::string const& key, signal::Call const& c) {
+    std::string const owner = at(link).ownerLink(key, now);
+    Machine* m = &machines.at(link);
+    if (machines.count(owner) > 0 && machines.at(owner).member && !machines.at(owner).frozen) m = &machines.at(owner);
+    take(*m, m->member->call(now, key, c));
+  }
+  static Verdict judge(std::string const&, std::uint64_t, QJsonObject const& value, signal::Call const& call) {
+    QJsonArray marks = value.value("marks").toArray();
+    marks.append(core::qstr(call.body));
+    return Verdict{true, QJsonObject{{"marks", marks}}, 200, {}};
+  }
+  static bool memberHere(Machine const& m) {
+    for (Member const& c : m.member->cohort())
+      if (c.id == m.member->self().id) return true;
+    return false;
+  }
+  void after(Tick delay, std::function<void()> act) { events_.push(Event{now + delay, order_++, std::move(act)}); }
+  void step() {
+    Event const e = events_.top();
+    events_.pop();
+    now = std::max(now, e.at);
+    e.act();
+  }
+  void to(std::string const& link, std::uint64_t life, std::function<void()> act) {
+    if (!lives(link, life)) return;
+    Machine& m = machines.at(link);
+    if (m.frozen)
+      m.inbox.push_back([this, link, life, act] { to(link, life, act); });
+    else
+      act();
+  }
+  bool lives(std::string const& link, std::uint64_t life) const {
+    std::map<std::string, Machine>::const_iterator const it = machines.find(link);
+    return it != machines.end() && it->second.life == life && it->second.member;
+  }
+  void clock(std::string const& link, std::uint64_t life) {
+    if (!lives(link, life)) return;
+    Machine& m = machines.at(link);
+    if (!m.frozen) {
+      if (m.member->seeking()) m.member->meet(seeds_);
+      take(m, m.member->clockEvent(now));
+    }
+    after(25, [this, link, life] { clock(link, life); });
+  }
+  void take(Machine& m, Commands&& c) {
+    if (!c.persists.empty()) m.writes.push_back(c.persists);
+    write(m);
+    for (Committed const& k : c.commits) {
+      std::string& text = committed_[{k.key, k.stamp}];
+      std::string const here = core::jsonText(k.value);
+      if (!text.empty() && text != here) wrong.push_back("two values of " + k.key + " under stamp " + std::to_string(k.stamp));
+      text = here;
+      newest[k.key] = std::max(newest[k.key], k.stamp);
+    }
+    for (Decided const& d : c.decided) {
+      answers[d.token] = d.status;
+      if (d.status == 200) acknowledged[d.key].insert("m" + std::to_string(d.token));
+    }
+    for (std::pair<std::string, signal::Call> const& r : c.reroute)
+      after(1, [this, link = m.link, life = m.life, r] {
+        to(link, life, [this, link, r] { hand(link, r.first, r.second); });
+      });
+    for (core::Note const& n : c.notes)
+      if (n.event == "absurd-message") wrong.push_back("absurd message at " + m.link);
+    for (signal::Send const& s : c.sends) {
+      if (watch) watch(m.link, s);
+      std::map<std::string, Machine>::const_iterator const it = machines.find(s.to);
+      if (it == machines.end() || !it->second.member || cuts.count({m.link, s.to}) > 0 || rng.chance(loss)) continue;
+      after(1 + static_cast<Tick>(rng.below(4)), [this, from = m.link, link = s.to, life = it->second.life, message = s.message] {
+        to(link, life, [this, from, link, message] { take(machines.at(link), at(link).arrived(now, from, message)); });
+      });
+    }
+  }
+  void write(Machine& m) {
+    if (m.writing || m.writes.empty()) return;
+    m.writing = true;
+    after(m.diskDelay + static_cast<Tick>(rng.below(3)), [this, link = m.link, life = m.life] {
+      if (!lives(link, life)) return;
+      Machine& k = machines.at(link);
+      std::vector<Persist> const done = k.writes.front();
+      k.writes.pop_front();
+      k.writing = false;
+      for (Persist const& p : done) k.disk[p.key] = p.payload;
+      to(link, life, [this, link, done] {
+        for (Persist const& p : done) take(machines.at(link), at(link).written(now, p.ticket, true));
+      });
+      write(k);
+    });
+  }
+
+  Tuning tuning_;
+  std::vector<std::string> seeds_;
+  std::priority_queue<Event> events_;
+  std::uint64_t order_ = 0;
+  std::uint64_t tokens_ = 0;
+  std::map<std::pair<std::string, std::uint64_t>, std::string> committed_;
+};
+
+}  // namespace corkward::mooring
--- a/programs/common/settings.cpp
+++ b/programs/common/settings.cpp
@@ -59,7 +59,7 @@
       "drain-limit", po::value<int>(&s.drainLimit)->default_value(60), "seconds that work in hand may take after SIGTERM, 1 to 3600");
   if (disk)
     shared.add_options()("data", po::value<std::string>(&s.data), "folder for this machine's ledger")(
-        "founder", po::value<std::vector<std::string>>(&s.founders), "link address of a founder of the cohort; once for each");
+        "founder", po::value<std::vector<std::string>>(&s.founders), "link address of a founder of the cohort, once for each; counts at the first start of an empty folder");
   po::options_description flags("Flags");
   flags.add_options()("settings", po::value<std::string>(), "settings file: name = value lines")("check", "check the settings and exit")(
       "help", "print this and exit")("version", "print the version and exit");
@@ -103,7 +103,7 @@
   if (!known) throw SettingsError("log-level: must be trace, debug, info, warn or error, but is " + s.logLevel);
   if (disk) {
     checkData(s.data);
-    if (s.founders.empty()) throw SettingsError("founder: missing");
+    if (s.founders.empty() && s.seeds.empty()) throw SettingsError("seed: missing, and no founder");
     if (s.founders.size() > 9) throw SettingsError("founder: more than 9");
     for (std::string const& f : s.founders) checkAddress("founder", f, true);
   }
--- a/signal/include/corkward/signal/message.h
+++ b/signal/include/corkward/signal/message.h
@@ -131,10 +131,14 @@
   bool empty = false;
   bool voting = false;
   std::uint64_t cohort = 0;
+  /// Stamp of the cohort under which the member last brought its state up to a majority's.
+  std::uint64_t settled = 0;
   QJsonObject cohortValue;
   std::map<std::string, std::uint64_t> owned;
   template <class F>
-  void each(F& f) { f("t", tick); f("m", member); f("e", empty); f("v", voting); f("c", cohort); f("cv", cohortValue); f("o", owned); }
+  void each(F& f) {
+    f("t", tick); f("m", member); f("e", empty); f("v", voting); f("c", cohort); f("s", settled); f("cv", cohortValue); f("o", owned);
+  }
 };
 
 struct BeatEcho {
@@ -149,23 +153,6 @@
   void each(F& f) { f("t", tick); f("m", member); f("v", voting); f("a", accepted); f("h", higher); }
 };
 
-/// Founds the cohort of the named members.
-struct Found {
-  QJsonObject cohortValue;
-  template <class F>
-  void each(F& f) { f("c", cohortValue); }
-};
-
-/// Asks for a value that is on a majority, or for all slots when copying.
-struct Fetch {
-  std::string key;
-  bool copy = false;
-  std::string member;
-  std::uint64_t cohort = 0;
-  template <class F>
-  void each(F& f) { f("k", key); f("c", copy); f("m", member); f("n", cohort); }
-};
-
 /// One slot of a member's ledger, for a member that copies.
 struct Slot {
   std::string key;
@@ -177,11 +164,25 @@
   void each(F& f) { f("k", key); f("p", promised); f("a", acceptedEpoch); f("s", stamp); f("v", value); }
 };
 
+/// Asks for a value that is on a majority, or, when copying, for all slots that are newer than the asker's.
+struct Fetch {
+  std::string key;
+  bool copy = false;
+  std::string member;
+  std::uint64_t cohort = 0;
+  /// The asker's slots without their values.
+  std::vector<Slot> have = {};
+  template <class F>
+  void each(F& f) { f("k", key); f("c", copy); f("m", member); f("n", cohort); f("h", have); }
+};
+
 struct Copy {
   std::string member;
+  /// Stamp of the cohort that the answering member goes by.
+  std::uint64_t cohort = 0;
   std::vector<Slot> slots;
   template <class F>
-  void each(F& f) { f("m", member); f("s", slots); }
+  void each(F& f) { f("m", member); f("n", cohort); f("s", slots); }
 };
 
 struct Call {
@@ -335,7 +336,7 @@
   void each(F& f) { f("t", tick); f("r", replica); f("m", member); f("o", ok); f("e", epoch); f("h", holder); }
 };
 
-using Message = std::variant<Shuffle, Prepare, Promise, Accept, Accepted, Commit, Handover, Beat, BeatEcho, Found, Fetch,
+using Message = std::variant<Shuffle, Prepare, Promise, Accept, Accepted, Commit, Handover, Beat, BeatEcho, Fetch,
                              Copy, Call, Outcome, News, NewsAck, Ask, Confirm, Hint, Touch, SeenAsk, SeenEcho, SeenLeft,
                              WarmAsk, WarmGrant>;
 
--- a/signal/src/message.cpp
+++ b/signal/src/message.cpp
@@ -10,9 +10,9 @@
 
 namespace {
 
-constexpr std::array<char const*, 25> kinds{
+constexpr std::array<char const*, 24> kinds{
     "shuffle", "prepare", "promise", "accept", "accepted", "commit", "handover", "beat",     "beat-echo",
-    "found",   "fetch",   "copy",    "call",   "outcome",  "news",   "news-ack", "ask",      "confirm",
+    "fetch",   "copy",    "call",   "outcome",  "news",   "news-ack", "ask",      "confirm",
     "hint",    "touch",   "seen-ask", "seen-echo", "seen-left", "warm-ask", "warm-grant"};
 static_assert(kinds.size() == std::variant_size_v<Message>);
 
--- a/substation/include/corkward/substation/plane.h
+++ b/substation/include/corkward/substation/plane.h
@@ -162,6 +162,7 @@
   std::map<std::string, Nacelle> nacelles_;
   std::map<std::string, Lease> leases_;
   Tick started_ = 0;
+  Tick joinedAt_ = -1;
   Tick rosterAt_ = 0;
   Tick rosterCommittedAt_ = 0;
   bool rosterCalling_ = false;
--- a/substation/src/plane.cpp
+++ b/substation/src/plane.cpp
@@ -469,6 +469,7 @@
 
 Plane::Lease* Plane::grant(Tick now, std::string const& what, std::string const& holder, std::uint64_t inc, Tick term, bool& ok) {
   if (!ready(now) || now - started_ < term + 500) return nullptr;
+  if (joinedAt_ >= 0 && now - joinedAt_ < term + tuning_.fence + 500) return nullptr;
   if (leases_.size() >= maxLeases && leases_.count(what) == 0) return nullptr;
   Lease& lease = leases_[what];
   bool const mine = lease.holder == holder && lease.inc == inc;
@@ -543,7 +544,13 @@
 
 Commands Plane::clockEvent(Tick now) {
   Commands out;
+  if (mooring_.seeking()) {
+    std::vector<std::string> links = lookout_.seeds();
+    for (signal::Contact const& c : lookout_.ofRole("substation", now)) links.push_back(c.link);
+    mooring_.meet(std::move(links));
+  }
   take(out, now, mooring_.clockEvent(now));
+  if (!mooring_.voting()) joinedAt_ = now;
   std::vector<signal::Send> sends = lookout_.clockEvent(now);
   std::move(sends.begin(), sends.end(), std::back_inserter(out.sends));
   for (std::map<std::string, Nacelle>::value_type& n : nacelles_) push(out, now, n.first, n.second);
