--- a/yard/fleet/fleet.cpp
+++ b/yard/fleet/fleet.cpp
@@ -70,8 +70,7 @@
       if (!n.listen.empty()) text += "listen = " + n.listen + "\n";
       for (std::size_t i = 0; i < 3; ++i) text += "seed = " + substations_[i % substations_.size()].link + "\n";
       if (disk) text += "data = " + n.data + "\n";
-      if (disk)
-        for (Node const& f : substations_) text += "founder = " + f.link + "\n";
+      for (std::size_t i = 0; disk && i < std::min<std::size_t>(3, substations_.size()); ++i) text += "founder = " + substations_[i].link + "\n";
       text += "log-file = " + folder() + "/" + n.name + ".log\n";
       settings.write(QByteArray::fromStdString(text));
       n.flags = {"--settings", settings.fileName()};
--- a/yard/sim/faults.cpp
+++ b/yard/sim/faults.cpp
@@ -12,13 +12,21 @@
   return n;
 }
 
+bool World::wholeCore() const {
+  std::size_t disks = 0;
+  for (std::map<std::string, Node>::value_type const& n : nodes_) disks += n.second.disk ? 1 : 0;
+  for (std::map<std::string, Node>::value_type const& n : nodes_)
+    if (n.second.disk && (!n.second.alive || !n.second.control->mooring().voting() || n.second.control->mooring().cohort().size() != disks)) return false;
+  return true;
+}
+
 void World::cause(Fault f) {
   for (FaultRow const& row : faultTable)
     if (row.fault == f) result_.timeline.push_back(std::to_string(now_) + " " + row.name);
   ++result_.counts["faults"];
-  constexpr std::array<Fault, 15> hitsReturn{Fault::killHerd,     Fault::killControl,       Fault::freezeSubstation, Fault::isolateMember, Fault::splitCore,
+  constexpr std::array<Fault, 16> hitsReturn{Fault::killHerd,     Fault::killControl,       Fault::freezeSubstation, Fault::isolateMember, Fault::splitCore,
                                              Fault::cutCore,      Fault::cutZone,           Fault::oneWayCut,        Fault::diskSlow,      Fault::diskStall,
-                                             Fault::diskFull,     Fault::diskFail,          Fault::powerLoss,        Fault::diskDamage,    Fault::restartSubstation};
+                                             Fault::diskFull,     Fault::diskFail,          Fault::powerLoss,        Fault::diskDamage,    Fault::restartSubstation, Fault::longAbsence};
   if (totalOutage_ && std::find(hitsReturn.begin(), hitsReturn.end(), f) != hitsReturn.end()) returnHit_ = true;
   std::vector<Node*> control;
   std::vector<Node*> data;
@@ -180,11 +188,8 @@
       }
       break;
     case Fault::diskDamage:
-      if (control.size() == static_cast<std::size_t>(plan_.substations)) {
-        bool learning = false;
-        for (Node const* const n : control) learning = learning || !n->control->mooring().voting();
+      if (wholeCore()) {
         Node& n = *control[rng_.below(control.size())];
-        if (learning) break;
         kill(n, false);
         n.disk->damage(rng_);
         bootLater(n, shortly);
@@ -199,9 +204,7 @@
       break;
     case Fault::wipeSameAddress:
     case Fault::returnNewAddress: {
-      bool allVote = control.size() >= static_cast<std::size_t>(plan_.substations);
-      for (Node const* const n : control) allVote = allVote && n->control->mooring().voting();
-      if (!allVote || newAddresses_ >= 1) break;
+      if (!wholeCore() || newAddresses_ >= 1) break;
       Node& n = *control[rng_.below(control.size())];
       kill(n, true);
       if (f == Fault::wipeSameAddress) {
@@ -321,7 +324,7 @@
       }
       break;
     case Fault::restartSubstation:
-      if (control.size() == static_cast<std::size_t>(plan_.substations)) {
+      if (control.size() >= static_cast<std::size_t>(plan_.substations)) {
         Node& n = *control[rng_.below(control.size())];
         if (n.frozen) break;
         run(n, n.control->drain(local(n)));
@@ -366,6 +369,29 @@
     case Fault::wallClockJump:
       wallJump_ = static_cast<Tick>(rng_.below(2000000)) - 1000000;
       break;
+    case Fault::growCore:
+      if (grown_ < 3) {
+        Node fresh;
+        fresh.link = "t" + std::to_string(++grown_);
+        fresh.zone = "z" + std::to_string(1 + rng_.below(static_cast<std::uint64_t>(plan_.zones)));
+        fresh.disk = std::make_unique<SimDisk>();
+        std::string const link = fresh.link;
+        boot(nodes_.emplace(link, std::move(fresh)).first->second);
+      }
+      break;
+    case Fault::longAbsence:
+      if (!control.empty()) {
+        Node& n = *control[rng_.below(control.size())];
+        Tick const how = plan_.replaceDarkAfter + 500 + static_cast<Tick>(rng_.below(6000));
+        switch (rng_.below(3)) {
+          case 0: freeze(n, how); break;
+          case 1: cut({n.link}, allLinks, how); break;
+          default:
+            kill(n, rng_.chance(0.5));
+            bootLater(n, how);
+        }
+      }
+      break;
     case Fault::lossyNetwork:
       loss_ = 0.05 + 0.1 * static_cast<double>(rng_.below(3));
       duplication_ = 0.1;
--- a/yard/sim/judge.cpp
+++ b/yard/sim/judge.cpp
@@ -101,6 +101,19 @@
       ++all;
       standing += k.second.alive && k.second.data->standing(local(k.second)) ? 1 : 0;
     }
+    std::set<std::size_t> sizes;
+    std::size_t voting = 0;
+    std::size_t disks = 0;
+    for (std::map<std::string, Node>::value_type const& k : nodes_) {
+      if (!k.second.control) continue;
+      mooring::Mooring const& m = k.second.control->mooring();
+      ++disks;
+      sizes.insert(m.cohort().size());
+      voting += m.voting() && std::any_of(m.cohort().begin(), m.cohort().end(), [&](mooring::Member const& c) { return c.id == m.self().id; }) ? 1 : 0;
+    }
+    if (voting < disks || sizes != std::set<std::size_t>{disks})
+      violation("only " + std::to_string(voting) + " of " + std::to_string(disks) + " disks vote after all was healed, the cohort is of " +
+                std::to_string(*sizes.begin()) + " to " + std::to_string(*sizes.rbegin()));
     if (standing < all) violation("only " + std::to_string(standing) + " of " + std::to_string(all) + " nacelles serve after all was healed");
   });
 }
--- a/yard/sim/world.cpp
+++ b/yard/sim/world.cpp
@@ -23,10 +23,13 @@
     p.zones = 4;
   }
   for (FaultRow const& f : faultTable)
-    if (rng.chance(0.35)) p.faults.push_back(f.fault);
+    if (f.fault != Fault::growCore && f.fault != Fault::longAbsence && rng.chance(0.35)) p.faults.push_back(f.fault);
   if (p.faults.empty()) p.faults.push_back(Fault::killHerd);
   p.every = 2500 + static_cast<Tick>(rng.below(6000));
   if (rng.chance(0.4)) p.clockSpread = 0.045;
+  for (Fault const f : {Fault::growCore, Fault::longAbsence})
+    if (rng.chance(0.35)) p.faults.push_back(f);
+  if (rng.chance(0.5)) p.replaceDarkAfter = 3000;
   return p;
 }
 
@@ -94,8 +97,10 @@
   if (n.disk) {
     self.role = "substation";
     std::vector<std::string> founders;
-    for (int i = 1; i <= plan_.substations; ++i) founders.push_back("s" + std::to_string(i));
+    for (int i = 1; now_ == 0 && i <= plan_.founders; ++i) founders.push_back("s" + std::to_string(i));
     substation::Tuning t;
+    t.mooring.replaceDarkAfter = plan_.replaceDarkAfter;
+    if (plan_.mutation == Mutation::neverGrow) t.mooring.mostMembers = 3;
     if (plan_.mutation == Mutation::earlyAck) t.fenceMargin = -t.fence;
     if (plan_.mutation == Mutation::warmForever) t.warmLease = -1000000;
     n.control = std::make_unique<substation::Plane>(self, "m" + std::to_string(rng_.next()), seeds, founders, rng_.next(), t);
@@ -240,6 +245,8 @@
     n.writes.push_back(std::move(write));
     disk(n);
   }
+  for (core::Note const& note : c.notes)
+    if (note.event.find("member") != std::string::npos || note.event == "struck-off") ++result_.counts[note.event];
   for (core::Note const& note : c.notes)
     if (note.event == "absurd-message") violation("two values under one stamp at " + link);
   for (signal::Send const& s : c.sends) send(link, s);
--- a/yard/sim/world.h
+++ b/yard/sim/world.h
@@ -60,7 +60,9 @@
   bigTemplate,
   evacuate,
   wallClockJump,
-  lossyNetwork
+  lossyNetwork,
+  growCore,
+  longAbsence
 };
 
 struct FaultRow {
@@ -105,7 +107,9 @@
                                           {Fault::bigTemplate, "big-template"},
                                           {Fault::evacuate, "evacuate"},
                                           {Fault::wallClockJump, "wall-clock-jump"},
-                                          {Fault::lossyNetwork, "lossy-network"}};
+                                          {Fault::lossyNetwork, "lossy-network"},
+                                          {Fault::growCore, "grow-core"},
+                                          {Fault::longAbsence, "long-absence"}};
 
 /// Switches that break a rule on purpose, to show that its oracle can fail.
 enum class Mutation {
@@ -127,13 +131,18 @@
   resumeRepeat,
   resumeOther,
   cutLooksWhole,
-  foreignBody
+  foreignBody,
+  neverGrow
 };
 
 /// Sizes and failures of one run; everything else follows from the seed.
 struct Plan {
   std::uint64_t seed = 1;
   int substations = 3;
+  /// The first so many substations found the cohort at their first start; nobody is told of founders later.
+  int founders = 3;
+  /// See mooring::Tuning.
+  Tick replaceDarkAfter = 20000;
   int nacelles = 8;
   int models = 9;
   int others = 3;
@@ -329,6 +338,8 @@
   void violation(std::string const& what);
   std::string someSubstation();
   int live(bool control) const;
+  /// Every disk is up, votes, and knows a cohort of all of them: one may be lost.
+  bool wholeCore() const;
 
   Plan plan_;
   core::Rng rng_;
@@ -378,6 +389,7 @@
   bool returnHit_ = false;
   bool servedSince_ = true;
   int newAddresses_ = 0;
+  int grown_ = 0;
   bool totalOutage_ = false;
   std::map<std::string, int> seenKinds_;
   Result result_;
--- a/yard/test/sim_test.cpp
+++ b/yard/test/sim_test.cpp
@@ -10,11 +10,12 @@
 
 namespace {
 
-void clean(yard::Plan const& plan) {
-  yard::Result const result = yard::World(plan).run();
+yard::Result clean(yard::Plan const& plan) {
+  yard::Result result = yard::World(plan).run();
   for (std::string const& v : result.violations) std::cerr << "seed " << plan.seed << ": " << v << "\n";
   CHECK(result.violations.empty());
   CHECK(result.counts.at("served") > 500);
+  return result;
 }
 
 struct Kept {
@@ -30,6 +31,27 @@
     for (std::uint64_t seed = 1; seed <= 2; ++seed) clean(yard::only(seed, {f}));
 }
 
+TEST_CASE("the cohort of disks grows, strikes off who is dark and takes back who returns", "[cohort]") {
+  std::map<std::string, std::size_t> counts;
+  for (Fault const f : {Fault::growCore, Fault::longAbsence, Fault::wipeSameAddress, Fault::returnNewAddress, Fault::killControl, Fault::freezeSubstation,
+                        Fault::isolateMember, Fault::splitCore, Fault::diskStall, Fault::diskDamage})
+    for (int const substations : {3, 4, 6}) {
+      yard::Plan plan = yard::only(static_cast<std::uint64_t>(substations), {f, Fault::growCore, Fault::longAbsence});
+      plan.substations = substations;
+      plan.zones = 4;
+      plan.replaceDarkAfter = 3000;
+      plan.every = 4000;
+      for (std::map<std::string, std::size_t>::value_type const& c : clean(plan).counts) counts[c.first] += c.second;
+    }
+  for (char const* change : {"add-member", "replace-member", "strike-member", "struck-off"}) CHECK(counts[change] > 0);
+  for (int const founders : {1, 2}) {
+    yard::Plan plan = yard::only(static_cast<std::uint64_t>(founders), {Fault::killControl, Fault::longAbsence});
+    plan.founders = founders;
+    plan.replaceDarkAfter = 3000;
+    clean(plan);
+  }
+}
+
 TEST_CASE("nacelles are killed, cut, frozen and restarted", "[nacelles]") {
   for (Fault const f : {Fault::killNacelle, Fault::killHerd, Fault::freezeNacelle, Fault::cutZone, Fault::isolateNacelle, Fault::oneWayCut,
                         Fault::lossyNetwork, Fault::restartNacelle, Fault::wallClockJump})
@@ -110,7 +132,8 @@
       {Mutation::rewriteIfMatch, {Fault::races}, "both accepted"},
       {Mutation::denyAccepted, {Fault::killNacelle}, "a denied change is in force"},
       {Mutation::dropOnRestart, {Fault::restartNacelle}, "a planned restart dropped"},
-      {Mutation::noReturn, {Fault::killAll}, "service was not back"}};
+      {Mutation::noReturn, {Fault::killAll}, "service was not back"},
+      {Mutation::neverGrow, {Fault::growCore}, "disks vote after all was healed"}};
   for (Row const& row : rows) {
     bool found = false;
     for (std::uint64_t seed = 1; seed <= 24 && !found; ++seed) {
