--- a/door/include/corkward/door/relay.h
+++ b/door/include/corkward/door/relay.h
@@ -57,13 +57,15 @@
   /// As stop, but a connection that may be kept reads the rest of a short answer, and then goes back and the relay is
   /// gone. The owner forgets the relay.
   void release();
+  /// The connection was kept and long idle, and nothing came on it: the replica may have forgotten it.
+  bool forgotten() const;
   /// Stops or goes on reading, for backpressure.
   void pause(bool paused);
 
  private:
   friend class Relays;
   struct State;
-  Relay(std::string const& address, Events events, QObject* parent, Relays* relays, QTcpSocket* kept);
+  Relay(std::string const& address, Events events, QObject* parent, Relays* relays, QTcpSocket* kept, bool rested = false);
   void open();
   void attach();
   void ready();
--- a/door/src/mapping.cpp
+++ b/door/src/mapping.cpp
@@ -83,6 +83,7 @@
   out.bodiless = head.bodiless;
   std::string const run = field(head.fields, "corkward-run");
   out.notRun = head.status == 503 && run == "none";
+  out.failed = head.status >= 500 && !out.notRun;
   if (run != "none") out.run = run;
   out.offset = field(head.fields, "corkward-offset");
   for (char const* const kept : {"content-type", "corkward-run", "corkward-replica"}) {
--- a/door/src/relay.cpp
+++ b/door/src/relay.cpp
@@ -59,6 +59,7 @@
   QByteArray buffer;
   core::Tick keepAlive = noLimit;
   bool kept = false;
+  bool rested = false;
   bool connected = false;
   bool sent = false;
   bool noBody = false;
@@ -79,10 +80,11 @@
 
 Relay::Relay(std::string const& address, Events events, QObject* parent) : Relay(address, std::move(events), parent, nullptr, nullptr) {}
 
-Relay::Relay(std::string const& address, Events events, QObject* parent, Relays* relays, QTcpSocket* kept)
+Relay::Relay(std::string const& address, Events events, QObject* parent, Relays* relays, QTcpSocket* kept, bool rested)
     : QObject(parent), events_(std::move(events)), address_(address), socket_(kept), state_(std::make_unique<State>()) {
   state_->relays = relays;
   state_->kept = kept != nullptr;
+  state_->rested = rested;
   if (kept == nullptr) {
     open();
     return;
@@ -192,6 +194,8 @@
       Qt::QueuedConnection);
 }
 
+bool Relay::forgotten() const { return state_->kept && state_->rested && !state_->headSeen; }
+
 void Relay::stop() {
   state_->over = true;
   if (socket_ == nullptr) return;
--- a/door/src/relays.cpp
+++ b/door/src/relays.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr int sweepEveryMs = 500;
+constexpr core::Tick restedAfter = 500;
 
 void closeSocket(QTcpSocket* socket) {
   socket->disconnect();
@@ -29,6 +30,7 @@
 Relay* Relays::lend(std::string const& address, bool fresh, Relay::Events events, QObject* parent) {
   core::Tick const now = now_();
   QTcpSocket* socket = nullptr;
+  bool rested = false;
   std::unordered_map<std::string, std::vector<Idle>>::iterator const it = idle_.find(address);
   while (it != idle_.end() && !it->second.empty() && socket == nullptr) {
     Idle const last = it->second.back();
@@ -39,12 +41,13 @@
         last.socket->bytesAvailable() == 0) {
       last.socket->disconnect(this);
       socket = last.socket;
+      rested = now - last.since >= restedAfter;
     } else {
       closeSocket(last.socket);
     }
   }
   if (it != idle_.end() && it->second.empty()) idle_.erase(it);
-  return new Relay(address, std::move(events), parent, this, socket);
+  return new Relay(address, std::move(events), parent, this, socket, rested);
 }
 
 void Relays::put(std::string const& address, QTcpSocket* socket, core::Tick keepAlive) {
--- a/door/test/relays_test.cpp
+++ b/door/test/relays_test.cpp
@@ -61,6 +61,7 @@
   int ends = 0;
   bool connected = false;
   bool denied = false;
+  bool forgotten = false;
 };
 
 /// One request through the pool, up to its end.
@@ -80,6 +81,7 @@
     e.piece = [this](std::string bytes) { got.body += bytes; };
     e.ended = [this](bool whole) {
       got.ended = whole ? 1 : 0;
+      got.forgotten = relay->forgotten();
       ++got.ends;
     };
     relay = relays.lend(address, fresh, std::move(e), &owner);
@@ -181,6 +183,26 @@
   }
 }
 
+TEST_CASE("only a kept connection that was long idle and says nothing counts as forgotten") {
+  application();
+  struct Row {
+    std::string bytes;
+    core::Tick idle;
+    bool forgotten;
+  };
+  for (Row const& r : {Row{"", 600, true}, Row{"", 10, false}, Row{"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhal", 600, false}}) {
+    Rig rig({{good, false}, {r.bytes, true}, {"", true}});
+    rig.ask();
+    REQUIRE(rig.relays.idle() == 1);
+    rig.now += r.idle;
+    Got const got = rig.ask();
+    CHECK(got.ended == 0);
+    CHECK(got.forgotten == r.forgotten);
+    CHECK(rig.replica.connections == 1);
+    CHECK_FALSE(rig.ask().forgotten);
+  }
+}
+
 TEST_CASE("an idle connection that is closed or says something is thrown away") {
   application();
   Rig rig({});
--- a/governor/include/corkward/governor/governor.h
+++ b/governor/include/corkward/governor/governor.h
@@ -53,10 +53,43 @@
   double mean = 0.2;
   /// Answers needed after a widening before it is judged.
   int judgeAfter = 4;
+  /// Weight of one outcome in a replica's error rate, and the time after which rate and failures of late count half.
+  double errorMean = 0.2;
+  Tick errorHalf = 30000;
+  /// A replica loses its trust at this error rate, with at least so many failures of late.
+  double errorMost = 0.4;
+  double errorLeast = 2.5;
+  /// First and longest rest of a replica that is not trusted, and the successes in a row that give trust back.
+  Tick restFirst = 1000;
+  Tick restMost = 8000;
+  int probes = 5;
+  /// A first word, or a silence, over this many aims and this many of the usual first words is a failure.
+  double lateAims = 3.0;
 };
 
 inline constexpr Figures figures{};
 
+/// One node's own outcomes at one replica: its error rate, and whether it is trusted.
+class Reliability {
+ public:
+  /// Takes one outcome in. True when the replica has to rest from now on.
+  bool outcome(Tick now, bool failed, Figures const& f = figures);
+  bool trusted() const { return trusted_; }
+  /// Not trusted, and not to be probed yet.
+  bool resting(Tick now) const { return !trusted_ && now < restUntil_; }
+  /// Share of failures of late, newer outcomes weighing more.
+  double rate(Tick now, Figures const& f = figures) const;
+
+ private:
+  double rate_ = 0;
+  double failures_ = 0;
+  Tick at_ = 0;
+  bool trusted_ = true;
+  Tick restUntil_ = 0;
+  Tick rest_ = 0;
+  int successes_ = 0;
+};
+
 /// A replica that a part may draw from.
 struct Candidate {
   Index replica = 0;
--- a/programs/nacelle/nacelle.cpp
+++ b/programs/nacelle/nacelle.cpp
@@ -165,10 +165,15 @@
 
 void Nacelle::replicaEnded(std::uint64_t id, bool whole) {
   std::unordered_map<std::uint64_t, Call>::iterator const it = calls_.find(id);
-  if (it != calls_.end()) steps(id, it->second.stream.ended(whole));
+  if (it == calls_.end()) return;
+  bool const forgotten = !whole && it->second.relay != nullptr && it->second.relay->forgotten();
+  rotor::StreamSteps out = it->second.stream.ended(whole);
+  if (forgotten && out.ended == rotor::End::broken) out.ended = rotor::End::forgotten;
+  steps(id, std::move(out));
 }
 
 void Nacelle::steps(std::uint64_t id, rotor::StreamSteps&& out) {
+  if (out.failed) run(plane_.failed(now(), id));
   if (out.begin) server_.begin(id, out.begin->status, out.begin->fields, out.begin->length, out.begin->reason);
   if (!out.piece.empty()) server_.piece(id, out.piece);
   if (out.firstWord) run(plane_.firstWord(now(), id, *out.firstWord));
--- a/rotor/include/corkward/rotor/plane.h
+++ b/rotor/include/corkward/rotor/plane.h
@@ -125,6 +125,8 @@
   notRun,
   /// The connection broke, or ended early, after a byte was handed over.
   broken,
+  /// As broken, but on a kept connection that was idle, before any word: the replica may have forgotten it.
+  forgotten,
   /// The replica answered an attempt to resume with anything but the same run at the same offset.
   otherRun
 };
@@ -210,6 +212,9 @@
   /// No connection could be had, so nothing was handed over.
   Commands connectDenied(Tick now, CallId call);
   Commands firstWord(Tick now, CallId call, bool runKnown);
+  /// The replica answers with a failure of its own, of which nothing was passed on yet. When the commands say Connect,
+  /// another replica is tried and the answer is forgotten; else it is passed on as it comes.
+  Commands failed(Tick now, CallId call);
   /// The stream moves: words came, or the caller is the one that is slow. Told at most every second.
   Commands moving(Tick now, CallId call);
   Commands ended(Tick now, CallId call, End end);
@@ -259,6 +264,8 @@
     std::int64_t reading = 0;
     bool echo = false;
     bool runKnown = false;
+    /// The outcome of the newest dispatch was counted for or against its replica.
+    bool judged = false;
     bool dispatched = false;
     /// Some attempt of this id may have reached a replica before.
     bool reached = false;
@@ -297,7 +304,11 @@
     /// Taken away by a list that is newer than the one in force.
     bool away = false;
     Tick coolUntil = 0;
-    int errors = 0;
+    /// Own requests that it has in hand.
+    int inFlight = 0;
+    governor::Reliability reliability;
+    /// Among the replicas of its pool that the pick may do without; see avoidWorst.
+    bool avoided = false;
   };
   struct PoolView {
     std::uint64_t generation = 0;
@@ -380,6 +391,10 @@
   std::int64_t unread(Call const& call, Index replica, Index home) const;
   void haveRead(Call& call);
   bool mayGoOn(Tick now, Call const& call) const;
+  void judge(Commands& out, Tick now, Call& call, bool bad);
+  void avoidWorst(Tick now, Index pool);
+  bool overdue(Call const& call, Tick took) const;
+  void connectTo(Commands& out, Tick now, CallId id, Index replica);
   bool resumeElsewhere(Commands& out, Tick now, CallId id);
   std::int64_t choose(Tick now, Call const& call, std::vector<governor::Candidate> const& choices) const;
   Index home(Call const& call) const;
--- a/rotor/include/corkward/rotor/stream.h
+++ b/rotor/include/corkward/rotor/stream.h
@@ -22,6 +22,8 @@
   std::int64_t length = -1;
   /// The replica says that it did not run the request.
   bool notRun = false;
+  /// The replica says that it failed at the request, which may have run.
+  bool failed = false;
   /// The answer belongs to another request, or is none that may be passed on.
   bool foreign = false;
   /// Name of the run and offset of the body, where the replica tells them.
@@ -47,6 +49,8 @@
 
 /// What one event of a replica's connection leads to, in this order.
 struct StreamSteps {
+  /// Tell the plane that the replica answers with a failure, of which nothing was passed on yet.
+  bool failed = false;
   /// Begin the caller's answer.
   std::optional<Head> begin;
   /// Tell the plane that the first word, or the first one after a resume, has come; and whether the run may be resumed.
--- a/rotor/src/calls.cpp
+++ b/rotor/src/calls.cpp
@@ -59,12 +59,49 @@
   return r.state == blueprint::ReplicaState::serving || warmHeld(now, replica);
 }
 
+void Plane::avoidWorst(Tick now, Index pool) {
+  std::vector<Index> worst;
+  std::size_t serving = 0;
+  for (Index const r : poolViews_[pool].replicas) {
+    replicas_[r].avoided = false;
+    if (!usable(now, r)) continue;
+    ++serving;
+    if (!replicas_[r].reliability.trusted()) worst.push_back(r);
+  }
+  if (2 * worst.size() > serving) return;
+  std::sort(worst.begin(), worst.end(), [&](Index const a, Index const b) {
+    return std::pair(-replicas_[a].reliability.rate(now, tuning_.figures), a) < std::pair(-replicas_[b].reliability.rate(now, tuning_.figures), b);
+  });
+  worst.resize(std::min(worst.size(), serving / 3));
+  for (Index const r : worst) replicas_[r].avoided = true;
+}
+
+void Plane::judge(Commands& out, Tick now, Call& call, bool bad) {
+  if (call.judged) return;
+  call.judged = true;
+  Replica& r = replicas_[call.replica];
+  bool const before = r.reliability.trusted();
+  bool const rests = r.reliability.outcome(now, bad, tuning_.figures);
+  if (rests)
+    note(out, now, "replica-distrusted", {{"replica", replicaNames_.name(call.replica)},
+                                          {"rate", std::to_string(r.reliability.rate(now, tuning_.figures))}});
+  if (!before && r.reliability.trusted()) note(out, now, "replica-trusted", {{"replica", replicaNames_.name(call.replica)}});
+  if (rests || before != r.reliability.trusted()) avoidWorst(now, r.pool);
+}
+
+bool Plane::overdue(Call const& call, Tick took) const {
+  Row const& row = rows_[call.path];
+  double const usual = credits_.at({call.pool, row.instance}).scaler.firstWordMean();
+  return static_cast<double>(took) > tuning_.figures.lateAims * std::max(static_cast<double>(row.path.aim), usual);
+}
+
 void Plane::refreshCandidates(Commands& out, Tick now) {
+  for (Index pool = 0; pool < poolViews_.size(); ++pool) avoidWorst(now, pool);
   std::vector<CreditKey> keys;
   for (std::map<CreditKey, Credit>::value_type& c : credits_) {
     std::vector<governor::Candidate> all;
     for (Index const r : poolViews_[c.first.first].replicas)
-      if (usable(now, r))
+      if (usable(now, r) && !(replicas_[r].avoided && replicas_[r].reliability.resting(now)))
         all.push_back(governor::Candidate{r, replicas_[r].state == blueprint::ReplicaState::cold,
                                           core::stableHash(replicaNames_.name(r))});
     c.second.scaler.candidates(all);
@@ -264,13 +301,20 @@
     bool const taken = warm_.at(replica).bucket.take(now, coldRate(call.pool));
     CORKWARD_INVARIANT(taken);
   }
+  connectTo(out, now, id, replica);
+  return true;
+}
+
+void Plane::connectTo(Commands& out, Tick now, CallId id, Index replica) {
+  Call& call = calls_.at(id);
+  Row const& row = rows_[call.path];
   call.phase = Phase::connecting;
   call.phaseAt = now;
   call.replica = replica;
   call.counted = true;
-  c.scaler.sent(replica, row.path.cls == blueprint::Class::bulk);
+  credits_.at({call.pool, row.instance}).scaler.sent(replica, row.path.cls == blueprint::Class::bulk);
+  ++replicas_[replica].inFlight;
   out.calls.push_back(Connect{id, addressOf(replica), row.path.path, false, !row.path.repeatable});
-  return true;
 }
 
 Index Plane::home(Call const& call) const {
@@ -309,6 +353,11 @@
   std::vector<governor::Candidate> choices;
   for (governor::Candidate const& c : all)
     if (std::find(call.handedTo.begin(), call.handedTo.end(), c.replica) == call.handedTo.end()) choices.push_back(c);
+  std::function<bool(governor::Candidate const&)> const avoid = [&](governor::Candidate const& c) {
+    Replica const& r = replicas_[c.replica];
+    return r.avoided && (r.reliability.resting(now) || r.inFlight > 0);
+  };
+  if (!std::all_of(choices.begin(), choices.end(), avoid)) std::erase_if(choices, avoid);
   if (call.request.parts.size() < 2) {
     std::int64_t const last = call.prefix == 0 ? -1 : prefixes_.last(call.prefix);
     return governor::pick(scaler, choices, call.prefix == 0 ? seed_ ^ call.request.call : call.prefix, last);
@@ -377,6 +426,7 @@
   CreditKey const key{call.pool, row.instance};
   Credit& c = credits_.at(key);
   c.scaler.ended(call.replica, row.path.cls == blueprint::Class::bulk);
+  --replicas_[call.replica].inFlight;
   ++c.endedSince;
   look(out, now, key);
   pump(out, now, key);
@@ -464,6 +514,7 @@
 HandOver Plane::handOver(Tick now, CallId id) {
   Call& call = calls_.at(id);
   call.handedTo.push_back(call.replica);
+  call.judged = false;
   std::vector<Part> const& parts = call.request.parts;
   if (parts.size() > 1) {
     call.reading = unread(call, call.replica, home(call)) + parts.back().tokens;
@@ -495,6 +546,7 @@
   call.replica = static_cast<Index>(chosen);
   if (replicas_[call.replica].state == blueprint::ReplicaState::cold && !warm_.at(call.replica).bucket.take(now, coldRate(call.pool))) return false;
   c.scaler.sent(call.replica, row.path.cls == blueprint::Class::bulk);
+  ++replicas_[call.replica].inFlight;
   call.counted = true;
   call.phase = Phase::handed;
   call.phaseAt = now;
@@ -525,12 +577,16 @@
 Commands Plane::connectDenied(Tick now, CallId id) {
   Commands out;
   std::unordered_map<CallId, Call>::iterator const it = calls_.find(id);
-  if (it != calls_.end() && it->second.phase == Phase::handed && it->second.resumes > 0) {
+  if (it == calls_.end()) return out;
+  bool const resuming = it->second.phase == Phase::handed && it->second.resumes > 0;
+  if (!resuming && it->second.phase != Phase::connecting) return out;
+  it->second.judged = now >= it->second.until;
+  judge(out, now, it->second, true);
+  if (resuming) {
     replicas_[it->second.replica].coolUntil = now + tuning_.coolFor;
     if (!rows_[it->second.path].path.stream || !resumeElsewhere(out, now, id)) breakOff(out, now, id);
     return out;
   }
-  if (it == calls_.end() || it->second.phase != Phase::connecting) return out;
   replicas_[it->second.replica].coolUntil = now + tuning_.coolFor;
   note(out, now, "replica-cooled", {{"replica", replicaNames_.name(it->second.replica)}, {"why", "connect denied"}});
   retry(out, now, id, "replica refused the connection");
@@ -549,8 +605,8 @@
   call.phase = Phase::streaming;
   call.phaseAt = now;
   call.runKnown = runKnown;
-  replicas_[call.replica].errors = 0;
   if (!first) return out;
+  if (overdue(call, now - call.handedAt)) judge(out, now, call, true);
   CreditKey const key{call.pool, row.instance};
   credits_.at(key).scaler.firstWord(now, call.replica, now - call.handedAt, row.path.aim);
   count(now, "first_words");
@@ -558,6 +614,34 @@
   return out;
 }
 
+Commands Plane::failed(Tick now, CallId id) {
+  Commands out;
+  std::unordered_map<CallId, Call>::iterator const it = calls_.find(id);
+  if (it == calls_.end() || it->second.phase != Phase::handed) return out;
+  Call& call = it->second;
+  count(now, "replica_failed");
+  judge(out, now, call, true);
+  Row const& row = rows_[call.path];
+  if (call.resumes > 0 || !row.path.repeatable || !mayGoOn(now, call) || !standing(now)) return out;
+  std::int64_t chosen = choose(now, call, usableOf(now, credits_.at({call.pool, row.instance}), true));
+  if (chosen < 0) {
+    std::vector<governor::Candidate> beyond;
+    for (Index const r : poolViews_[call.pool].replicas)
+      if (usable(now, r) && replicas_[r].state == blueprint::ReplicaState::serving)
+        beyond.push_back(governor::Candidate{r, false, core::stableHash(replicaNames_.name(r))});
+    chosen = choose(now, call, beyond);
+  }
+  if (chosen < 0) return out;
+  Index const replica = static_cast<Index>(chosen);
+  bool const cold = replicas_[replica].state == blueprint::ReplicaState::cold;
+  if ((cold && !warm_.at(replica).bucket.take(now, coldRate(call.pool))) || !budget_.retry(now, rosterSize(), tuning_.retryAllowance)) return out;
+  count(now, "retried_dispatched");
+  out.calls.push_back(Abandon{id});
+  uncount(out, now, call);
+  connectTo(out, now, id, replica);
+  return out;
+}
+
 Commands Plane::moving(Tick now, CallId id) {
   std::unordered_map<CallId, Call>::iterator const it = calls_.find(id);
   if (it != calls_.end() && it->second.phase == Phase::streaming) it->second.phaseAt = now;
@@ -571,16 +655,17 @@
   Call& call = it->second;
   bool const streaming = call.phase == Phase::streaming;
   CORKWARD_INVARIANT(call.phase == Phase::handed || streaming);
+  if (end == End::whole || end == End::broken) judge(out, now, call, end == End::broken);
+  if (end == End::forgotten) {
+    count(now, "connection_forgotten");
+    end = End::broken;
+  }
   if (end == End::whole) {
     count(now, "served");
     drop(out, now, id);
     return out;
   }
-  Replica& r = replicas_[call.replica];
-  if (end == End::broken && ++r.errors >= 2) {
-    r.coolUntil = now + tuning_.coolFor;
-    note(out, now, "replica-cooled", {{"replica", replicaNames_.name(call.replica)}, {"why", "broken streams"}});
-  }
+  Replica const& r = replicas_[call.replica];
   Row const& row = rows_[call.path];
   if (row.path.stream || !row.path.host.empty()) {
     bool const fromStart = !streaming && call.resumes == 0;
--- a/rotor/src/plane.cpp
+++ b/rotor/src/plane.cpp
@@ -113,8 +113,7 @@
         break;
       }
       case Phase::handed: {
-        Replica& r = replicas_[it->second.replica];
-        if (++r.errors >= 2) r.coolUntil = now + tuning_.coolFor;
+        if (overdue(it->second, now - it->second.phaseAt)) judge(out, now, it->second, true);
         if (it->second.resumes > 0) {
           breakOff(out, now, id);
         } else {
--- a/rotor/src/stream.cpp
+++ b/rotor/src/stream.cpp
@@ -68,7 +68,7 @@
     if (row_ && head.notRun) return over(End::notRun);
     bool const same = row_ ? head.status >= 200 && head.status < 300 && head.events && !unnumbered_
                            : head.status == 206 && !head.run.empty() && head.run == run_ && head.offset == std::to_string(offset_);
-    if (!same) return over(End::otherRun);
+    if (!same) return over(row_ && head.failed ? End::broken : End::otherRun);
     if (row_) {
       head_.length = head.length;
       offset_ = 0;
@@ -82,7 +82,9 @@
   run_ = head.run;
   head_ = head;
   row_ = asEvents_ && head.events && head.status < 300 && !head.bodiless;
-  return {};
+  StreamSteps out;
+  out.failed = head.failed;
+  return out;
 }
 
 void Stream::begin(StreamSteps& out) {
--- a/yard/sim/replicas.cpp
+++ b/yard/sim/replicas.cpp
@@ -230,6 +230,7 @@
     steps.ended = rotor::End::whole;
     steps.finish = true;
   }
+  if (steps.failed) run(n, n.data->failed(local(n), call));
   std::map<std::string, Caller>::iterator const c = callers_.find(id);
   bool const hears = c != callers_.end() && c->second.open && c->second.call == call;
   if (hears && steps.begin) c->second.got.clear();
