--- a/door/test/server_test.cpp
+++ b/door/test/server_test.cpp
@@ -227,6 +227,9 @@
   CHECK(head.fields == door::FieldList{{"content-type", "a/b"}, {"corkward-run", "r1"}, {"corkward-outcome", "run"}});
   CHECK_FALSE(head.notRun);
   CHECK(mapping.head({503, "", {{"corkward-run", "none"}}, 0, false}, request).notRun);
+  CHECK_FALSE(mapping.head({503, "", {{"corkward-run", "none"}}, 0, false}, request).failed);
+  CHECK(mapping.head({500, "", {}, 0, false}, request).failed);
+  CHECK_FALSE(mapping.head({404, "", {}, 0, false}, request).failed);
   CHECK_FALSE(mapping.head({503, "", {}, 0, false}, request).notRun);
   CHECK_FALSE(mapping.head({200, "", {{"corkward-run", "none"}}, 0, false}, request).notRun);
   CHECK(mapping.head({200, "", {{"corkward-run", "none"}}, 0, false}, request).run.empty());
--- a/rotor/src/calls.cpp
+++ b/rotor/src/calls.cpp
@@ -60,14 +60,14 @@
 }
 
 void Plane::avoidWorst(Tick now, Index pool) {
+  std::vector<Index> const& all = poolViews_[pool].replicas;
   std::vector<Index> worst;
-  std::size_t serving = 0;
-  for (Index const r : poolViews_[pool].replicas) {
+  for (Index const r : all) {
     replicas_[r].avoided = false;
-    if (!usable(now, r)) continue;
-    ++serving;
-    if (!replicas_[r].reliability.trusted()) worst.push_back(r);
+    if (!replicas_[r].reliability.trusted() && usable(now, r)) worst.push_back(r);
   }
+  if (worst.empty()) return;
+  std::size_t const serving = static_cast<std::size_t>(std::count_if(all.begin(), all.end(), [&](Index const r) { return usable(now, r); }));
   if (2 * worst.size() > serving) return;
   std::sort(worst.begin(), worst.end(), [&](Index const a, Index const b) {
     return std::pair(-replicas_[a].reliability.rate(now, tuning_.figures), a) < std::pair(-replicas_[b].reliability.rate(now, tuning_.figures), b);
--- a/rotor/test/grey_test.cpp
+++ b/rotor/test/grey_test.cpp
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include <QJsonArray>
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <set>
@@ -203,6 +204,7 @@
   load.reached.clear();
   load.go(20000, 5);
   CHECK(load.distrusts > 9);
+  CHECK(std::all_of(load.denied.begin(), load.denied.end(), [](rotor::Deny const& d) { return d.status == 502; }));
   for (int r = 1; r <= 9; ++r) CHECK(load.share(r) > 0.5 / 9);
 }
 
