--- a/yard/capacity/parts.cpp
+++ b/yard/capacity/parts.cpp
@@ -16,7 +16,7 @@
 constexpr char const* counted = "counted";
 constexpr char const* timed = "timed";
 constexpr char const* heap = "heap";
-constexpr Tick settle = 4000;
+constexpr Tick settle = 12000;
 constexpr Tick longest = 30000;
 constexpr Tick dayMs = 86400000;
 constexpr int changesTried = 12;
