--- a/yard/capacity/parts.cpp
+++ b/yard/capacity/parts.cpp
@@ -16,7 +16,7 @@
 constexpr char const* counted = "counted";
 constexpr char const* timed = "timed";
 constexpr char const* heap = "heap";
-constexpr Tick settle = 4000;
+constexpr Tick settle = 12000;
 constexpr Tick longest = 30000;
 constexpr Tick dayMs = 86400000;
 constexpr int changesTried = 12;
@@ -169,7 +169,7 @@
   for (bool const control : {false, true}) {
     char const* const role = control ? "substation" : "nacelle";
     double const n = static_cast<double>(fleet.alive(control)) * changesTried;
-    for (char const* const duty : {"news", "agreement", "operators"}) {
+    for (char const* const duty : {"news", "agreement", "operators", "holdings"}) {
       Tally const& t = (control ? controlSums : nodeSums)[duty];
       out.push_back({std::string("change.sent.") + duty, role, "messages", counted, static_cast<double>(t.sent) / n});
       out.push_back({std::string("change.sent.") + duty, role, "bytes", counted, static_cast<double>(t.sentBytes) / n});
