Let pools and zones have any name that the platform's wire may carry

Cause: the keys of lists and of evacuations were read back from a page's address and held to the names of templates (a-z, 0-9, '-', at most 63). A zone called Wt.A or ZH.a_1 was refused in the list as a whole, so no replica of any pool was ever known, and its evacuation got 404.

Ruled out: a wider set of letters for all names; templates, instances and alerts are the product's own and are part of paths and metrics, so they stay as they are.

Now a pool's or zone's name is any text of one line up to 128 bytes and stands percent-encoded as one part of a page's address; the daemons, the command line, the runbooks and the platform's door write and read it so.

--- a/blueprint/include/corkward/blueprint/blueprint.h
+++ b/blueprint/include/corkward/blueprint/blueprint.h
@@ -120,8 +120,13 @@
 inline constexpr std::size_t maxRendered = 100000;
 inline constexpr std::size_t changeWindow = 64;
 
-/// True for names of templates, instances, pools and zones: a-z, 0-9 and '-', at most 63, not starting with '-'.
+/// True for names of templates, instances and alerts: a-z, 0-9 and '-', at most 63, not starting with '-'.
 bool validName(std::string const& name);
+/// True for what a platform may call its pools and zones: a text of one line, at most maxText bytes, neither "." nor "..".
+bool validLabel(std::string const& label);
+/// A label as one part of a page's address, percent-encoded, and back.
+std::string addressPart(std::string const& label);
+std::string labelOf(std::string const& addressPart);
 
 /// Tells whether a pool is known.
 using PoolKnown = std::function<bool(std::string const&)>;
--- a/blueprint/src/blueprint.cpp
+++ b/blueprint/src/blueprint.cpp
@@ -2,6 +2,7 @@
 
 #include <QJsonArray>
 #include <QStringList>
+#include <QUrl>
 #include <algorithm>
 #include <array>
 #include <map>
@@ -178,6 +179,16 @@
                      [](char c) { return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-'; });
 }
 
+bool validLabel(std::string const& label) {
+  if (label.empty() || label.size() > maxText || label == "." || label == "..") return false;
+  QString const text = core::qstr(label);
+  return str(text) == label && std::none_of(text.begin(), text.end(), [](QChar c) { return c.category() == QChar::Other_Control; });
+}
+
+std::string addressPart(std::string const& label) { return QUrl::toPercentEncoding(core::qstr(label)).toStdString(); }
+
+std::string labelOf(std::string const& addressPart) { return QByteArray::fromPercentEncoding(QByteArray::fromStdString(addressPart)).toStdString(); }
+
 void checkFamily(QJsonObject const& family, PoolKnown const& known) {
   QJsonObject const instances = family.value("instances").toObject();
   if (!family.contains("template")) {
@@ -262,7 +273,7 @@
       throw Error(at + "/address", "must be ip:port");
     if (!seen.insert(r.address).second) throw Error(at + "/address", "stands twice");
     r.zone = str(row.value("zone").toString());
-    if (!validName(r.zone)) throw Error(at + "/zone", "not a valid name");
+    if (!validLabel(r.zone)) throw Error(at + "/zone", "not a valid name");
     struct StateRow {
       char const* name;
       ReplicaState state;
--- a/blueprint/test/blueprint_test.cpp
+++ b/blueprint/test/blueprint_test.cpp
@@ -67,6 +67,23 @@
   }
 }
 
+TEST_CASE("a zone's or pool's name may be any one-line text, and is one part of a page's address") {
+  for (char const* const name : {"zh-a", "ZH_a.1", "-x", "a b", "a/b", "..b", "50%", "z\xc3\xbcrich"}) {
+    INFO(name);
+    CHECK(blueprint::validLabel(name));
+    std::string const part = blueprint::addressPart(name);
+    CHECK(part.find_first_of("/ ?#") == std::string::npos);
+    CHECK(blueprint::labelOf(part) == name);
+  }
+  CHECK(blueprint::labelOf("Wt.A") == "Wt.A");
+  CHECK(blueprint::addressPart("zh-a.B_1") == "zh-a.B_1");
+  for (std::string const& name : {std::string(), std::string("."), std::string(".."), std::string("a\nb"), std::string("a\0b", 3), std::string("\xff"), std::string(129, 'a')}) {
+    INFO(name);
+    CHECK_FALSE(blueprint::validLabel(name));
+  }
+  CHECK(blueprint::validLabel(std::string(128, 'a')));
+}
+
 TEST_CASE("a platform list is checked whole") {
   blueprint::Pool const p = blueprint::readPool(
       core::parseJson(R"({"generation":3,"coldRate":1.5,"replicas":[{"address":"127.0.0.1:80","zone":"z1","state":"cold"}]})").toObject());
--- a/programs/cli/declare.cpp
+++ b/programs/cli/declare.cpp
@@ -176,7 +176,7 @@
     pools[core::str(p.toObject().value("name").toString())] = true;
   blueprint::PoolKnown const known = [&](std::string const& pool) {
     std::map<std::string, bool>::const_iterator const it = pools.find(pool);
-    return it != pools.end() ? it->second : (pools[pool] = read(ask, "/v1/platform/pools/" + pool).status == 200);
+    return it != pools.end() ? it->second : (pools[pool] = read(ask, "/v1/platform/pools/" + blueprint::addressPart(pool)).status == 200);
   };
   std::vector<PlannedChange> out;
   for (std::map<std::string, Family>::value_type& f : families) {
--- a/programs/cli/main.cpp
+++ b/programs/cli/main.cpp
@@ -3,6 +3,7 @@
 #include <boost/program_options.hpp>
 #include <iostream>
 
+#include <corkward/blueprint/blueprint.h>
 #include <corkward/core/error.h>
 #include <corkward/core/json.h>
 
@@ -75,13 +76,13 @@
   if (c == "templates") return {"GET", "/v1/templates", ""};
   if (c == "fleet") return {"GET", "/v1/fleet", ""};
   if (c == "change") return {"GET", "/v1/changes/" + words[1], ""};
-  if (c == "evacuate") return {"PUT", "/v1/evacuations/" + words[1], ""};
-  if (c == "lift") return {"DELETE", "/v1/evacuations/" + words[1], ""};
-  if (c == "evacuation") return {"GET", "/v1/evacuations/" + words[1], ""};
+  if (c == "evacuate") return {"PUT", "/v1/evacuations/" + blueprint::addressPart(words[1]), ""};
+  if (c == "lift") return {"DELETE", "/v1/evacuations/" + blueprint::addressPart(words[1]), ""};
+  if (c == "evacuation") return {"GET", "/v1/evacuations/" + blueprint::addressPart(words[1]), ""};
   if (c == "node-gone") return {"DELETE", "/v1/nodes/" + words[1], ""};
   bool const body = method == "PUT" || method == "PATCH";
   if (c.rfind("blueprint-", 0) == 0) return {method, "/v1/blueprint", body ? words[1] : ""};
-  if (c.rfind("pool-", 0) == 0) return {method, "/v1/platform/pools/" + words[1], body ? words[2] : ""};
+  if (c.rfind("pool-", 0) == 0) return {method, "/v1/platform/pools/" + blueprint::addressPart(words[1]), body ? words[2] : ""};
   if (c.rfind("template-", 0) == 0) return {method, "/v1/templates/" + words[1], body ? words[2] : ""};
   return {method, "/v1/templates/" + words[1] + "/instances/" + words[2], body ? words[3] : ""};
 }
--- a/programs/nacelle/nacelle.cpp
+++ b/programs/nacelle/nacelle.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include <corkward/blueprint/blueprint.h>
 #include <corkward/core/json.h>
 #include <corkward/core/log.h>
 
@@ -61,7 +62,7 @@
   if (path == "/v1/state" && request.method == "GET") {
     server_.answer(request.id, 200, {{"content-type", "application/json"}}, core::jsonText(plane_.state(now())) + "\n");
   } else if (path.rfind(listPath, 0) == 0 && request.method == "PUT") {
-    run(plane_.platformList(now(), request.id, path.substr(std::string(listPath).size()), request.body));
+    run(plane_.platformList(now(), request.id, blueprint::labelOf(path.substr(std::string(listPath).size())), request.body));
   } else {
     return false;
   }
--- a/programs/workorder/main.cpp
+++ b/programs/workorder/main.cpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <iostream>
 
+#include <corkward/blueprint/blueprint.h>
 #include <corkward/core/json.h>
 #include <corkward/squall/rules.h>
 #include <corkward/workorder/runbook.h>
@@ -76,9 +77,9 @@
   Outcome take(workorder::Step const& step, std::string const& changeId) {
     switch (step.kind) {
       case workorder::Kind::evacuate:
-        return change({"PUT", "/v1/evacuations/" + step.words.at("zone"), "", "", changeId, dryRun_}, step);
+        return change({"PUT", "/v1/evacuations/" + blueprint::addressPart(step.words.at("zone")), "", "", changeId, dryRun_}, step);
       case workorder::Kind::lift:
-        return change({"DELETE", "/v1/evacuations/" + step.words.at("zone"), "", "", changeId, dryRun_}, step);
+        return change({"DELETE", "/v1/evacuations/" + blueprint::addressPart(step.words.at("zone")), "", "", changeId, dryRun_}, step);
       case workorder::Kind::putTemplate:
       case workorder::Kind::patchTemplate:
         return onNewest("/v1/templates/" + step.words.at("template"), step.kind == workorder::Kind::putTemplate, step, changeId);
--- a/substation/src/plane.cpp
+++ b/substation/src/plane.cpp
@@ -193,7 +193,7 @@
     state.key = key;
     state.call.token = id;
     state.call.method = "PUT";
-    state.call.path = "/v1/platform/pools/" + p.first;
+    state.call.path = "/v1/platform/pools/" + blueprint::addressPart(p.first);
     state.call.body = core::jsonText(blueprint::poolJson(p.second));
     state.since = now;
     calls_[id] = state;
--- a/substation/test/substation_test.cpp
+++ b/substation/test/substation_test.cpp
@@ -150,3 +150,27 @@
     }
   }
 }
+
+TEST_CASE("a platform's list is taken whatever its pools and zones are called") {
+  substation::Tuning tuning;
+  tuning.awaitInForce = false;
+  Rig rig(tuning);
+  rig.alive = {"a"};
+  rig.run(1000);
+  std::string const pool = "LM Pool/1.x_%2F";
+  corkward::blueprint::Replica replica;
+  replica.id = "i-1";
+  replica.address = "10.0.0.1:80";
+  replica.zone = "ZH.a_1 b";
+  corkward::blueprint::Pool list;
+  list.replicas = {replica};
+  rig.take(rig.plane.platformLists(rig.now, {{pool, list}, {"lm", list}}));
+  rig.run(1000);
+  CHECK(rig.have["a"].count("pool:" + pool) == 1);
+  CHECK(rig.have["a"].count("pool:lm") == 1);
+  std::uint64_t const look = rig.call("GET", "/v1/platform/pools/" + corkward::blueprint::addressPart(pool));
+  rig.run(300);
+  REQUIRE(rig.statusOf(look) == 200);
+  QJsonObject const row = rig.answers.at(look).body.value("replicas").toArray().at(0).toObject();
+  CHECK(row.value("zone").toString() == "ZH.a_1 b");
+}
