Ask the seeds for the first image at once, and every 50 ms until it is there

Ruled out: control itself, which had an owner of the blueprint after 13 ms. Now a nacelle without an image asks its seeds where no substation is known, and asks again every 50 ms. The rest of the 503s is a node whose image has the blueprint and no pool yet; that is control's own restart.

--- a/rotor/include/corkward/rotor/plane.h
+++ b/rotor/include/corkward/rotor/plane.h
@@ -25,6 +25,8 @@
   /// How long a confirmation of standing holds, counted from when it was asked for.
   Tick confirmFor = 1500;
   Tick askEvery = 300;
+  /// How often control is asked while there is no whole image yet, from the start on.
+  Tick askWhole = 50;
   /// How often neighbours are contacted while control confirms, and while it does not.
   Tick touchAtRest = 1000;
   Tick touchEvery = 200;
--- a/rotor/src/news.cpp
+++ b/rotor/src/news.cpp
@@ -116,7 +116,9 @@
   std::map<std::string, std::string> zones;
   for (signal::Contact const& c : lookout_.ofRole("substation", now)) zones[c.link] = c.zone;
   std::map<std::tuple<Tick, bool, std::uint64_t>, std::string> ranked;
-  for (std::string const& link : substations(now)) {
+  std::vector<std::string> known = substations(now);
+  if (known.empty()) known = lookout_.seeds();
+  for (std::string const& link : known) {
     HeldLink& l = substations_[link];
     bool const silent = l.silentAt >= 0 && now - l.silentAt < tuning_.passOver;
     ranked[{silent ? l.silentAt : 0, zones[link] != lookout_.self().zone, core::stableHash(link + lookout_.self().link)}] = link;
--- a/rotor/src/plane.cpp
+++ b/rotor/src/plane.cpp
@@ -63,7 +63,7 @@
   noteLag(now);
   watchJoining(now);
   if (now >= askAt_) {
-    askAt_ = now + tuning_.askEvery;
+    askAt_ = now + (whole_ ? tuning_.askEvery : std::min(tuning_.askEvery, tuning_.askWhole));
     chooseSubstations(now);
     for (std::string const& s : held_) sendAsk(out, now, s);
   }
--- a/rotor/test/rotor_test.cpp
+++ b/rotor/test/rotor_test.cpp
@@ -535,6 +535,31 @@
   CHECK(std::none_of(after.begin(), after.end(), [&](std::string const& s) { return dead.count(s) > 0; }));
 }
 
+TEST_CASE("a nacelle asks its seeds for its first image at once, and soon again until it has one") {
+  rotor::Tuning tuning;
+  tuning.askEvery = 500;
+  rotor::Plane plane(Rig::self(), {"s1", "s2"}, 7, tuning);
+  plane.started(0);
+  std::function<std::size_t(core::Tick, core::Tick)> const asks = [&](core::Tick from, core::Tick to) {
+    std::size_t n = 0;
+    for (core::Tick t = from; t < to; t += 20)
+      for (signal::Send const& s : plane.clockEvent(t).sends) {
+        signal::Ask const* const ask = std::get_if<signal::Ask>(&s.message);
+        if (ask != nullptr) n += s.to == "s1" || s.to == "s2" ? 1 : 0;
+      }
+    return n;
+  };
+  CHECK(asks(0, 20) == 2);
+  CHECK(asks(20, 300) >= 8);
+  signal::News news;
+  news.number = 1;
+  news.whole = true;
+  news.items = {{"pool:model", 1, Rig::pool(1, "serving")}};
+  plane.arrived(300, "s1", news);
+  asks(300, 400);
+  CHECK(asks(400, 1400) <= 4);
+}
+
 TEST_CASE("what may have reached a replica before runs again only within the retry budget") {
   Rig rig;
   int run = 0;
