Widen first by the home of the request at hand

Now a widening takes the home that the request wants; a request that has not been sent yet counts as held. Width, one step a look and the calm give-back stay. The tests fail without the change (7 replicas for one part).

--- a/governor/include/corkward/governor/governor.h
+++ b/governor/include/corkward/governor/governor.h
@@ -108,8 +108,9 @@
 
   /// New candidates. Those of the part that are gone leave at once and are replaced one for one; neither counts as a step.
   void candidates(std::vector<Candidate> const& all);
-  /// One look at the demand; held counts no echoes. Takes at most one step and returns +1, -1 or 0.
-  int look(Tick now, std::size_t held);
+  /// One look at the demand; held counts no echoes. Takes at most one step and returns +1, -1 or 0. A widening takes the
+  /// wanted candidate, if that is outside the part, else the next in this node's order.
+  int look(Tick now, std::size_t held, std::int64_t wanted = -1);
 
   double cap() const;
   /// Room under the cap for one more request of the kind.
@@ -117,6 +118,7 @@
   /// The same; while answers are steady the limit is raised so that there is room.
   bool makeRoom(bool bulk);
   std::vector<Candidate> const& part() const { return part_; }
+  bool has(Index replica) const;
   int inFlight() const { return inFlight_; }
   int inFlightAt(Index replica) const;
   double limit() const { return limit_; }
--- a/governor/src/governor.cpp
+++ b/governor/src/governor.cpp
@@ -14,6 +14,10 @@
 
 void Scaler::add(Candidate const& c) { part_.push_back(c); }
 
+bool Scaler::has(Index replica) const {
+  return std::any_of(part_.begin(), part_.end(), [&](Candidate const& p) { return p.replica == replica; });
+}
+
 void Scaler::candidates(std::vector<Candidate> const& all) {
   all_ = all;
   std::sort(all_.begin(), all_.end(), [&](Candidate const& a, Candidate const& b) {
@@ -69,15 +73,19 @@
   return std::max(0.0, inFlight_ - f_.calmShare * cap()) + static_cast<double>(held);
 }
 
-int Scaler::look(Tick now, std::size_t held) {
+int Scaler::look(Tick now, std::size_t held, std::int64_t wanted) {
   if (f_.ease < 1.0 && inFlight_ < f_.used * cap()) limit_ = std::max(f_.minLimit, limit_ * f_.ease);
   double const buffered = z(held);
   std::size_t const x = part_.size();
   if (buffered >= f_.width * static_cast<double>(std::max<std::size_t>(x, 1)) && x < all_.size() && !allSlow_) {
     calmSince_ = -1;
+    Candidate const* next = nullptr;
     for (Candidate const& c : all_) {
-      if (std::any_of(part_.begin(), part_.end(), [&](Candidate const& p) { return p.replica == c.replica; })) continue;
-      add(c);
+      if (has(c.replica)) continue;
+      if (next == nullptr || static_cast<std::int64_t>(c.replica) == wanted) next = &c;
+    }
+    if (next != nullptr) {
+      add(*next);
       if (f_.ease < 1.0) limit_ = std::max(f_.minLimit, limit_ * static_cast<double>(x) / static_cast<double>(x + 1));
       meanAtWidening_ = mean_;
       answersSinceWidening_ = 0;
--- a/governor/test/governor_test.cpp
+++ b/governor/test/governor_test.cpp
@@ -34,6 +34,26 @@
   CHECK(s.look(20000, 0) == 0);
 }
 
+TEST_CASE("a widening takes the wanted replica first, by one step and only past the width") {
+  governor::Scaler s(7);
+  s.candidates(warm(9));
+  core::Index wanted = 0;
+  while (s.has(wanted)) ++wanted;
+  governor::Scaler other = s;
+  other.look(0, 2);
+  if (other.has(wanted)) ++wanted;
+  REQUIRE_FALSE(s.has(wanted));
+  CHECK(s.look(0, 1, static_cast<std::int64_t>(wanted)) == 0);
+  CHECK_FALSE(s.has(wanted));
+  CHECK(s.look(0, 2, static_cast<std::int64_t>(wanted)) == 1);
+  CHECK(s.has(wanted));
+  CHECK(s.part().size() == 2);
+  CHECK(s.look(0, 4, static_cast<std::int64_t>(wanted)) == 1);
+  CHECK(s.part().size() == 3);
+  CHECK(s.look(0, 6, 99) == 1);
+  CHECK(s.part().size() == 4);
+}
+
 TEST_CASE("a replica that leaves is replaced one for one and is no step") {
   governor::Scaler s(7);
   s.candidates(warm(4));
--- a/rotor/src/calls.cpp
+++ b/rotor/src/calls.cpp
@@ -227,6 +227,7 @@
     return;
   }
   std::size_t const ahead = c.heldCount();
+  if (call.request.parts.size() > 1 && !c.scaler.has(home(call))) look(out, now, key, id);
   if (ahead == 0 && tryConnect(out, now, id)) {
     look(out, now, key);
     return;
@@ -245,12 +246,18 @@
   pump(out, now, key);
 }
 
-void Plane::look(Commands& out, Tick now, CreditKey key) {
+void Plane::look(Commands& out, Tick now, CreditKey key, CallId unplaced) {
   Credit& c = credits_.at(key);
   std::size_t held = 0;
+  std::int64_t wanted = -1;
+  if (unplaced != 0) {
+    Call const& call = calls_.at(unplaced);
+    held = call.echo ? 0 : 1;
+    wanted = home(call);
+  }
   for (std::deque<CallId> const& lane : c.held)
     for (CallId const id : lane) held += calls_.at(id).echo ? 0 : 1;
-  int const step = c.scaler.look(now, held);
+  int const step = c.scaler.look(now, held, wanted);
   if (step == 0) return;
   note(out, now, step > 0 ? "widened" : "gave-back",
        {{"instance", instances_.name(key.second)}, {"pool", pools_.name(key.first)}, {"part", std::to_string(c.scaler.part().size())}});
