Look at credits in use alone, and make candidates anew when they change

Cause: ten times a second a node made the candidates of every credit anew from every replica of its pool, sorted them and looked at it, in use or not; each request also walked all credits for the node's bound. With 2,900 tenants and 600 replicas that was 151% of a core.

Now the candidates belong to the pool and are shared. They are made anew when a list, a hint, a zone, a rest, a trust or a warming duty changes, or when the time comes that one of these ends, and credits are told only if the list differs. Looks go over credits that are awake: in flight, held, a part above one, or a limit that still eases. A credit at rest is told of new candidates like any other, and its rate is caught up when it wakes. Held requests are lists, which hold nothing while empty.

Proof in virtual time: scalers that sleep against ones looked at ten times a second with the lists made anew each time, in governor (parts, limits, rates equal after each look) and in rotor (a plane's metrics against such scalers over ten minutes, with lists that change). Seen failing when a credit rests before its limit has eased, is not told of lists while at rest, or is not caught up.

--- a/governor/include/corkward/governor/governor.h
+++ b/governor/include/corkward/governor/governor.h
@@ -2,7 +2,10 @@
 
 #include <array>
 #include <deque>
+#include <initializer_list>
+#include <limits>
 #include <map>
+#include <memory>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -79,6 +82,7 @@
   bool trusted() const { return trusted_; }
   /// Not trusted, and not to be probed yet.
   bool resting(Tick now) const { return !trusted_ && now < restUntil_; }
+  Tick restUntil() const { return restUntil_; }
   /// Share of failures of late, newer outcomes weighing more.
   double rate(Tick now, Figures const& f = figures) const;
 
@@ -98,6 +102,39 @@
   bool cold = false;
   /// Hash of its address, equal on every node.
   std::uint64_t hash = 0;
+  bool operator==(Candidate const&) const = default;
+};
+
+/// The replicas that parts of one pool may draw from, in the order of their index. Copies share them.
+class Candidates {
+ public:
+  Candidates() = default;
+  Candidates(std::vector<Candidate> all);
+  Candidates(std::initializer_list<Candidate> all) : Candidates(std::vector<Candidate>(all)) {}
+  /// Null when it is none of them.
+  Candidate const* find(Index replica) const;
+  std::vector<Candidate> const& all() const;
+  std::size_t size() const { return all().size(); }
+  bool operator==(Candidates const& other) const { return all_ == other.all_ || all() == other.all(); }
+
+ private:
+  std::shared_ptr<std::vector<Candidate> const> all_;
+};
+
+/// How many requests end in a second: a running mean over windows of a second, closed by looks.
+class Rate {
+ public:
+  static constexpr Tick window = 1000;
+  void ended() { ++ended_; }
+  void look(Tick now);
+  /// Makes up for the looks that were left out, as if there had been one at the end of each window before now.
+  void catchUp(Tick now);
+  double perSecond() const { return perSecond_; }
+
+ private:
+  double perSecond_ = 0;
+  Tick from_ = 0;
+  int ended_ = 0;
 };
 
 /// Decides which replicas one (node, pool, instance) sends to: width trigger, one-replica steps, calm give-back.
@@ -107,9 +144,11 @@
   explicit Scaler(std::uint64_t seed, Figures const& f = figures);
 
   /// New candidates. Those of the part that are gone leave at once and are replaced one for one; neither counts as a step.
-  void candidates(std::vector<Candidate> const& all);
+  void candidates(Candidates all);
   /// One look at the demand; held counts no echoes. Takes at most one step and returns +1, -1 or 0.
   int look(Tick now, std::size_t held);
+  /// True when looks with nothing held change nothing until a request is sent or candidates change.
+  bool atRest() const;
 
   double cap() const;
   /// Room under the cap for one more request of the kind.
@@ -136,7 +175,9 @@
 
  private:
   double z(std::size_t held) const;
-  void add(Candidate const& c);
+  bool inPart(Index replica) const;
+  /// Takes the first candidates of this node's order until the part has so many.
+  void fill(std::size_t size);
   std::uint64_t order(Candidate const& c) const;
 
   struct Times {
@@ -146,7 +187,7 @@
   };
   std::uint64_t seed_;
   Figures f_;
-  std::vector<Candidate> all_;
+  Candidates all_;
   std::vector<Candidate> part_;
   std::unordered_map<Index, int> inFlightAt_;
   std::unordered_map<Index, Times> times_;
--- a/governor/src/governor.cpp
+++ b/governor/src/governor.cpp
@@ -12,27 +12,39 @@
 
 std::uint64_t Scaler::order(Candidate const& c) const { return core::Rng(seed_ ^ c.hash).next(); }
 
-void Scaler::add(Candidate const& c) { part_.push_back(c); }
+bool Scaler::inPart(Index replica) const {
+  return std::any_of(part_.begin(), part_.end(), [&](Candidate const& p) { return p.replica == replica; });
+}
+
+void Scaler::fill(std::size_t size) {
+  if (part_.size() >= std::min(size, all_.size())) return;
+  std::vector<std::pair<std::uint64_t, Candidate>> free;
+  for (Candidate const& c : all_.all())
+    if (!inPart(c.replica)) free.emplace_back(order(c), c);
+  std::size_t const wanted = std::min(size - part_.size(), free.size());
+  std::partial_sort(free.begin(), free.begin() + static_cast<std::ptrdiff_t>(wanted), free.end(),
+                    [](std::pair<std::uint64_t, Candidate> const& a, std::pair<std::uint64_t, Candidate> const& b) {
+                      return std::pair(a.first, a.second.replica) < std::pair(b.first, b.second.replica);
+                    });
+  for (std::size_t i = 0; i < wanted; ++i) part_.push_back(free[i].second);
+}
 
-void Scaler::candidates(std::vector<Candidate> const& all) {
-  all_ = all;
-  std::sort(all_.begin(), all_.end(), [&](Candidate const& a, Candidate const& b) {
-    return order(a) != order(b) ? order(a) < order(b) : a.replica < b.replica;
-  });
+void Scaler::candidates(Candidates all) {
+  all_ = std::move(all);
   std::size_t const want = std::max<std::size_t>(part_.size(), f_.firstPart);
   std::vector<Candidate> kept;
   for (Candidate const& p : part_)
-    for (Candidate const& c : all_)
-      if (c.replica == p.replica) kept.push_back(c);
+    if (Candidate const* const c = all_.find(p.replica); c != nullptr) kept.push_back(*c);
   bool const lost = kept.size() < part_.size();
   part_ = std::move(kept);
-  for (Candidate const& c : all_) {
-    if (part_.size() >= want) break;
-    if (std::none_of(part_.begin(), part_.end(), [&](Candidate const& p) { return p.replica == c.replica; })) add(c);
-  }
+  fill(want);
   if (lost) calmSince_ = -1;
 }
 
+bool Scaler::atRest() const {
+  return inFlight_ == 0 && part_.size() <= 1 && calmSince_ < 0 && (f_.ease >= 1.0 || limit_ <= f_.minLimit);
+}
+
 double Scaler::cap() const {
   std::ptrdiff_t const warm = std::count_if(part_.begin(), part_.end(), [](Candidate const& c) { return !c.cold; });
   return static_cast<double>(warm) * limit_;
@@ -75,14 +87,11 @@
   std::size_t const x = part_.size();
   if (buffered >= f_.width * static_cast<double>(std::max<std::size_t>(x, 1)) && x < all_.size() && !allSlow_) {
     calmSince_ = -1;
-    for (Candidate const& c : all_) {
-      if (std::any_of(part_.begin(), part_.end(), [&](Candidate const& p) { return p.replica == c.replica; })) continue;
-      add(c);
-      if (f_.ease < 1.0) limit_ = std::max(f_.minLimit, limit_ * static_cast<double>(x) / static_cast<double>(x + 1));
-      meanAtWidening_ = mean_;
-      answersSinceWidening_ = 0;
-      return 1;
-    }
+    fill(x + 1);
+    if (f_.ease < 1.0) limit_ = std::max(f_.minLimit, limit_ * static_cast<double>(x) / static_cast<double>(x + 1));
+    meanAtWidening_ = mean_;
+    answersSinceWidening_ = 0;
+    return 1;
   }
   if (x <= 1) {
     calmSince_ = -1;
@@ -147,6 +156,38 @@
   CORKWARD_INVARIANT(bulk_ >= 0);
 }
 
+Candidates::Candidates(std::vector<Candidate> all) {
+  std::sort(all.begin(), all.end(), [](Candidate const& a, Candidate const& b) { return a.replica < b.replica; });
+  all_ = std::make_shared<std::vector<Candidate> const>(std::move(all));
+}
+
+std::vector<Candidate> const& Candidates::all() const {
+  static std::vector<Candidate> const none;
+  return all_ ? *all_ : none;
+}
+
+Candidate const* Candidates::find(Index replica) const {
+  std::vector<Candidate>::const_iterator const it =
+      std::lower_bound(all().begin(), all().end(), replica, [](Candidate const& c, Index r) { return c.replica < r; });
+  return it == all().end() || it->replica != replica ? nullptr : &*it;
+}
+
+void Rate::look(Tick now) {
+  if (now - from_ < window) return;
+  double const rate = 1000.0 * ended_ / static_cast<double>(now - from_);
+  perSecond_ = perSecond_ == 0 ? rate : 0.5 * perSecond_ + 0.5 * rate;
+  ended_ = 0;
+  from_ = now;
+}
+
+void Rate::catchUp(Tick now) {
+  Tick const windows = (now - from_ - 1) / window;
+  if (windows < 1) return;
+  look(from_ + window);
+  perSecond_ = std::ldexp(perSecond_, -static_cast<int>(std::min<Tick>(windows - 1, std::numeric_limits<int>::max())));
+  from_ += (windows - 1) * window;
+}
+
 void Prefixes::served(std::uint64_t prefix, Index replica) {
   byPrefix_[prefix] = {replica, ++turn_};
   order_.emplace_back(prefix, turn_);
--- a/governor/test/governor_test.cpp
+++ b/governor/test/governor_test.cpp
@@ -147,3 +147,79 @@
   CHECK(p.last(9999 % 300) == 1);
   CHECK(p.last(100000) == -1);
 }
+
+TEST_CASE("a scaler at rest that is not looked at does what one does that is looked at ten times a second") {
+  int rested = 0;
+  for (std::uint64_t seed = 1; seed < 60; ++seed) {
+    CAPTURE(seed);
+    core::Rng rng(seed);
+    governor::Figures f;
+    f.width = 1.0;
+    if (seed % 2 == 0) f.ease = 0.9;
+    f.minLimit = 0.5;
+    f.steady = 0.7;
+    governor::Scaler looked(seed, f);
+    governor::Scaler skipped(seed, f);
+    governor::Rate rateLooked;
+    governor::Rate rateSkipped;
+    std::vector<governor::Candidate> all = warm(6);
+    looked.candidates(all);
+    skipped.candidates(all);
+    bool asleep = false;
+    std::vector<core::Index> sent;
+    for (core::Tick now = 100; now < 240000; now += 50) {
+      bool const busy = now / 20000 % 3 == 0;
+      if (busy && rng.chance(0.4)) {
+        if (asleep) rateSkipped.catchUp(now);
+        asleep = false;
+        bool const room = looked.makeRoom(false);
+        REQUIRE(skipped.makeRoom(false) == room);
+        if (room && !looked.part().empty()) {
+          core::Index const r = looked.part()[rng.below(looked.part().size())].replica;
+          looked.sent(r, false);
+          skipped.sent(r, false);
+          sent.push_back(r);
+        }
+      }
+      if (!sent.empty() && rng.chance(0.3)) {
+        core::Tick const took = static_cast<core::Tick>(rng.below(900));
+        looked.firstWord(now, sent.back(), took, 600);
+        skipped.firstWord(now, sent.back(), took, 600);
+        looked.ended(sent.back(), false);
+        skipped.ended(sent.back(), false);
+        rateLooked.ended();
+        rateSkipped.ended();
+        sent.pop_back();
+      }
+      if (rng.chance(0.01)) {
+        all = warm(6);
+        std::erase_if(all, [&](governor::Candidate const&) { return rng.chance(0.4); });
+        looked.candidates(all);
+        skipped.candidates(all);
+        if (asleep && !skipped.atRest()) {
+          rateSkipped.catchUp(now);
+          asleep = false;
+        }
+      }
+      if (now % 100 != 0) continue;
+      looked.candidates(all);
+      rateLooked.look(now);
+      int const step = looked.look(now, 0);
+      if (!asleep) {
+        rateSkipped.look(now);
+        REQUIRE(skipped.look(now, 0) == step);
+        asleep = skipped.atRest();
+        rested += asleep ? 1 : 0;
+      } else {
+        REQUIRE(step == 0);
+      }
+      REQUIRE(skipped.part() == looked.part());
+      REQUIRE(skipped.limit() == looked.limit());
+      REQUIRE(skipped.allSlow() == looked.allSlow());
+      governor::Rate caughtUp = rateSkipped;
+      caughtUp.catchUp(now + 1);
+      REQUIRE(caughtUp.perSecond() == rateLooked.perSecond());
+    }
+  }
+  CHECK(rested > 100);
+}
--- a/rotor/include/corkward/rotor/plane.h
+++ b/rotor/include/corkward/rotor/plane.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <deque>
+#include <list>
 #include <map>
 #include <optional>
 #include <set>
@@ -191,6 +192,8 @@
   std::size_t replicas = 0;
   std::size_t instances = 0;
   std::size_t credits = 0;
+  /// Credits that are looked at.
+  std::size_t creditsAwake = 0;
   std::size_t contacts = 0;
   std::size_t ids = 0;
   std::size_t prefixes = 0;
@@ -317,14 +320,16 @@
     signal::Hint hint;
     /// What the whole blueprint says of the pool, if it names it.
     std::optional<blueprint::PoolTerms> terms;
+    /// Those that may be drawn from, what they are made of has changed since, and when it next changes with time alone.
+    governor::Candidates candidates;
+    bool changed = true;
+    Tick changesAt = 0;
   };
   struct Credit {
     governor::Scaler scaler;
-    std::array<std::deque<CallId>, 3> held;
+    std::array<std::list<CallId>, 3> held;
     unsigned turn = 0;
-    double perSecond = 0;
-    Tick rateAt = 0;
-    int endedSince = 0;
+    governor::Rate rate;
     std::size_t heldCount() const { return held[0].size() + held[1].size() + held[2].size(); }
   };
   struct Warm {
@@ -376,6 +381,9 @@
   void apply(Commands& out, Tick now, std::vector<signal::Item> const& items);
   void applyOne(Commands& out, Tick now, signal::Item const& item);
   void refreshCandidates(Commands& out, Tick now);
+  void refreshPool(Tick now, Index pool);
+  void wake(Tick now, CreditKey const& key);
+  void cool(Index replica, Tick until);
   void refreshHint(PoolView& view);
   bool takeHint(Commands& out, Tick now, signal::Hint const& hint);
   std::vector<signal::Hint> hints() const;
@@ -422,7 +430,7 @@
   void decideClaim(Commands& out, Tick now, CallId id, bool over);
   std::vector<std::string> substations(Tick now) const;
   signal::Stamps stamps() const;
-  Credit& credit(Index pool, Index instance);
+  Credit& credit(Commands& out, Tick now, CreditKey const& key);
   bool mayTry(Tick now, Credit& c, CreditKey key, Call const& call) const;
   std::vector<governor::Candidate> usableOf(Tick now, Credit const& c, bool warmRoom) const;
   void admit(Commands& out, Tick now, CallId id);
@@ -500,6 +508,8 @@
   bool vouched_ = false;
   core::Rng rng_;
   std::map<CreditKey, Credit> credits_;
+  /// Credits that looks may change: all others are at rest.
+  std::set<CreditKey> awake_;
   std::map<Index, Warm> warm_;
   governor::Prefixes prefixes_;
   governor::Kept kept_;
--- a/rotor/src/calls.cpp
+++ b/rotor/src/calls.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <functional>
+#include <limits>
 
 #include "internal.h"
 
@@ -86,6 +87,7 @@
     note(out, now, "replica-distrusted", {{"replica", replicaNames_.name(call.replica)},
                                           {"rate", std::to_string(r.reliability.rate(now, tuning_.figures))}});
   if (!before && r.reliability.trusted()) note(out, now, "replica-trusted", {{"replica", replicaNames_.name(call.replica)}});
+  if (!before || rests) poolViews_[r.pool].changed = true;
   if (rests || before != r.reliability.trusted()) avoidWorst(now, r.pool);
 }
 
@@ -95,26 +97,56 @@
   return static_cast<double>(took) > tuning_.figures.lateAims * std::max(static_cast<double>(row.path.aim), usual);
 }
 
-void Plane::refreshCandidates(Commands& out, Tick now) {
-  for (Index pool = 0; pool < poolViews_.size(); ++pool) avoidWorst(now, pool);
-  std::vector<CreditKey> keys;
-  for (std::map<CreditKey, Credit>::value_type& c : credits_) {
-    std::vector<governor::Candidate> all;
-    for (Index const r : poolViews_[c.first.first].replicas)
-      if (usable(now, r) && !(replicas_[r].avoided && replicas_[r].reliability.resting(now)))
-        all.push_back(governor::Candidate{r, replicas_[r].state == blueprint::ReplicaState::cold,
-                                          core::stableHash(replicaNames_.name(r))});
-    c.second.scaler.candidates(all);
-    keys.push_back(c.first);
+void Plane::refreshPool(Tick now, Index pool) {
+  PoolView& view = poolViews_[pool];
+  if (!view.changed && now < view.changesAt) return;
+  view.changed = false;
+  view.changesAt = std::numeric_limits<Tick>::max();
+  avoidWorst(now, pool);
+  std::vector<governor::Candidate> all;
+  for (Index const ix : view.replicas) {
+    Replica const& r = replicas_[ix];
+    bool const cold = r.state == blueprint::ReplicaState::cold;
+    std::map<Index, Warm>::const_iterator const w = warm_.find(ix);
+    for (Tick const at : {r.coolUntil, cold && w != warm_.end() ? w->second.until : 0, r.reliability.restUntil()})
+      if (at > now) view.changesAt = std::min(view.changesAt, at);
+    if (usable(now, ix) && !(r.avoided && r.reliability.resting(now))) all.push_back(governor::Candidate{ix, cold, r.hash});
+  }
+  governor::Candidates candidates(std::move(all));
+  if (candidates == view.candidates) return;
+  view.candidates = std::move(candidates);
+  for (std::map<CreditKey, Credit>::iterator c = credits_.lower_bound({pool, 0}); c != credits_.end() && c->first.first == pool; ++c) {
+    c->second.scaler.candidates(view.candidates);
+    if (!c->second.scaler.atRest()) wake(now, c->first);
   }
+}
+
+void Plane::refreshCandidates(Commands& out, Tick now) {
+  for (Index pool = 0; pool < poolViews_.size(); ++pool) refreshPool(now, pool);
+  std::vector<CreditKey> const keys(awake_.begin(), awake_.end());
   for (CreditKey const& k : keys) pump(out, now, k);
 }
 
-Plane::Credit& Plane::credit(Index pool, Index instance) {
-  CreditKey const key{pool, instance};
+void Plane::wake(Tick now, CreditKey const& key) {
+  if (awake_.insert(key).second) credits_.at(key).rate.catchUp(now);
+}
+
+void Plane::cool(Index replica, Tick until) {
+  replicas_[replica].coolUntil = until;
+  poolViews_[replicas_[replica].pool].changed = true;
+}
+
+Plane::Credit& Plane::credit(Commands& out, Tick now, CreditKey const& key) {
   std::map<CreditKey, Credit>::iterator it = credits_.find(key);
-  if (it == credits_.end())
-    it = credits_.emplace(key, Credit{governor::Scaler(seed_ ^ core::stableHash(lookout_.self().link + instances_.name(instance)), tuning_.figures), {}, 0, 0, 0, 0}).first;
+  if (it != credits_.end()) {
+    wake(now, key);
+    return it->second;
+  }
+  refreshCandidates(out, now);
+  governor::Scaler scaler(seed_ ^ core::stableHash(lookout_.self().link + instances_.name(key.second)), tuning_.figures);
+  scaler.candidates(poolViews_[key.first].candidates);
+  it = credits_.emplace(key, Credit{std::move(scaler), {}, 0, {}}).first;
+  awake_.insert(key);
   return it->second;
 }
 
@@ -206,7 +238,7 @@
   std::size_t ahead = 0;
   for (std::size_t l = 0; l <= lane(cls); ++l) ahead += c.held[l].size();
   if (ahead == 0) return 0;
-  double const rate = std::max(c.perSecond, 0.2);
+  double const rate = std::max(c.rate.perSecond(), 0.2);
   return static_cast<Tick>(1000.0 * static_cast<double>(ahead) / rate);
 }
 
@@ -218,9 +250,7 @@
   Call& call = calls_.at(id);
   Row const& row = rows_[call.path];
   CreditKey const key{call.pool, row.instance};
-  bool const fresh = credits_.count(key) == 0;
-  Credit& c = credit(call.pool, row.instance);
-  if (fresh) refreshCandidates(out, now);
+  Credit& c = credit(out, now, key);
   call.phase = Phase::held;
   if (call.reached && !budget_.retry(now, rosterSize(), tuning_.retryAllowance)) {
     deny(out, now, id, 503, "no retry left for what may have reached a replica before", true, tuning_.comeBack);
@@ -248,7 +278,7 @@
 void Plane::look(Commands& out, Tick now, CreditKey key) {
   Credit& c = credits_.at(key);
   std::size_t held = 0;
-  for (std::deque<CallId> const& lane : c.held)
+  for (std::list<CallId> const& lane : c.held)
     for (CallId const id : lane) held += calls_.at(id).echo ? 0 : 1;
   int const step = c.scaler.look(now, held);
   if (step == 0) return;
@@ -279,9 +309,10 @@
   if (!c.scaler.makeRoom(bulk)) return false;
   double const poolCap = tuning_.nodeLimitPerReplica * static_cast<double>(std::max<std::size_t>(poolViews_[key.first].replicas.size(), 1));
   std::vector<std::pair<CreditKey, int>> active;
-  for (std::map<CreditKey, Credit>::value_type const& o : credits_)
-    if (o.first.first == key.first && (o.first == key || o.second.scaler.inFlight() > 0 || o.second.heldCount() > 0))
-      active.emplace_back(o.first, o.second.scaler.inFlight());
+  for (std::set<CreditKey>::const_iterator k = awake_.lower_bound({key.first, 0}); k != awake_.end() && k->first == key.first; ++k) {
+    Credit const& o = credits_.at(*k);
+    if (*k == key || o.scaler.inFlight() > 0 || o.heldCount() > 0) active.emplace_back(*k, o.scaler.inFlight());
+  }
   double const floor = std::max(1.0, poolCap / (2.0 * static_cast<double>(active.size())));
   if (c.scaler.inFlight() < floor) return true;
   double taken = 0;
@@ -415,7 +446,7 @@
   if (call.phase != Phase::held) return;
   std::map<CreditKey, Credit>::iterator const it = credits_.find({call.pool, rows_[call.path].instance});
   if (it == credits_.end()) return;
-  for (std::deque<CallId>& lane : it->second.held) lane.erase(std::remove(lane.begin(), lane.end(), id), lane.end());
+  for (std::list<CallId>& lane : it->second.held) lane.remove(id);
 }
 
 void Plane::uncount(Commands& out, Tick now, Call& call) {
@@ -427,7 +458,7 @@
   Credit& c = credits_.at(key);
   c.scaler.ended(call.replica, row.path.cls == blueprint::Class::bulk);
   --replicas_[call.replica].inFlight;
-  ++c.endedSince;
+  c.rate.ended();
   look(out, now, key);
   pump(out, now, key);
 }
@@ -583,11 +614,11 @@
   it->second.judged = now >= it->second.until;
   judge(out, now, it->second, true);
   if (resuming) {
-    replicas_[it->second.replica].coolUntil = now + tuning_.coolFor;
+    cool(it->second.replica, now + tuning_.coolFor);
     if (!rows_[it->second.path].path.stream || !resumeElsewhere(out, now, id)) breakOff(out, now, id);
     return out;
   }
-  replicas_[it->second.replica].coolUntil = now + tuning_.coolFor;
+  cool(it->second.replica, now + tuning_.coolFor);
   note(out, now, "replica-cooled", {{"replica", replicaNames_.name(it->second.replica)}, {"why", "connect denied"}});
   retry(out, now, id, "replica refused the connection");
   refreshCandidates(out, now);
@@ -673,7 +704,7 @@
                        budget_.retry(now, rosterSize(), tuning_.retryAllowance);
     if (end == End::notRun) {
       count(now, "replica_not_run");
-      replicas_[call.replica].coolUntil = std::max(replicas_[call.replica].coolUntil, now + tuning_.busyFor);
+      cool(call.replica, std::max(replicas_[call.replica].coolUntil, now + tuning_.busyFor));
     }
     refreshCandidates(out, now);
     if (again && !fromStart) {
@@ -699,7 +730,7 @@
   if (end == End::notRun && !streaming && call.resumes == 0) {
     if (!call.request.id.empty()) seen_[call.request.instance + "|" + call.request.id].mayHaveRun = false;
     count(now, "replica_not_run");
-    replicas_[call.replica].coolUntil = std::max(replicas_[call.replica].coolUntil, now + tuning_.busyFor);
+    cool(call.replica, std::max(replicas_[call.replica].coolUntil, now + tuning_.busyFor));
     call.phase = Phase::connecting;
     retry(out, now, id, "replica said not run");
     return out;
--- a/rotor/src/news.cpp
+++ b/rotor/src/news.cpp
@@ -252,6 +252,7 @@
   had_.push_back(digest_);
   if (had_.size() > digestsKept) had_.pop_front();
   refreshStanding();
+  for (PoolView& view : poolViews_) view.changed = true;
   refreshCandidates(out, now);
 }
 
@@ -373,6 +374,7 @@
   if (hint.generation <= view.generation || hint.generation <= view.hint.generation) return false;
   view.hint = hint;
   refreshHint(view);
+  view.changed = true;
   note(out, now, "leaving-hint", {{"pool", hint.pool}, {"generation", std::to_string(hint.generation)}});
   refreshCandidates(out, now);
   return true;
--- a/rotor/src/plane.cpp
+++ b/rotor/src/plane.cpp
@@ -133,23 +133,19 @@
   if (now >= lookAt_) {
     lookAt_ = now + lookEvery;
     refreshCandidates(out, now);
-    std::vector<CreditKey> keys;
-    for (std::map<CreditKey, Credit>::value_type& c : credits_) {
-      if (now - c.second.rateAt >= 1000) {
-        double const rate = 1000.0 * c.second.endedSince / static_cast<double>(std::max<Tick>(now - c.second.rateAt, 1));
-        c.second.perSecond = c.second.perSecond == 0 ? rate : 0.5 * c.second.perSecond + 0.5 * rate;
-        c.second.endedSince = 0;
-        c.second.rateAt = now;
-      }
-      keys.push_back(c.first);
-    }
+    std::vector<CreditKey> const keys(awake_.begin(), awake_.end());
+    for (CreditKey const& k : keys) credits_.at(k).rate.look(now);
     for (CreditKey const& k : keys) look(out, now, k);
+    std::erase_if(awake_, [&](CreditKey const& k) {
+      Credit const& c = credits_.at(k);
+      return c.heldCount() == 0 && c.scaler.atRest();
+    });
   }
   return out;
 }
 
 Held Plane::held() const {
-  return Held{replicaNames_.known(), instances_.known(), credits_.size(), confirmations_.size() + echoes_.size() + heard_.size() + substations_.size() + neighbours_.size() + silent_.size() + fetchedAt_.size(),
+  return Held{replicaNames_.known(), instances_.known(), credits_.size(), awake_.size(), confirmations_.size() + echoes_.size() + heard_.size() + substations_.size() + neighbours_.size() + silent_.size() + fetchedAt_.size(),
               seen_.size(), prefixes_.size(), calls_.size()};
 }
 
@@ -171,6 +167,7 @@
   std::erase_if(credits_, [&](std::map<CreditKey, Credit>::value_type const& c) {
     return instancesUsed.count(c.first.second) == 0 && c.second.scaler.inFlight() == 0 && c.second.heldCount() == 0;
   });
+  std::erase_if(awake_, [&](CreditKey const& k) { return credits_.count(k) == 0; });
   for (std::map<CreditKey, Credit>::value_type const& c : credits_) instancesUsed.insert(c.first.second);
   for (Index ix = 0; ix < instances_.size(); ++ix)
     if (!instances_.name(ix).empty() && instancesUsed.count(ix) == 0) instances_.release(ix);
@@ -210,6 +207,7 @@
   for (std::map<Index, Warm>::value_type& w : warm_) {
     if (now >= w.second.until) continue;
     w.second.until = -1;
+    poolViews_[replicas_[w.first].pool].changed = true;
     for (std::string const& s : substations(now))
       out.sends.push_back(signal::Send{s, signal::WarmAsk{now, replicaNames_.name(w.first), lookout_.self().link, lookout_.self().inc, true,
                                                           others.empty() ? "" : others[w.first % others.size()]}});
--- a/rotor/src/warm.cpp
+++ b/rotor/src/warm.cpp
@@ -19,6 +19,7 @@
       bool const want = !draining_ && whole_ && replicas_[r].state == blueprint::ReplicaState::cold && replicas_[r].listed &&
                         !evacuated(replicas_[r].zone);
       if (!want) {
+        poolViews_[p].changed = poolViews_[p].changed || now < w.until;
         w.until = -1;
         w.wantedSince = -1;
         continue;
@@ -56,6 +57,7 @@
   w.until = m.tick + tuning_.warmLease;
   if (!fresh) return;
   w.bucket = governor::ColdBucket(now);
+  poolViews_[replicas_[r].pool].changed = true;
   note(out, now, "warming-duty", {{"replica", m.replica}, {"epoch", std::to_string(m.epoch)}});
   refreshCandidates(out, now);
 }
--- a/rotor/test/rotor_test.cpp
+++ b/rotor/test/rotor_test.cpp
@@ -1,7 +1,10 @@
 #include <catch2/catch.hpp>
 
 #include <QJsonArray>
+#include <algorithm>
 #include <functional>
+#include <map>
+#include <set>
 
 #include <corkward/core/json.h>
 #include <corkward/rotor/plane.h>
@@ -707,3 +710,138 @@
   rig.plane.clockEvent(rig.now);
   CHECK(rig.plane.held().ids <= 50);
 }
+
+namespace {
+
+/// One plane with three tenants of one pool, and beside each credit a scaler that is looked at ten times a second.
+struct Twins {
+  static constexpr std::uint64_t seed = 7;
+  rotor::Tuning tuning;
+  rotor::Plane plane;
+  core::Tick now = 100000;
+  std::uint64_t stamp = 0;
+  std::set<int> replicas;
+  std::map<std::string, corkward::governor::Scaler> scalers;
+  struct Call {
+    std::string tenant;
+    core::Index replica = 0;
+    core::Tick handedAt = 0;
+  };
+  std::map<std::uint64_t, Call> inHand;
+
+  static rotor::Tuning open() {
+    rotor::Tuning t;
+    t.fenced = false;
+    t.youngWait = 0;
+    t.figures.ease = 0.9;
+    t.figures.steady = 0.7;
+    t.figures.width = 0.5;
+    return t;
+  }
+  Twins() : tuning(open()), plane(Rig::self(), {"s1"}, seed, tuning) {
+    plane.started(0);
+    list({1, 2, 3, 4, 5, 6});
+  }
+  static std::string address(int replica) { return "10.0.0." + std::to_string(replica) + ":80"; }
+  void list(std::set<int> const& serving) {
+    replicas = serving;
+    QJsonArray out;
+    for (int const r : replicas) out.append(QJsonObject{{"address", core::qstr(address(r))}, {"zone", "z1"}, {"state", "serving"}});
+    signal::News news;
+    news.number = ++stamp;
+    news.whole = stamp == 1;
+    if (news.whole)
+      news.items = {{"family:desk", 1, core::parseJson(R"({"template":{"stamp":1,"spec":{"paths":[{"path":"a","pool":"model","class":"short","aimMs":8000}]}},
+                       "instances":{"nord":{"stamp":1,"spec":{}},"sued":{"stamp":1,"spec":{}},"west":{"stamp":1,"spec":{}}}})").toObject()}};
+    news.items.push_back({"pool:model", stamp, QJsonObject{{"generation", static_cast<qint64>(stamp)}, {"replicas", out}}});
+    plane.arrived(now, "s1", news);
+    lookAtCandidates();
+  }
+  void lookAtCandidates() {
+    std::vector<corkward::governor::Candidate> all;
+    for (int const r : replicas) all.push_back({static_cast<core::Index>(r), false, core::stableHash("model|" + address(r))});
+    for (std::map<std::string, corkward::governor::Scaler>::value_type& s : scalers) s.second.candidates(all);
+  }
+  corkward::governor::Scaler& scaler(std::string const& tenant) {
+    std::map<std::string, corkward::governor::Scaler>::iterator it = scalers.find(tenant);
+    if (it != scalers.end()) return it->second;
+    it = scalers.emplace(tenant, corkward::governor::Scaler(seed ^ core::stableHash("n1desk." + tenant), tuning.figures)).first;
+    lookAtCandidates();
+    return it->second;
+  }
+  void ask(std::string const& tenant, std::uint64_t call) {
+    rotor::Request r;
+    r.call = call;
+    r.instance = "desk." + tenant;
+    r.path = "a";
+    rotor::Commands const c = plane.request(now, r);
+    rotor::Connect const* const connect = Rig::find<rotor::Connect>(c);
+    REQUIRE(connect != nullptr);
+    core::Index const replica = static_cast<core::Index>(connect->address[7] - '0');
+    corkward::governor::Scaler& s = scaler(tenant);
+    REQUIRE(s.makeRoom(false));
+    s.sent(replica, false);
+    s.look(now, 0);
+    plane.connected(now, call);
+    inHand[call] = Call{tenant, replica, now};
+  }
+  void endOldest() {
+    std::uint64_t const id = inHand.begin()->first;
+    Call const call = inHand.begin()->second;
+    inHand.erase(inHand.begin());
+    corkward::governor::Scaler& s = scaler(call.tenant);
+    plane.firstWord(now, id, true);
+    s.firstWord(now, call.replica, now - call.handedAt, 8000);
+    plane.ended(now, id, rotor::End::whole);
+    s.ended(call.replica, false);
+    s.look(now, 0);
+  }
+  /// Part, cap and requests in flight of each credit, as the plane's metrics and as the scalers say them.
+  void compare() const {
+    std::string const metrics = plane.metrics(now);
+    for (std::map<std::string, corkward::governor::Scaler>::value_type const& s : scalers) {
+      std::string const labels = "{instance=\"desk." + s.first + "\",pool=\"model\"} ";
+      for (std::string const& line : {"corkward_nacelle_part" + labels + std::to_string(s.second.part().size()) + "\n",
+                                      "corkward_nacelle_cap" + labels + std::to_string(s.second.cap()) + "\n",
+                                      "corkward_nacelle_in_flight" + labels + std::to_string(s.second.inFlight()) + "\n"}) {
+        CAPTURE(now, line, metrics);
+        REQUIRE(metrics.find(line) != std::string::npos);
+      }
+    }
+  }
+};
+
+}  // namespace
+
+TEST_CASE("credits that are not in use are left out of looks, and change as if they were looked at") {
+  Twins twins;
+  core::Rng rng(3);
+  std::uint64_t next = 1;
+  std::size_t widest = 0;
+  int allAsleep = 0;
+  for (int tick = 0; tick < 12000; ++tick, twins.now += 50) {
+    char const* const tenants[] = {"nord", "sued", "west"};
+    for (std::size_t t = 0; t < 3; ++t) {
+      bool const busy = tick / 400 % 4 == static_cast<int>(t);
+      if (busy && twins.inHand.size() < 12 && rng.chance(0.6)) twins.ask(tenants[t], next++);
+    }
+    while (!twins.inHand.empty() && rng.chance(0.4)) twins.endOldest();
+    if (rng.chance(0.005)) {
+      std::set<int> serving;
+      for (int r = 1; r <= 6; ++r)
+        if (r == 1 || rng.chance(0.6)) serving.insert(r);
+      twins.list(serving);
+    }
+    twins.plane.clockEvent(twins.now);
+    if (tick % 2 == 0) {
+      twins.lookAtCandidates();
+      for (std::map<std::string, corkward::governor::Scaler>::value_type& s : twins.scalers) s.second.look(twins.now, 0);
+    }
+    twins.compare();
+    for (std::map<std::string, corkward::governor::Scaler>::value_type const& s : twins.scalers) widest = std::max(widest, s.second.part().size());
+    allAsleep += twins.scalers.size() == 3 && twins.plane.held().creditsAwake == 0 ? 1 : 0;
+  }
+  CHECK(widest >= 3);
+  CHECK(twins.scalers.size() == 3);
+  CHECK(allAsleep > 200);
+}
