Close the door in order at the end of a drain, and not before callers are sent elsewhere

So the node ended in the moment its counts were 0, with a connection in its backlog or a request in the kernel's buffer that it had not read; on a busy machine that gap is many milliseconds. Ruled out: the client's own deadline (6 s), replicas (no run), a request in hand (none was counted).

Now the drain lasts at least as long as the node still serves (drainServe); with nothing in hand the door takes all that waits at its addresses and listens no more, and the process ends when every connection that has sent something, or has just come, has its answer, or at the limit as before. A later connection is refused and nobody's request is lost.

--- a/door/include/corkward/door/server.h
+++ b/door/include/corkward/door/server.h
@@ -80,6 +80,10 @@
   std::int64_t waiting(std::uint64_t id) const;
   /// From here on each answer says that its connection is closed after it; what still comes is served.
   void leave() { leaving_ = true; }
+  /// Takes every connection that waits at the addresses, and listens there no more.
+  void close();
+  /// Connections without a request in hand whose caller has sent something, or has just come and is about to.
+  std::size_t expecting() const;
   /// Requests without their whole answer, and answers that are not all written.
   std::size_t inHand() const;
   std::size_t connections() const { return conns_.size(); }
--- a/door/src/server.cpp
+++ b/door/src/server.cpp
@@ -43,6 +43,7 @@
   std::uint64_t id = 0;
   std::size_t at = 0;
   bool keep = true;
+  bool asked = false;
   bool begun = false;
   bool chunked = false;
   bool headAsked = false;
@@ -190,6 +191,7 @@
     conn->keep = message.keep_alive();
     conn->headAsked = message.method() == http::verb::head;
     request.body = std::move(message.body());
+    conn->asked = true;
     conn->id = next_++;
     request.id = conn->id;
     conn->begun = false;
@@ -298,6 +300,34 @@
   conn->timer->start(lingerMs);
 }
 
+void Server::close() {
+  for (std::size_t at = 0; at < servers_.size(); ++at) {
+    bool took = servers_[at]->isListening();
+    while (took) {
+      servers_[at]->waitForNewConnection(0);
+      took = false;
+      while (QTcpSocket* const socket = servers_[at]->nextPendingConnection()) {
+        welcome(socket, at);
+        took = true;
+      }
+    }
+    servers_[at]->close();
+  }
+}
+
+std::size_t Server::expecting() const {
+  std::size_t out = 0;
+  for (std::unordered_map<Conn const*, std::shared_ptr<Conn>>::value_type const& c : conns_) {
+    Conn const& conn = *c.second;
+    if (conn.id != 0 || conn.faulted || conn.lingers) continue;
+    char byte = 0;
+    bool const sent = !conn.buffer.isEmpty() || conn.parser || conn.socket->bytesAvailable() > 0 ||
+                      ::recv(static_cast<int>(conn.socket->socketDescriptor()), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+    if (sent || !conn.asked) ++out;
+  }
+  return out;
+}
+
 std::size_t Server::inHand() const {
   std::size_t out = 0;
   for (std::unordered_map<Conn const*, std::shared_ptr<Conn>>::value_type const& c : conns_)
--- a/door/test/server_test.cpp
+++ b/door/test/server_test.cpp
@@ -3,6 +3,10 @@
 #include <QHostAddress>
 #include <QTcpSocket>
 #include <algorithm>
+#include <arpa/inet.h>
+#include <cerrno>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <corkward/door/mapping.h>
 #include <corkward/door/operator_mapping.h>
@@ -40,6 +44,33 @@
   std::string got;
 };
 
+/// A caller whose connection needs no turn of the event loop.
+struct Caller {
+  explicit Caller(std::string const& address) : fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)), connected(connectTo(fd, address)) {}
+  ~Caller() { ::close(fd); }
+  static bool connectTo(int fd, std::string const& address) {
+    std::pair<std::string, std::uint16_t> const at = door::splitAddress(address);
+    sockaddr_in in{};
+    in.sin_family = AF_INET;
+    in.sin_port = htons(at.second);
+    ::inet_pton(AF_INET, at.first.c_str(), &in.sin_addr);
+    return ::connect(fd, reinterpret_cast<sockaddr const*>(&in), sizeof in) == 0;
+  }
+  static bool reaches(std::string const& address) { return Caller(address).connected; }
+  void say(std::string const& bytes) { REQUIRE(::send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size())); }
+  bool hears(std::string const& text) {
+    std::string got;
+    return until([&] {
+      char part[1024];
+      ssize_t const n = ::recv(fd, part, sizeof part, MSG_DONTWAIT);
+      if (n > 0) got.append(part, static_cast<std::size_t>(n));
+      return n == 0 || (n < 0 && errno != EAGAIN) || got.find(text) != std::string::npos;
+    }) && got.find(text) != std::string::npos;
+  }
+  int fd;
+  bool connected;
+};
+
 struct Rig {
   explicit Rig(std::vector<std::string> const& addresses = {"127.0.0.1:0"}, door::Limits limits = {}) : server(addresses, limits, events()) {}
   door::Server::Events events() {
@@ -174,6 +205,37 @@
   CHECK(rig.server.inHand() == 0);
 }
 
+TEST_CASE("a door that closes still answers all that its callers have sent or are about to send") {
+  application();
+  Rig rig;
+  rig.answer = [&](door::Request const& r) { rig.server.answer(r.id, 503, {}, "not here"); };
+  Client idle(rig.server.address());
+  idle.say(request("GET"));
+  REQUIRE(idle.has("not here"));
+  rig.requests.clear();
+  std::string const text = request("POST", "Content-Length: 4\r\n") + "body";
+  std::vector<std::unique_ptr<Caller>> callers;
+  for (std::size_t const said : {text.size(), text.size() - 2, std::size_t{0}}) {
+    callers.push_back(std::make_unique<Caller>(rig.server.address()));
+    callers.back()->say(text.substr(0, said));
+  }
+  rig.server.close();
+  CHECK_FALSE(Caller::reaches(rig.server.address()));
+  CHECK(rig.server.expecting() == 3);
+  callers[1]->say("dy");
+  callers[2]->say(text);
+  REQUIRE(until([&] { return rig.requests.size() == 3; }));
+  CHECK(rig.server.expecting() == 0);
+  for (std::unique_ptr<Caller> const& c : callers) CHECK(c->hears("not here"));
+  SECTION("a request on a connection that was idle is waited for once it was sent") {
+    idle.say(request("GET"));
+    REQUIRE(idle.socket.waitForBytesWritten());
+    CHECK(rig.server.expecting() == 1);
+    REQUIRE(until([&] { return rig.requests.size() == 4; }));
+    CHECK(rig.server.expecting() == 0);
+  }
+}
+
 TEST_CASE("a burst of connections does not hold up a caller that is there") {
   application();
   Rig rig;
--- a/programs/common/process.cpp
+++ b/programs/common/process.cpp
@@ -1,6 +1,7 @@
 #include "process.h"
 
 #include <QDateTime>
+#include <algorithm>
 
 namespace corkward::programs {
 
@@ -43,13 +44,18 @@
 bool Drain::begin() {
   if (until_ != 0) return false;
   until_ = now() + limitSeconds_ * 1000;
-  least_ = now() + leastDrain;
+  least_ = now() + std::max(leastDrain, leastTicks_);
   return true;
 }
 
-void Drain::look(std::size_t inHand) {
-  if (until_ == 0 || (now() < until_ && (inHand > 0 || now() < least_))) return;
-  core::writeLog(core::Note{"stopped", {{"in-hand", std::to_string(inHand)}}});
+void Drain::look(door::Server& door, std::size_t inHand) {
+  if (until_ == 0) return;
+  bool const over = now() >= until_;
+  std::size_t const left = inHand + door.inHand();
+  if (!over && (left > 0 || now() < least_)) return;
+  door.close();
+  if (!over && door.inHand() + door.expecting() > 0) return;
+  core::writeLog(core::Note{"stopped", {{"in-hand", std::to_string(left)}}});
   QCoreApplication::exit(0);
 }
 
--- a/programs/common/process.h
+++ b/programs/common/process.h
@@ -24,17 +24,19 @@
 /// Path of a request without its query.
 std::string pathOf(door::Request const& request);
 
-/// The end of a process after SIGTERM: when nothing is in hand, or at the limit.
+/// The end of a process after SIGTERM: when nothing is in hand, its door is closed and nobody waits at it, or at the limit.
 class Drain {
  public:
-  explicit Drain(int limitSeconds) : limitSeconds_(limitSeconds) {}
+  /// @param least for how long callers may still come, though nothing is in hand
+  explicit Drain(int limitSeconds, core::Tick least = 0) : limitSeconds_(limitSeconds), leastTicks_(least) {}
   /// True at the first call only.
   bool begin();
   /// Ends the event loop when it is time.
-  void look(std::size_t inHand);
+  void look(door::Server& door, std::size_t inHand);
 
  private:
   int limitSeconds_;
+  core::Tick leastTicks_;
   core::Tick until_ = 0;
   core::Tick least_ = 0;
 };
--- a/programs/nacelle/nacelle.cpp
+++ b/programs/nacelle/nacelle.cpp
@@ -22,7 +22,7 @@
     : settings_(s),
       mapping_(mapping),
       surface_(std::move(surface)),
-      drain_(s.drainLimit),
+      drain_(s.drainLimit, tuning.drainServe),
       plane_(contactOf(s, "nacelle"), s.seeds, freshSeed(), tuning),
       link_(this, s.link, [this](signal::Envelope e) { run(plane_.arrived(now(), e.from, e.message)); }, s.listen),
       relays_(surface_.kept, [] { return now(); }),
@@ -225,7 +225,7 @@
 void Nacelle::clockEvent() {
   watchPaused();
   run(plane_.clockEvent(now()));
-  drain_.look(plane_.inHand() + server_.inHand());
+  drain_.look(server_, plane_.inHand());
 }
 
 void Nacelle::drain() {
--- a/programs/substation/substation_program.cpp
+++ b/programs/substation/substation_program.cpp
@@ -157,7 +157,7 @@
 
 void Substation::clockEvent() {
   run(plane_.clockEvent(now()));
-  drain_.look(plane_.inHand() + server_.inHand());
+  drain_.look(server_, plane_.inHand());
 }
 
 void Substation::drain() {
