--- a/mooring/include/corkward/mooring/mooring.h
+++ b/mooring/include/corkward/mooring/mooring.h
@@ -100,7 +100,8 @@
  public:
   /// The member's id is a name that was never used before; a disk that has one keeps it, and a member that was struck off
   /// makes its next one from it. Founders are link addresses, this member's own among them when it may found; they count
-  /// at the first start of an empty disk, which keeps them until the cohort is founded.
+  /// at the first start of an empty disk, which keeps them until the cohort is founded. A founder that says it has no disk
+  /// does not count.
   Mooring(Member self, std::vector<std::string> founders, Judge judge, std::uint64_t seed, Tuning tuning = {});
 
   /// Takes what the ledger gave back. Damaged: nothing of it counts, and this machine joins anew under a fresh id.
@@ -228,6 +229,7 @@
   void on(Commands& out, Tick now, std::string const& from, signal::Commit const& m);
   void on(Commands& out, Tick now, std::string const& from, signal::Handover const& m);
   void on(Commands& out, Tick now, std::string const& from, signal::Beat const& m);
+  void on(Commands& out, Tick now, std::string const& from, signal::NoDisk const& m);
   void on(Commands& out, Tick now, std::string const& from, signal::BeatEcho const& m);
   void on(Commands& out, Tick now, std::string const& from, signal::Fetch const& m);
   void on(Commands& out, Tick now, std::string const& from, signal::Copy const& m);
@@ -236,6 +238,8 @@
   std::string freshId_;
   std::uint64_t freshIds_ = 0;
   std::vector<std::string> founders_;
+  /// Founders that said they have no disk.
+  std::set<std::string> noDisk_;
   std::vector<std::string> neighbours_;
   Judge judge_;
   Tuning tuning_;
--- a/mooring/src/mooring.cpp
+++ b/mooring/src/mooring.cpp
@@ -586,6 +586,10 @@
   }
 }
 
+void Mooring::on(Commands&, Tick, std::string const& from, signal::NoDisk const&) {
+  if (std::find(founders_.begin(), founders_.end(), from) != founders_.end()) noDisk_.insert(from);
+}
+
 void Mooring::on(Commands& out, Tick now, std::string const& from, signal::Beat const& m) {
   if (m.cohort > cohortStamp_ && !m.cohortValue.isEmpty()) adoptCohort(out, m.cohort, m.cohortValue, now);
   if (!isMember(m.member)) {
@@ -831,7 +835,8 @@
 }
 
 void Mooring::found(Commands& out, Tick now) {
-  std::set<std::string> const links(founders_.begin(), founders_.end());
+  std::set<std::string> links(founders_.begin(), founders_.end());
+  for (std::string const& link : noDisk_) links.erase(link);
   if (nameTicket_ != 0 || diskFailed_ || cohortStamp_ > 0 || links.count(self_.link) == 0) return;
   std::vector<Member> members;
   for (std::string const& link : links) {
--- a/mooring/test/mooring_test.cpp
+++ b/mooring/test/mooring_test.cpp
@@ -62,6 +62,18 @@
   }
 }
 
+TEST_CASE("founders without a disk do not count, and the others found as soon as they say so") {
+  Bay bay(5);
+  std::vector<std::string> const founders{"g", "a", "b"};
+  for (std::string const& l : three) bay.boot(l, founders);
+  bay.run(5000);
+  for (std::string const& l : three) CHECK(bay.at(l).cohort().empty());
+  for (std::string const& l : three) bay.at(l).arrived(bay.now, "g", signal::NoDisk{});
+  CHECK(bay.until([&] { return bay.calm(); }, 4000) >= 0);
+  CHECK(acknowledges(bay, "c", "k", 2000));
+  sound(bay);
+}
+
 TEST_CASE("a founder killed and restarted in the middle of founding, its founders untold, does not block it") {
   for (Tick when = 0; when < 500; when += 7)
     for (std::string const& victim : three) {
--- a/signal/include/corkward/signal/message.h
+++ b/signal/include/corkward/signal/message.h
@@ -171,6 +171,13 @@
   }
 };
 
+/// Word of a machine that serves operators without a disk, to a disk that has not joined yet: it founds nothing and is never
+/// a member.
+struct NoDisk {
+  template <class F>
+  void each(F&) {}
+};
+
 struct BeatEcho {
   core::Tick tick = 0;
   std::string member;
@@ -427,7 +434,7 @@
 
 using Message = std::variant<Shuffle, Prepare, Promise, Accept, Accepted, Commit, Handover, Beat, BeatEcho, Fetch,
                              Copy, Call, Outcome, News, NewsAck, Holding, Ask, Confirm, Hint, Touch, SeenAsk, SeenEcho, SeenLeft,
-                             WarmAsk, WarmGrant>;
+                             WarmAsk, WarmGrant, NoDisk>;
 
 /// Command: send a message to the process that listens at the link address.
 struct Send {
--- a/signal/src/message.cpp
+++ b/signal/src/message.cpp
@@ -11,10 +11,10 @@
 
 namespace {
 
-constexpr std::array<char const*, 25> kinds{
+constexpr std::array<char const*, 26> kinds{
     "shuffle", "prepare", "promise", "accept", "accepted", "commit", "handover", "beat",     "beat-echo",
     "fetch",   "copy",    "call",   "outcome",  "news",   "news-ack", "holding", "ask", "confirm",
-    "hint",    "touch",   "seen-ask", "seen-echo", "seen-left", "warm-ask", "warm-grant"};
+    "hint",    "touch",   "seen-ask", "seen-echo", "seen-left", "warm-ask", "warm-grant", "no-disk"};
 static_assert(kinds.size() == std::variant_size_v<Message>);
 
 struct Packer {
