Read prompts that miss their aim anyway at replicas of their own

A replica that has begun to read does not put a prompt off, so ranks do not help; slots and queues were ruled out (4 to 5 of 24 in use). Now own tokens past 50 for each millisecond of the aim send a prompt to a share of 0.09 of the pool, chosen by hash alike on all nodes, rounded down (none below 12 replicas), which gets nothing else while others serve. The share is about what such prompts weigh. The test fails when no replica is set apart.

--- a/governor/include/corkward/governor/governor.h
+++ b/governor/include/corkward/governor/governor.h
@@ -47,6 +47,12 @@
   /// own request has waited longer counts as work that its replica is held up by.
   double readPerMs = 100.0;
   Tick wordSlack = 60;
+  /// A prompt of more own tokens for each millisecond of its aim cannot be read within it. This share of a pool's
+  /// replicas, rounded down and the same on all nodes, reads those, so that they hold up nothing else.
+  double withinAim = 50.0;
+  double apart = 0.09;
+  /// What it weighs, in tokens, to send a prompt to a replica of the other kind.
+  double wrongKind = 40000.0;
   /// Parts of prompts that a node remembers to have sent.
   std::size_t parts = 40000;
   /// Share of the cap that long requests may fill.
--- a/rotor/include/corkward/rotor/plane.h
+++ b/rotor/include/corkward/rotor/plane.h
@@ -304,6 +304,8 @@
     std::uint64_t hash = 0;
     blueprint::ReplicaState state = blueprint::ReplicaState::leaving;
     bool listed = false;
+    /// It is among those that read the pool's too long prompts.
+    bool apart = false;
     /// Tokens that this node has sent and that are not read yet, as far as it knows.
     std::int64_t reading = 0;
     /// Taken away by a list that is newer than the one in force.
@@ -408,6 +410,10 @@
   bool resumeElsewhere(Commands& out, Tick now, CallId id);
   std::int64_t choose(Tick now, Call const& call, std::vector<governor::Candidate> const& choices) const;
   Index home(Call const& call) const;
+  bool mayBeHome(Index replica) const;
+  /// The prompt cannot be read within its aim, and the pool has replicas that read such ones.
+  bool readsApart(Call const& call) const;
+  void setApart(PoolView const& view);
   bool evacuated(std::string const& zone) const;
   bool knowsAll(signal::Stamps const& stamps) const;
   bool knows(signal::Digest const& digest, signal::Stamps const& stamps) const;
--- a/rotor/src/calls.cpp
+++ b/rotor/src/calls.cpp
@@ -103,6 +103,7 @@
   view.changed = false;
   view.changesAt = std::numeric_limits<Tick>::max();
   avoidWorst(now, pool);
+  setApart(view);
   std::vector<governor::Candidate> all;
   for (Index const ix : view.replicas) {
     Replica const& r = replicas_[ix];
@@ -355,13 +356,36 @@
   out.calls.push_back(Connect{id, addressOf(replica), row.path.path, false, !row.path.repeatable});
 }
 
+bool Plane::mayBeHome(Index replica) const {
+  Replica const& r = replicas_[replica];
+  return r.listed && !r.away && r.state == blueprint::ReplicaState::serving && !evacuated(r.zone);
+}
+
+void Plane::setApart(PoolView const& view) {
+  std::vector<std::pair<std::uint64_t, Index>> order;
+  for (Index const r : view.replicas) {
+    replicas_[r].apart = false;
+    if (mayBeHome(r)) order.emplace_back(core::Rng(replicas_[r].hash).next(), r);
+  }
+  std::sort(order.begin(), order.end());
+  order.resize(static_cast<std::size_t>(tuning_.figures.apart * static_cast<double>(order.size())));
+  for (std::pair<std::uint64_t, Index> const& o : order) replicas_[o.second].apart = true;
+}
+
+bool Plane::readsApart(Call const& call) const {
+  if (static_cast<double>(call.request.parts.back().tokens) <= tuning_.figures.withinAim * static_cast<double>(rows_[call.path].path.aim)) return false;
+  std::vector<Index> const& all = poolViews_[call.pool].replicas;
+  return std::any_of(all.begin(), all.end(), [&](Index const r) { return replicas_[r].apart && mayBeHome(r); });
+}
+
 Index Plane::home(Call const& call) const {
+  bool const apart = readsApart(call);
   std::uint64_t const shared = call.request.parts[call.request.parts.size() - 2].hash;
   Index best = core::Names::none;
   std::uint64_t bestOrder = 0;
   for (Index const r : poolViews_[call.pool].replicas) {
     Replica const& replica = replicas_[r];
-    if (!replica.listed || replica.away || replica.state != blueprint::ReplicaState::serving || evacuated(replica.zone)) continue;
+    if (!mayBeHome(r) || replica.apart != apart) continue;
     std::uint64_t const order = core::Rng(shared ^ replica.hash).next();
     if (best != core::Names::none && order >= bestOrder) continue;
     best = r;
@@ -401,6 +425,7 @@
     return governor::pick(scaler, choices, call.prefix == 0 ? seed_ ^ call.request.call : call.prefix, last);
   }
   Index const at = home(call);
+  bool const apart = at != core::Names::none && replicas_[at].apart;
   std::unordered_map<Index, double> heldUp;
   for (std::unordered_map<CallId, Call>::value_type const& c : calls_) {
     Call const& other = c.second;
@@ -416,7 +441,8 @@
   for (governor::Candidate const& c : choices) {
     double const cost = scaler.inFlightAt(c.replica) * tuning_.figures.inFlightTokens + heldUp[c.replica] +
                         tuning_.figures.unreadWeight * static_cast<double>(unread(call, c.replica, at)) +
-                        static_cast<double>(replicas_[c.replica].reading);
+                        static_cast<double>(replicas_[c.replica].reading) +
+                        (replicas_[c.replica].apart != apart ? tuning_.figures.wrongKind : 0.0);
     std::uint64_t const order = core::Rng(call.request.parts[call.request.parts.size() - 2].hash ^ replicas_[c.replica].hash).next();
     if (best >= 0 && (cost > bestCost || (cost == bestCost && order >= bestOrder))) continue;
     best = static_cast<std::int64_t>(c.replica);
--- a/rotor/test/prompt_test.cpp
+++ b/rotor/test/prompt_test.cpp
@@ -17,6 +17,7 @@
   rotor::Plane plane;
   core::Tick now = 100000;
   std::uint64_t next = 1;
+  std::uint64_t open = 1;
 
   static rotor::Tuning tuning() {
     rotor::Tuning t;
@@ -55,6 +56,14 @@
     return c;
   }
 
+  /// All that is in flight ends whole.
+  void end() {
+    for (; open < next; ++open) {
+      plane.firstWord(now, open, true);
+      plane.ended(now, open, rotor::End::whole);
+    }
+  }
+
   /// Address that a prompt of these parts is sent to; it stays in flight there.
   std::string ask(std::uint64_t shared, std::int64_t sharedTokens, std::int64_t own) {
     rotor::Request r;
@@ -86,3 +95,33 @@
     CHECK(at.size() == 1);
   }
 }
+
+TEST_CASE("prompts that cannot be read within their aim go to a share of the pool's replicas, which gets no others") {
+  std::set<std::string> apart;
+  std::set<std::string> others;
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    Node node(60, seed);
+    for (std::uint64_t shared = 10; shared < 410; ++shared) {
+      bool const tooLong = shared % 40 == 0;
+      (tooLong ? apart : others).insert(node.ask(shared, 500, tooLong ? 40000 : 2000));
+      node.now += 20;
+      node.plane.clockEvent(node.now);
+      node.end();
+    }
+  }
+  CHECK(apart.size() <= 5);
+  CHECK(others.size() >= 50);
+  for (std::string const& a : apart) CHECK(others.count(a) == 0);
+}
+
+TEST_CASE("a pool of few replicas takes no prompts apart") {
+  Node few(9, 1);
+  std::set<std::string> at;
+  for (std::uint64_t shared = 10; shared < 210; ++shared) {
+    at.insert(few.ask(shared, 500, 40000));
+    few.end();
+  }
+  CHECK(at.size() == 9);
+  Node one(1, 1);
+  CHECK(one.ask(10, 500, 40000) == "10.0.0.1:80");
+}
