Keep guides out of the views: they ask without naming themselves

Cause: a guide took part in the lookout as any process and, asking twice a second, always stood among the freshest 48 contacts of each substation. With a guide or more in each zone of a large fleet nacelles would give way to them there, and no process needs to know a guide: who needs one has it as a seed.

A guide now asks its seeds and all substations that it knows with an empty shuffle, and answers a shuffle with the substations alone. Tests of the guide: named to nobody, asks seeds and substations, names substations.

--- a/substation/include/corkward/substation/guide.h
+++ b/substation/include/corkward/substation/guide.h
@@ -15,7 +15,7 @@
 inline constexpr char const* guideRole = "guide";
 
 /// Reducer of a machine that serves operators without a disk: it holds nothing and is never a member. It knows which
-/// substations answer, brings processes that enter here together with them, and tells disks that it founds nothing.
+/// substations answer, names them to processes that enter here, and tells disks that it founds nothing. It is named to nobody.
 class Guide {
  public:
   Guide(signal::Contact self, std::vector<std::string> seeds, std::uint64_t seed);
--- a/substation/src/guide.cpp
+++ b/substation/src/guide.cpp
@@ -1,5 +1,7 @@
 #include <corkward/substation/guide.h>
 
+#include <set>
+
 namespace corkward::substation {
 
 namespace {
@@ -16,19 +18,25 @@
 std::vector<signal::Send> Guide::arrived(Tick now, std::string const& from, signal::Message const& message) {
   std::map<std::string, Tick>::iterator const known = substations_.find(from);
   if (known != substations_.end()) known->second = now;
-  if (signal::Shuffle const* const shuffle = std::get_if<signal::Shuffle>(&message); shuffle != nullptr) return lookout_.arrived(now, from, *shuffle);
+  if (signal::Shuffle const* const shuffle = std::get_if<signal::Shuffle>(&message); shuffle != nullptr) {
+    lookout_.arrived(now, from, signal::Shuffle{shuffle->contacts, false});
+    if (!shuffle->reply) return {};
+    return {signal::Send{from, signal::Shuffle{lookout_.ofRole(substationRole, now), false}}};
+  }
   signal::Beat const* const beat = std::get_if<signal::Beat>(&message);
   if (beat == nullptr || !beat->empty) return {};
   return {signal::Send{from, signal::NoDisk{}}};
 }
 
 std::vector<signal::Send> Guide::clockEvent(Tick now) {
-  std::vector<signal::Send> out = lookout_.clockEvent(now);
   for (signal::Contact const& c : lookout_.ofRole(substationRole, now)) substations_.try_emplace(c.link, -1);
-  if (now < askAt_) return out;
+  if (now < askAt_) return {};
   askAt_ = now + askEvery;
-  for (std::map<std::string, Tick>::value_type const& s : substations_)
-    out.push_back(signal::Send{s.first, signal::Shuffle{{lookout_.self()}, true}});
+  std::set<std::string> to(lookout_.seeds().begin(), lookout_.seeds().end());
+  for (std::map<std::string, Tick>::value_type const& s : substations_) to.insert(s.first);
+  to.erase(lookout_.self().link);
+  std::vector<signal::Send> out;
+  for (std::string const& link : to) out.push_back(signal::Send{link, signal::Shuffle{{}, true}});
   return out;
 }
 
--- a/substation/test/guide_test.cpp
+++ b/substation/test/guide_test.cpp
@@ -1,6 +1,6 @@
 #include <catch2/catch.hpp>
 
-#include <algorithm>
+#include <set>
 
 #include <corkward/substation/guide.h>
 
@@ -48,8 +48,22 @@
   REQUIRE(out.size() == 1);
   CHECK(out[0].to == "m");
   std::vector<signal::Contact> const shown = std::get<signal::Shuffle>(out[0].message).contacts;
-  CHECK(std::any_of(shown.begin(), shown.end(), [](signal::Contact const& c) { return c.link == "t"; }));
-  std::vector<signal::Send> const asked = guide.clockEvent(9600);
-  for (char const* const link : {"s", "t"})
-    CHECK(std::any_of(asked.begin(), asked.end(), [&](signal::Send const& s) { return s.to == link; }));
+  REQUIRE(shown.size() == 2);
+  CHECK(shown[0].link == "s");
+  CHECK(shown[1].link == "t");
+}
+
+TEST_CASE("a guide asks the seeds and all substations that it knows, and is named to nobody") {
+  substation::Guide guide(contact("g", "guide"), {"g", "s", "u"}, 1);
+  guide.arrived(100, "n", told({contact("n", "nacelle"), contact("s", "substation"), contact("t", "substation")}));
+  std::set<std::string> to;
+  for (signal::Send const& s : guide.clockEvent(200)) {
+    to.insert(s.to);
+    signal::Shuffle const& asked = std::get<signal::Shuffle>(s.message);
+    CHECK(asked.reply);
+    CHECK(asked.contacts.empty());
+  }
+  CHECK(to == std::set<std::string>{"s", "t", "u"});
+  CHECK(guide.clockEvent(300).empty());
+  CHECK(guide.clockEvent(800).size() == 3);
 }
