Let a part begin with, and widen by, the replica that keeps a prompt's parts

Trigger, one-replica steps and calm give-back are as they were: only which replica a step takes is new, and the look comes before the request is sent.

--- a/governor/include/corkward/governor/governor.h
+++ b/governor/include/corkward/governor/governor.h
@@ -108,8 +108,11 @@
 
   /// New candidates. Those of the part that are gone leave at once and are replaced one for one; neither counts as a step.
   void candidates(std::vector<Candidate> const& all);
-  /// One look at the demand; held counts no echoes. Takes at most one step and returns +1, -1 or 0.
-  int look(Tick now, std::size_t held);
+  /// Before anything was sent: the part begins with this replica, if it is a candidate.
+  void begin(Index wanted);
+  /// One look at the demand; held counts no echoes. Takes at most one step and returns +1, -1 or 0. A step up takes the
+  /// wanted replica, if it is a candidate outside the part; below zero: none.
+  int look(Tick now, std::size_t held, std::int64_t wanted = -1);
 
   double cap() const;
   /// Room under the cap for one more request of the kind.
@@ -117,6 +120,8 @@
   /// The same; while answers are steady the limit is raised so that there is room.
   bool makeRoom(bool bulk);
   std::vector<Candidate> const& part() const { return part_; }
+  /// Some candidate is outside the part.
+  bool mayGrow() const { return part_.size() < all_.size(); }
   int inFlight() const { return inFlight_; }
   int inFlightAt(Index replica) const;
   double limit() const { return limit_; }
--- a/governor/src/governor.cpp
+++ b/governor/src/governor.cpp
@@ -69,15 +69,23 @@
   return std::max(0.0, inFlight_ - f_.calmShare * cap()) + static_cast<double>(held);
 }
 
-int Scaler::look(Tick now, std::size_t held) {
+void Scaler::begin(Index wanted) {
+  for (Candidate const& c : all_)
+    if (c.replica == wanted && inFlight_ == 0 && part_.size() == 1) part_.front() = c;
+}
+
+int Scaler::look(Tick now, std::size_t held, std::int64_t wanted) {
   if (f_.ease < 1.0 && inFlight_ < f_.used * cap()) limit_ = std::max(f_.minLimit, limit_ * f_.ease);
   double const buffered = z(held);
   std::size_t const x = part_.size();
   if (buffered >= f_.width * static_cast<double>(std::max<std::size_t>(x, 1)) && x < all_.size() && !allSlow_) {
     calmSince_ = -1;
-    for (Candidate const& c : all_) {
-      if (std::any_of(part_.begin(), part_.end(), [&](Candidate const& p) { return p.replica == c.replica; })) continue;
-      add(c);
+    std::vector<Candidate> others;
+    for (Candidate const& c : all_)
+      if (std::none_of(part_.begin(), part_.end(), [&](Candidate const& p) { return p.replica == c.replica; })) others.push_back(c);
+    std::stable_partition(others.begin(), others.end(), [&](Candidate const& c) { return c.replica == wanted; });
+    if (!others.empty()) {
+      add(others.front());
       if (f_.ease < 1.0) limit_ = std::max(f_.minLimit, limit_ * static_cast<double>(x) / static_cast<double>(x + 1));
       meanAtWidening_ = mean_;
       answersSinceWidening_ = 0;
--- a/governor/test/governor_test.cpp
+++ b/governor/test/governor_test.cpp
@@ -34,6 +34,27 @@
   CHECK(s.look(20000, 0) == 0);
 }
 
+TEST_CASE("a part begins with the wanted replica, and a step up takes the wanted one, never more than one") {
+  for (core::Index wanted = 0; wanted < 9; ++wanted) {
+    governor::Scaler s(7);
+    s.candidates(warm(9));
+    s.begin(wanted);
+    REQUIRE(s.part().size() == 1);
+    CHECK(s.part().front().replica == wanted);
+    core::Index const next = (wanted + 4) % 9;
+    CHECK(s.look(0, 1, next) == 0);
+    CHECK(s.look(0, 2, next) == 1);
+    REQUIRE(s.part().size() == 2);
+    CHECK(s.part().back().replica == next);
+    CHECK(s.look(0, 4, next) == 1);
+    CHECK(s.part().size() == 3);
+    CHECK(s.look(0, 6, 99) == 1);
+    CHECK(s.part().size() == 4);
+    s.begin(next);
+    CHECK(s.part().front().replica == wanted);
+  }
+}
+
 TEST_CASE("a replica that leaves is replaced one for one and is no step") {
   governor::Scaler s(7);
   s.candidates(warm(4));
--- a/rotor/include/corkward/rotor/plane.h
+++ b/rotor/include/corkward/rotor/plane.h
@@ -430,7 +430,8 @@
   void admit(Commands& out, Tick now, CallId id);
   bool tryConnect(Commands& out, Tick now, CallId id);
   void pump(Commands& out, Tick now, CreditKey key);
-  void look(Commands& out, Tick now, CreditKey key);
+  /// The replica that a request would go to best, if the part is to grow.
+  void look(Commands& out, Tick now, CreditKey key, Index wanted = core::Names::none);
   void uncount(Commands& out, Tick now, Call& call);
   void deny(Commands& out, Tick now, CallId id, int status, std::string reason, bool notRun, double retryAfter);
   void forget(Tick now, CallId id);
--- a/rotor/src/calls.cpp
+++ b/rotor/src/calls.cpp
@@ -221,6 +221,14 @@
   bool const fresh = credits_.count(key) == 0;
   Credit& c = credit(call.pool, row.instance);
   if (fresh) refreshCandidates(out, now);
+  if (call.request.parts.size() > 1 && c.scaler.mayGrow()) {
+    Index const wanted = home(call);
+    std::vector<governor::Candidate> const& part = c.scaler.part();
+    if (fresh)
+      c.scaler.begin(wanted);
+    else if (std::none_of(part.begin(), part.end(), [&](governor::Candidate const& p) { return p.replica == wanted; }))
+      look(out, now, key, wanted);
+  }
   call.phase = Phase::held;
   if (call.reached && !budget_.retry(now, rosterSize(), tuning_.retryAllowance)) {
     deny(out, now, id, 503, "no retry left for what may have reached a replica before", true, tuning_.comeBack);
@@ -245,12 +253,12 @@
   pump(out, now, key);
 }
 
-void Plane::look(Commands& out, Tick now, CreditKey key) {
+void Plane::look(Commands& out, Tick now, CreditKey key, Index wanted) {
   Credit& c = credits_.at(key);
   std::size_t held = 0;
   for (std::deque<CallId> const& lane : c.held)
     for (CallId const id : lane) held += calls_.at(id).echo ? 0 : 1;
-  int const step = c.scaler.look(now, held);
+  int const step = c.scaler.look(now, held, wanted == core::Names::none ? -1 : static_cast<std::int64_t>(wanted));
   if (step == 0) return;
   note(out, now, step > 0 ? "widened" : "gave-back",
        {{"instance", instances_.name(key.second)}, {"pool", pools_.name(key.first)}, {"part", std::to_string(c.scaler.part().size())}});
--- a/rotor/test/rotor_test.cpp
+++ b/rotor/test/rotor_test.cpp
@@ -595,6 +595,44 @@
   CHECK(rig.plane.parts("model").front().first == part);
 }
 
+TEST_CASE("the part begins with and widens by the replica that keeps an arriving prompt's parts") {
+  rotor::Tuning tuning;
+  tuning.figures.width = 0.005;
+  tuning.figures.firstLimit = 1;
+  tuning.figures.steady = 0.7;
+  tuning.figures.minLimit = 0.05;
+  tuning.figures.ease = 0.9;
+  for (std::uint64_t first = 0; first < 20; ++first) {
+    std::vector<std::vector<std::string>> went;
+    for (char const* link : {"n1", "n2", "n3", "n4"}) {
+      signal::Contact self = Rig::self();
+      self.link = link;
+      rotor::Tuning unfenced = tuning;
+      unfenced.fenced = false;
+      Rig const donor;
+      rotor::Plane plane(self, {"s1"}, 7, unfenced);
+      plane.started(0);
+      signal::News news;
+      news.whole = true;
+      news.items = {{"pool:model", 1, Rig::pool(1, "serving")}, {"family:desk", 1, donor.plane.valueOf("family:desk")}};
+      plane.arrived(0, "s1", news);
+      went.emplace_back();
+      for (std::uint64_t i = 0; i < 3; ++i) {
+        rotor::Request r;
+        r.call = i + 1;
+        r.instance = "desk.nord";
+        r.path = "a";
+        r.parts = {{first * 100 + i, 5000}, {first * 100 + i + 50, 300}};
+        rotor::Commands const c = plane.request(10, r);
+        REQUIRE(Rig::find<rotor::Connect>(c) != nullptr);
+        went.back().push_back(Rig::find<rotor::Connect>(c)->address);
+        plane.connected(10, r.call);
+      }
+    }
+    for (std::vector<std::string> const& w : went) CHECK(w == went.front());
+  }
+}
+
 TEST_CASE("one tenant's crowd leaves room for another") {
   Rig rig;
   for (int i = 0; i < 300; ++i) rig.ask("crowd" + std::to_string(i));
