--- a/rotor/src/news.cpp
+++ b/rotor/src/news.cpp
@@ -77,10 +77,11 @@
 void Plane::foldRoster(Tick now, std::uint64_t stamp, QJsonObject const& value) {
   RosterView view;
   view.stamp = stamp;
-  for (QJsonValue const v : value.value("nodes").toArray()) {
-    std::string const link = core::str(v.toObject().value("link").toString());
+  std::vector<signal::Contact> const contacts = lookout::rosterContacts(value);
+  for (signal::Contact const& c : contacts) {
+    std::string const& link = c.link;
     ++view.size;
-    view.zones[link] = core::str(v.toObject().value("zone").toString());
+    view.zones[link] = c.zone;
     if (link == lookout_.self().link)
       view.self = true;
     else
@@ -91,6 +92,7 @@
     before = before || core::str(v.toObject().value("link").toString()) == lookout_.self().link;
   view.joining = !before;
   view.joinedAt = now;
+  lookout_.setRoster(stamp, contacts);
   roster_ = std::move(view);
 }
 
@@ -116,7 +118,9 @@
   std::map<std::string, std::string> zones;
   for (signal::Contact const& c : lookout_.ofRole("substation", now)) zones[c.link] = c.zone;
   std::map<std::tuple<Tick, bool, std::uint64_t>, std::string> ranked;
-  for (std::string const& link : substations(now)) {
+  std::vector<std::string> known = substations(now);
+  if (known.empty()) known = lookout_.seeds();
+  for (std::string const& link : known) {
     HeldLink& l = substations_[link];
     bool const silent = l.silentAt >= 0 && now - l.silentAt < tuning_.passOver;
     ranked[{silent ? l.silentAt : 0, zones[link] != lookout_.self().zone, core::stableHash(link + lookout_.self().link)}] = link;
@@ -252,6 +256,7 @@
   had_.push_back(digest_);
   if (had_.size() > digestsKept) had_.pop_front();
   refreshStanding();
+  for (PoolView& view : poolViews_) view.changed = true;
   refreshCandidates(out, now);
 }
 
@@ -373,6 +378,7 @@
   if (hint.generation <= view.generation || hint.generation <= view.hint.generation) return false;
   view.hint = hint;
   refreshHint(view);
+  view.changed = true;
   note(out, now, "leaving-hint", {{"pool", hint.pool}, {"generation", std::to_string(hint.generation)}});
   refreshCandidates(out, now);
   return true;
--- /dev/null
+++ b/rotor/test/prompt_test.cpp
@@ -0,0 +1,127 @@
+#include <catch2/catch.hpp>
+
+#include <QJsonArray>
+#include <set>
+
+#include <corkward/core/json.h>
+#include <corkward/rotor/plane.h>
+
+namespace core = corkward::core;
+namespace rotor = corkward::rotor;
+namespace signal = corkward::signal;
+
+namespace {
+
+/// One node of its own seed before a pool that keeps parts of prompts.
+struct Node {
+  rotor::Plane plane;
+  core::Tick now = 100000;
+  std::uint64_t next = 1;
+  std::uint64_t open = 1;
+
+  static rotor::Tuning tuning() {
+    rotor::Tuning t;
+    t.fenced = false;
+    t.youngWait = 0;
+    t.figures.width = 0.005;
+    t.figures.firstLimit = 1.0;
+    t.figures.minLimit = 0.05;
+    t.figures.maxLimit = 1000;
+    t.figures.steady = 0.7;
+    t.figures.ease = 0.9;
+    return t;
+  }
+
+  explicit Node(int replicas, std::uint64_t seed) : plane(self(seed), {"s1"}, seed, tuning()) {
+    plane.started(0);
+    QJsonArray list;
+    for (int i = 1; i <= replicas; ++i)
+      list.append(QJsonObject{{"address", core::qstr("10.0.0." + std::to_string(i) + ":80")}, {"zone", "z1"}, {"state", "serving"}});
+    QJsonObject const spec = core::parseJson(R"({"version":1,"pools":[{"name":"model","slots":24,"tokens":400000}],"paths":[
+      {"name":"s","host":"h","prefix":"/p/","kind":"stream","deadlineMs":12000,"aimMs":600,"pool":"model","affine":true}]})").toObject();
+    signal::News news;
+    news.number = 1;
+    news.whole = true;
+    news.items = {{"blueprint", 1, QJsonObject{{"spec", spec}}},
+                  {"pool:model", 1, QJsonObject{{"generation", 1}, {"replicas", list}}}};
+    plane.arrived(now, "s1", news);
+  }
+
+  static signal::Contact self(std::uint64_t seed) {
+    signal::Contact c;
+    c.link = "n" + std::to_string(seed);
+    c.role = "nacelle";
+    c.zone = "z1";
+    c.inc = 1;
+    return c;
+  }
+
+  /// All that is in flight ends whole.
+  void end() {
+    for (; open < next; ++open) {
+      plane.firstWord(now, open, true);
+      plane.ended(now, open, rotor::End::whole);
+    }
+  }
+
+  /// Address that a prompt of these parts is sent to; it stays in flight there.
+  std::string ask(std::uint64_t shared, std::int64_t sharedTokens, std::int64_t own) {
+    rotor::Request r;
+    r.call = next++;
+    r.host = "h";
+    r.target = "/p/x";
+    r.id = "r" + std::to_string(r.call);
+    r.attempt = 1;
+    r.parts = {{1, 300}, {shared, sharedTokens}, {1000000 + r.call, own}};
+    for (rotor::CallCommand const& c : plane.request(now, r).calls)
+      if (rotor::Connect const* const m = std::get_if<rotor::Connect>(&c)) {
+        std::string const address = m->address;
+        plane.connected(now, r.call);
+        return address;
+      }
+    return "";
+  }
+};
+
+}  // namespace
+
+TEST_CASE("nodes that know nothing of each other send a shared part to the same replica from its first request on") {
+  for (std::uint64_t shared = 10; shared < 40; ++shared) {
+    std::set<std::string> at;
+    for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+      Node node(60, seed);
+      at.insert(node.ask(shared, 5000, 1000));
+    }
+    CHECK(at.size() == 1);
+  }
+}
+
+TEST_CASE("prompts that cannot be read within their aim go to a share of the pool's replicas, which gets no others") {
+  std::set<std::string> apart;
+  std::set<std::string> others;
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    Node node(60, seed);
+    for (std::uint64_t shared = 10; shared < 410; ++shared) {
+      bool const tooLong = shared % 40 == 0;
+      (tooLong ? apart : others).insert(node.ask(shared, 500, tooLong ? 40000 : 2000));
+      node.now += 20;
+      node.plane.clockEvent(node.now);
+      node.end();
+    }
+  }
+  CHECK(apart.size() <= 5);
+  CHECK(others.size() >= 50);
+  for (std::string const& a : apart) CHECK(others.count(a) == 0);
+}
+
+TEST_CASE("a pool of few replicas takes no prompts apart") {
+  Node few(9, 1);
+  std::set<std::string> at;
+  for (std::uint64_t shared = 10; shared < 210; ++shared) {
+    at.insert(few.ask(shared, 500, 40000));
+    few.end();
+  }
+  CHECK(at.size() == 9);
+  Node one(1, 1);
+  CHECK(one.ask(10, 500, 40000) == "10.0.0.1:80");
+}
