--- a/substation/test/guide_test.cpp
+++ b/substation/test/guide_test.cpp
@@ -19,7 +19,7 @@
   return c;
 }
 
-signal::Shuffle told(std::vector<signal::Contact> contacts) { return signal::Shuffle{std::move(contacts), false}; }
+signal::Shuffle told(std::vector<signal::Contact> contacts) { return signal::Shuffle{std::move(contacts), false, 0, {}}; }
 
 }  // namespace
 
@@ -44,7 +44,7 @@
   guide.arrived(300, "t", told({contact("t", "substation")}));
   CHECK(guide.substations(400) == std::vector<std::string>{"t"});
   CHECK(guide.substations(9000) == std::vector<std::string>{"s", "t"});
-  std::vector<signal::Send> const out = guide.arrived(9000, "m", signal::Shuffle{{contact("m", "nacelle")}, true});
+  std::vector<signal::Send> const out = guide.arrived(9000, "m", signal::Shuffle{{contact("m", "nacelle")}, true, 0, {}});
   REQUIRE(out.size() == 1);
   CHECK(out[0].to == "m");
   std::vector<signal::Contact> const shown = std::get<signal::Shuffle>(out[0].message).contacts;
