--- a/yard/sim/internal.h
+++ b/yard/sim/internal.h
@@ -12,5 +12,12 @@
 inline constexpr char const* templatePath = "/v1/templates/desk";
 inline constexpr Tick settleFor = 25000;
 inline constexpr Tick trafficFrom = 17500;
+/// Idle connections to replicas: how long one is used, how long for what may run once, and from when on it may be forgotten.
+inline constexpr Tick idleLimit = 1000;
+inline constexpr Tick freshIdleLimit = 250;
+inline constexpr Tick restedAfter = 500;
+/// From so long after its start on a grey replica is judged, and the share of its fair part that it may draw then.
+inline constexpr Tick greyNoticed = 8000;
+inline constexpr double greyShare = 0.6;
 
 }  // namespace corkward::yard
--- a/yard/sim/judge.cpp
+++ b/yard/sim/judge.cpp
@@ -64,6 +64,11 @@
       last = &c;
     }
   }
+  result_.counts["grey-hits"] = static_cast<std::size_t>(greyHits_);
+  result_.counts["grey-fair"] = static_cast<std::size_t>(greyFair_);
+  bool const alone = plan_.faults == std::vector<Fault>{Fault::greyReplicas};
+  if (alone && greyFair_ >= 30 && greyHits_ > greyShare * greyFair_)
+    violation("grey replicas went on drawing work: " + std::to_string(greyHits_) + " requests, a fair share is " + std::to_string(greyFair_));
   std::shared_ptr<bool> const read = std::make_shared<bool>(false);
   std::string const link = someSubstation();
   if (link.empty()) {
