--- a/governor/src/governor.cpp
+++ b/governor/src/governor.cpp
@@ -81,6 +81,11 @@
   return std::max(0.0, inFlight_ - f_.calmShare * cap()) + static_cast<double>(held);
 }
 
+void Scaler::begin(Index wanted) {
+  Candidate const* const first = all_.find(wanted);
+  if (first != nullptr && inFlight_ == 0 && part_.size() == 1) part_.front() = *first;
+}
+
 int Scaler::look(Tick now, std::size_t held, std::int64_t wanted) {
   if (f_.ease < 1.0 && inFlight_ < f_.used * cap()) limit_ = std::max(f_.minLimit, limit_ * f_.ease);
   double const buffered = z(held);
