Keep a budget of repeats for each pool beside the one over all

Cause: a node paid for repeats at any pool out of the requests of all.

Ruled out: a smaller share of the slack (the slack was not what paid); a budget by pool instead of the one over all, since that one is the product's own bound.

A repeat now has to be within its pool's budget and within the node's. Pools that ask for nothing are forgotten. Test: governor, seen failing with the budget over all (7 repeats where 6.4 are allowed).

--- a/governor/include/corkward/governor/governor.h
+++ b/governor/include/corkward/governor/governor.h
@@ -268,6 +268,10 @@
   void first(Tick now);
   /// True, and counted, when one more retry is within the budget.
   bool retry(Tick now, std::size_t nodes, double ofAll = allowance);
+  /// The same, not counted.
+  bool mayRetry(Tick now, std::size_t nodes, double ofAll = allowance);
+  /// True while nothing in it counts any more.
+  bool idle(Tick now);
 
  private:
   void expire(Tick now);
@@ -277,6 +281,20 @@
   std::deque<Tick> allowed_;
 };
 
+/// Own retries at each pool and over all: one more has to be within both, so that no pool's requests pay for repeats at another.
+class RetryBudgets {
+ public:
+  void first(Tick now, Index pool);
+  bool retry(Tick now, Index pool, std::size_t nodes, double ofAll = RetryBudget::allowance);
+  /// Pools that are remembered.
+  std::size_t size() const { return pools_.size(); }
+
+ private:
+  RetryBudget& at(Tick now, Index pool);
+  RetryBudget all_;
+  std::map<Index, RetryBudget> pools_;
+};
+
 /// Token bucket of a cold replica: holds at most one token and starts empty, so no burst passes the rate.
 class ColdBucket {
  public:
--- a/governor/src/governor.cpp
+++ b/governor/src/governor.cpp
@@ -6,6 +6,13 @@
 
 namespace corkward::governor {
 
+namespace {
+
+/// Pools beyond which those that ask for nothing are forgotten.
+constexpr std::size_t poolsKept = 32;
+
+}  // namespace
+
 Scaler::Scaler(std::uint64_t seed, Figures const& f) : seed_(seed), f_(f), limit_(f.firstLimit) {
   CORKWARD_INVARIANT(f.calmFor >= 5000 && f.width > 0);
 }
@@ -310,17 +317,40 @@
   expire(now);
 }
 
-bool RetryBudget::retry(Tick now, std::size_t nodes, double ofAll) {
+bool RetryBudget::mayRetry(Tick now, std::size_t nodes, double ofAll) {
   expire(now);
-  if (earned_ >= 1.0) {
+  return earned_ >= 1.0 || static_cast<double>(allowed_.size()) + 1.0 <= ofAll / static_cast<double>(std::max<std::size_t>(nodes, 1));
+}
+
+bool RetryBudget::retry(Tick now, std::size_t nodes, double ofAll) {
+  if (!mayRetry(now, nodes, ofAll)) return false;
+  if (earned_ >= 1.0)
     earned_ -= 1.0;
-    return true;
-  }
-  if (static_cast<double>(allowed_.size()) + 1.0 > ofAll / static_cast<double>(std::max<std::size_t>(nodes, 1))) return false;
-  allowed_.push_back(now);
+  else
+    allowed_.push_back(now);
   return true;
 }
 
+bool RetryBudget::idle(Tick now) {
+  expire(now);
+  return firsts_.empty() && allowed_.empty();
+}
+
+RetryBudget& RetryBudgets::at(Tick now, Index pool) {
+  if (pools_.size() > poolsKept && pools_.count(pool) == 0)
+    for (std::map<Index, RetryBudget>::iterator it = pools_.begin(); it != pools_.end();) it = it->second.idle(now) ? pools_.erase(it) : std::next(it);
+  return pools_[pool];
+}
+
+void RetryBudgets::first(Tick now, Index pool) {
+  all_.first(now);
+  at(now, pool).first(now);
+}
+
+bool RetryBudgets::retry(Tick now, Index pool, std::size_t nodes, double ofAll) {
+  return at(now, pool).mayRetry(now, nodes, ofAll) && all_.retry(now, nodes, ofAll) && pools_.at(pool).retry(now, nodes, ofAll);
+}
+
 bool ColdBucket::has(Tick now, double rate) const {
   return std::min(1.0, tokens_ + rate * static_cast<double>(now - at_) / 1000.0) >= 1.0;
 }
--- a/governor/test/governor_test.cpp
+++ b/governor/test/governor_test.cpp
@@ -164,6 +164,32 @@
   }
 }
 
+TEST_CASE("no pool's requests pay for retries at another") {
+  constexpr core::Index large = 0;
+  constexpr core::Index small = 1;
+  governor::RetryBudgets b;
+  std::vector<core::Tick> firsts;
+  std::vector<core::Tick> retries;
+  for (core::Tick now = 0; now < 30000; ++now) {
+    b.first(now, large);
+    if (now % 50 == 0) {
+      b.first(now, small);
+      firsts.push_back(now);
+    }
+    if (now % 10 == 0 && b.retry(now, small, 5)) retries.push_back(now);
+  }
+  for (core::Tick const end : retries) {
+    std::size_t f = 0;
+    std::size_t r = 0;
+    for (core::Tick const t : firsts) f += t > end - 10000 && t <= end ? 1 : 0;
+    for (core::Tick const t : retries) r += t > end - 10000 && t <= end ? 1 : 0;
+    REQUIRE(static_cast<double>(r) <= 0.2 * static_cast<double>(f) + 2.0 + 0.2 * 20);
+  }
+  CHECK(retries.size() > 100);
+  for (int i = 0; i < 1000; ++i) b.first(40000 + i * 2000, static_cast<core::Index>(i));
+  CHECK(b.size() < 40);
+}
+
 TEST_CASE("retries do not outlive a crowd that is gone") {
   governor::RetryBudget b;
   for (core::Tick now = 0; now < 2000; ++now) b.first(now);
--- a/rotor/include/corkward/rotor/plane.h
+++ b/rotor/include/corkward/rotor/plane.h
@@ -521,7 +521,7 @@
   std::map<Index, Warm> warm_;
   governor::Prefixes prefixes_;
   governor::Kept kept_;
-  governor::RetryBudget budget_;
+  governor::RetryBudgets budget_;
   std::unordered_map<CallId, Call> calls_;
   std::unordered_map<std::string, Seen> seen_;
   std::deque<std::pair<Tick, std::string>> seenOrder_;
--- a/rotor/src/calls.cpp
+++ b/rotor/src/calls.cpp
@@ -255,7 +255,7 @@
   Credit& c = credit(out, now, key);
   if (fresh && call.request.parts.size() > 1) c.scaler.begin(home(call));
   call.phase = Phase::held;
-  if (call.reached && !budget_.retry(now, rosterSize(), tuning_.retryAllowance)) {
+  if (call.reached && !budget_.retry(now, call.pool, rosterSize(), tuning_.retryAllowance)) {
     deny(out, now, id, 503, "no retry left for what may have reached a replica before", true, tuning_.comeBack);
     return;
   }
@@ -558,7 +558,7 @@
     deny(out, now, id, 503, "deadline passed", true, tuning_.comeBack);
     return out;
   }
-  if (!call.reached && !call.dispatched) budget_.first(now);
+  if (!call.reached && !call.dispatched) budget_.first(now, call.pool);
   call.phase = Phase::handed;
   call.phaseAt = now;
   call.handedAt = now;
@@ -630,7 +630,7 @@
     deny(out, now, id, 503, "deadline passed", true, tuning_.comeBack);
     return;
   }
-  if (again && (!mayGoOn(now, call) || !budget_.retry(now, rosterSize(), tuning_.retryAllowance))) {
+  if (again && (!mayGoOn(now, call) || !budget_.retry(now, call.pool, rosterSize(), tuning_.retryAllowance))) {
     deny(out, now, id, 503, std::string(why) + "; no retry left", true, tuning_.comeBack);
     return;
   }
@@ -700,7 +700,7 @@
   if (chosen < 0) return out;
   Index const replica = static_cast<Index>(chosen);
   bool const cold = replicas_[replica].state == blueprint::ReplicaState::cold;
-  if ((cold && !warm_.at(replica).bucket.take(now, coldRate(call.pool))) || !budget_.retry(now, rosterSize(), tuning_.retryAllowance)) return out;
+  if ((cold && !warm_.at(replica).bucket.take(now, coldRate(call.pool))) || !budget_.retry(now, call.pool, rosterSize(), tuning_.retryAllowance)) return out;
   count(now, "retried_dispatched");
   out.calls.push_back(Abandon{id});
   uncount(out, now, call);
@@ -736,7 +736,7 @@
   if (row.path.stream || !row.path.host.empty()) {
     bool const fromStart = !streaming && call.resumes == 0;
     bool const again = (end == End::notRun || (end == End::broken && row.path.repeatable)) && mayGoOn(now, call) && standing(now) &&
-                       budget_.retry(now, rosterSize(), tuning_.retryAllowance);
+                       budget_.retry(now, call.pool, rosterSize(), tuning_.retryAllowance);
     if (end == End::notRun) {
       count(now, "replica_not_run");
       cool(call.replica, std::max(replicas_[call.replica].coolUntil, now + tuning_.busyFor));
@@ -771,7 +771,7 @@
     return out;
   }
   bool const mayResume = end == End::broken && call.runKnown && row.path.resumable && call.resumes < tuning_.resumes &&
-                         r.listed && standing(now) && budget_.retry(now, rosterSize(), tuning_.retryAllowance);
+                         r.listed && standing(now) && budget_.retry(now, call.pool, rosterSize(), tuning_.retryAllowance);
   if (mayResume) {
     ++call.resumes;
     call.phase = Phase::handed;
