--- a/programs/nacelle/nacelle.cpp
+++ b/programs/nacelle/nacelle.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include <corkward/blueprint/blueprint.h>
 #include <corkward/core/json.h>
 #include <corkward/core/log.h>
 
@@ -22,7 +23,7 @@
     : settings_(s),
       mapping_(mapping),
       surface_(std::move(surface)),
-      drain_(s.drainLimit),
+      drain_(s.drainLimit, tuning.drainServe),
       plane_(contactOf(s, "nacelle"), s.seeds, freshSeed(), tuning),
       link_(this, s.link, [this](signal::Envelope e) { run(plane_.arrived(now(), e.from, e.message)); }, s.listen),
       relays_(surface_.kept, [] { return now(); }),
@@ -61,7 +62,7 @@
   if (path == "/v1/state" && request.method == "GET") {
     server_.answer(request.id, 200, {{"content-type", "application/json"}}, core::jsonText(plane_.state(now())) + "\n");
   } else if (path.rfind(listPath, 0) == 0 && request.method == "PUT") {
-    run(plane_.platformList(now(), request.id, path.substr(std::string(listPath).size()), request.body));
+    run(plane_.platformList(now(), request.id, blueprint::labelOf(path.substr(std::string(listPath).size())), request.body));
   } else {
     return false;
   }
@@ -225,7 +226,7 @@
 void Nacelle::clockEvent() {
   watchPaused();
   run(plane_.clockEvent(now()));
-  drain_.look(plane_.inHand() + server_.inHand());
+  drain_.look(server_, plane_.inHand());
 }
 
 void Nacelle::drain() {
--- a/rotor/src/calls.cpp
+++ b/rotor/src/calls.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <functional>
+#include <limits>
 
 #include "internal.h"
 
@@ -86,6 +87,7 @@
     note(out, now, "replica-distrusted", {{"replica", replicaNames_.name(call.replica)},
                                           {"rate", std::to_string(r.reliability.rate(now, tuning_.figures))}});
   if (!before && r.reliability.trusted()) note(out, now, "replica-trusted", {{"replica", replicaNames_.name(call.replica)}});
+  if (!before || rests) poolViews_[r.pool].changed = true;
   if (rests || before != r.reliability.trusted()) avoidWorst(now, r.pool);
 }
 
@@ -95,26 +97,57 @@
   return static_cast<double>(took) > tuning_.figures.lateAims * std::max(static_cast<double>(row.path.aim), usual);
 }
 
-void Plane::refreshCandidates(Commands& out, Tick now) {
-  for (Index pool = 0; pool < poolViews_.size(); ++pool) avoidWorst(now, pool);
-  std::vector<CreditKey> keys;
-  for (std::map<CreditKey, Credit>::value_type& c : credits_) {
-    std::vector<governor::Candidate> all;
-    for (Index const r : poolViews_[c.first.first].replicas)
-      if (usable(now, r) && !(replicas_[r].avoided && replicas_[r].reliability.resting(now)))
-        all.push_back(governor::Candidate{r, replicas_[r].state == blueprint::ReplicaState::cold,
-                                          core::stableHash(replicaNames_.name(r))});
-    c.second.scaler.candidates(all);
-    keys.push_back(c.first);
+void Plane::refreshPool(Tick now, Index pool) {
+  PoolView& view = poolViews_[pool];
+  if (!view.changed && now < view.changesAt) return;
+  view.changed = false;
+  view.changesAt = std::numeric_limits<Tick>::max();
+  avoidWorst(now, pool);
+  setApart(view);
+  std::vector<governor::Candidate> all;
+  for (Index const ix : view.replicas) {
+    Replica const& r = replicas_[ix];
+    bool const cold = r.state == blueprint::ReplicaState::cold;
+    std::map<Index, Warm>::const_iterator const w = warm_.find(ix);
+    for (Tick const at : {r.coolUntil, cold && w != warm_.end() ? w->second.until : 0, r.reliability.restUntil()})
+      if (at > now) view.changesAt = std::min(view.changesAt, at);
+    if (usable(now, ix) && !(r.avoided && r.reliability.resting(now))) all.push_back(governor::Candidate{ix, cold, r.hash});
+  }
+  governor::Candidates candidates(std::move(all));
+  if (candidates == view.candidates) return;
+  view.candidates = std::move(candidates);
+  for (std::map<CreditKey, Credit>::iterator c = credits_.lower_bound({pool, 0}); c != credits_.end() && c->first.first == pool; ++c) {
+    c->second.scaler.candidates(view.candidates);
+    if (!c->second.scaler.atRest()) wake(now, c->first);
   }
+}
+
+void Plane::refreshCandidates(Commands& out, Tick now) {
+  for (Index pool = 0; pool < poolViews_.size(); ++pool) refreshPool(now, pool);
+  std::vector<CreditKey> const keys(awake_.begin(), awake_.end());
   for (CreditKey const& k : keys) pump(out, now, k);
 }
 
-Plane::Credit& Plane::credit(Index pool, Index instance) {
-  CreditKey const key{pool, instance};
+void Plane::wake(Tick now, CreditKey const& key) {
+  if (awake_.insert(key).second) credits_.at(key).rate.catchUp(now);
+}
+
+void Plane::cool(Index replica, Tick until) {
+  replicas_[replica].coolUntil = until;
+  poolViews_[replicas_[replica].pool].changed = true;
+}
+
+Plane::Credit& Plane::credit(Commands& out, Tick now, CreditKey const& key) {
   std::map<CreditKey, Credit>::iterator it = credits_.find(key);
-  if (it == credits_.end())
-    it = credits_.emplace(key, Credit{governor::Scaler(seed_ ^ core::stableHash(lookout_.self().link + instances_.name(instance)), tuning_.figures), {}, 0, 0, 0, 0}).first;
+  if (it != credits_.end()) {
+    wake(now, key);
+    return it->second;
+  }
+  refreshCandidates(out, now);
+  governor::Scaler scaler(seed_ ^ core::stableHash(lookout_.self().link + instances_.name(key.second)), tuning_.figures);
+  scaler.candidates(poolViews_[key.first].candidates);
+  it = credits_.emplace(key, Credit{std::move(scaler), {}, 0, {}}).first;
+  awake_.insert(key);
   return it->second;
 }
 
@@ -206,7 +239,7 @@
   std::size_t ahead = 0;
   for (std::size_t l = 0; l <= lane(cls); ++l) ahead += c.held[l].size();
   if (ahead == 0) return 0;
-  double const rate = std::max(c.perSecond, 0.2);
+  double const rate = std::max(c.rate.perSecond(), 0.2);
   return static_cast<Tick>(1000.0 * static_cast<double>(ahead) / rate);
 }
 
@@ -218,23 +251,14 @@
   Call& call = calls_.at(id);
   Row const& row = rows_[call.path];
   CreditKey const key{call.pool, row.instance};
-  bool const fresh = credits_.count(key) == 0;
-  Credit& c = credit(call.pool, row.instance);
-  if (fresh) refreshCandidates(out, now);
-  if (call.request.parts.size() > 1 && c.scaler.mayGrow()) {
-    Index const wanted = home(call);
-    std::vector<governor::Candidate> const& part = c.scaler.part();
-    if (fresh)
-      c.scaler.begin(wanted);
-    else if (std::none_of(part.begin(), part.end(), [&](governor::Candidate const& p) { return p.replica == wanted; }))
-      look(out, now, key, wanted);
-  }
+  Credit& c = credit(out, now, key);
   call.phase = Phase::held;
   if (call.reached && !budget_.retry(now, rosterSize(), tuning_.retryAllowance)) {
     deny(out, now, id, 503, "no retry left for what may have reached a replica before", true, tuning_.comeBack);
     return;
   }
   std::size_t const ahead = c.heldCount();
+  if (call.request.parts.size() > 1 && !c.scaler.has(home(call))) look(out, now, key, id);
   if (ahead == 0 && tryConnect(out, now, id)) {
     look(out, now, key);
     return;
@@ -253,12 +277,18 @@
   pump(out, now, key);
 }
 
-void Plane::look(Commands& out, Tick now, CreditKey key, Index wanted) {
+void Plane::look(Commands& out, Tick now, CreditKey key, CallId unplaced) {
   Credit& c = credits_.at(key);
   std::size_t held = 0;
-  for (std::deque<CallId> const& lane : c.held)
+  std::int64_t wanted = -1;
+  if (unplaced != 0) {
+    Call const& call = calls_.at(unplaced);
+    held = call.echo ? 0 : 1;
+    wanted = home(call);
+  }
+  for (std::list<CallId> const& lane : c.held)
     for (CallId const id : lane) held += calls_.at(id).echo ? 0 : 1;
-  int const step = c.scaler.look(now, held, wanted == core::Names::none ? -1 : static_cast<std::int64_t>(wanted));
+  int const step = c.scaler.look(now, held, wanted);
   if (step == 0) return;
   note(out, now, step > 0 ? "widened" : "gave-back",
        {{"instance", instances_.name(key.second)}, {"pool", pools_.name(key.first)}, {"part", std::to_string(c.scaler.part().size())}});
@@ -287,9 +317,10 @@
   if (!c.scaler.makeRoom(bulk)) return false;
   double const poolCap = tuning_.nodeLimitPerReplica * static_cast<double>(std::max<std::size_t>(poolViews_[key.first].replicas.size(), 1));
   std::vector<std::pair<CreditKey, int>> active;
-  for (std::map<CreditKey, Credit>::value_type const& o : credits_)
-    if (o.first.first == key.first && (o.first == key || o.second.scaler.inFlight() > 0 || o.second.heldCount() > 0))
-      active.emplace_back(o.first, o.second.scaler.inFlight());
+  for (std::set<CreditKey>::const_iterator k = awake_.lower_bound({key.first, 0}); k != awake_.end() && k->first == key.first; ++k) {
+    Credit const& o = credits_.at(*k);
+    if (*k == key || o.scaler.inFlight() > 0 || o.heldCount() > 0) active.emplace_back(*k, o.scaler.inFlight());
+  }
   double const floor = std::max(1.0, poolCap / (2.0 * static_cast<double>(active.size())));
   if (c.scaler.inFlight() < floor) return true;
   double taken = 0;
@@ -325,13 +356,36 @@
   out.calls.push_back(Connect{id, addressOf(replica), row.path.path, false, !row.path.repeatable});
 }
 
+bool Plane::mayBeHome(Index replica) const {
+  Replica const& r = replicas_[replica];
+  return r.listed && !r.away && r.state == blueprint::ReplicaState::serving && !evacuated(r.zone);
+}
+
+void Plane::setApart(PoolView const& view) {
+  std::vector<std::pair<std::uint64_t, Index>> order;
+  for (Index const r : view.replicas) {
+    replicas_[r].apart = false;
+    if (mayBeHome(r)) order.emplace_back(core::Rng(replicas_[r].hash).next(), r);
+  }
+  std::sort(order.begin(), order.end());
+  order.resize(static_cast<std::size_t>(tuning_.figures.apart * static_cast<double>(order.size())));
+  for (std::pair<std::uint64_t, Index> const& o : order) replicas_[o.second].apart = true;
+}
+
+bool Plane::readsApart(Call const& call) const {
+  if (static_cast<double>(call.request.parts.back().tokens) <= tuning_.figures.withinAim * static_cast<double>(rows_[call.path].path.aim)) return false;
+  std::vector<Index> const& all = poolViews_[call.pool].replicas;
+  return std::any_of(all.begin(), all.end(), [&](Index const r) { return replicas_[r].apart && mayBeHome(r); });
+}
+
 Index Plane::home(Call const& call) const {
+  bool const apart = readsApart(call);
   std::uint64_t const shared = call.request.parts[call.request.parts.size() - 2].hash;
   Index best = core::Names::none;
   std::uint64_t bestOrder = 0;
   for (Index const r : poolViews_[call.pool].replicas) {
     Replica const& replica = replicas_[r];
-    if (!replica.listed || replica.away || replica.state != blueprint::ReplicaState::serving || evacuated(replica.zone)) continue;
+    if (!mayBeHome(r) || replica.apart != apart) continue;
     std::uint64_t const order = core::Rng(shared ^ replica.hash).next();
     if (best != core::Names::none && order >= bestOrder) continue;
     best = r;
@@ -371,6 +425,7 @@
     return governor::pick(scaler, choices, call.prefix == 0 ? seed_ ^ call.request.call : call.prefix, last);
   }
   Index const at = home(call);
+  bool const apart = at != core::Names::none && replicas_[at].apart;
   std::unordered_map<Index, double> heldUp;
   for (std::unordered_map<CallId, Call>::value_type const& c : calls_) {
     Call const& other = c.second;
@@ -386,7 +441,8 @@
   for (governor::Candidate const& c : choices) {
     double const cost = scaler.inFlightAt(c.replica) * tuning_.figures.inFlightTokens + heldUp[c.replica] +
                         tuning_.figures.unreadWeight * static_cast<double>(unread(call, c.replica, at)) +
-                        static_cast<double>(replicas_[c.replica].reading);
+                        static_cast<double>(replicas_[c.replica].reading) +
+                        (replicas_[c.replica].apart != apart ? tuning_.figures.wrongKind : 0.0);
     std::uint64_t const order = core::Rng(call.request.parts[call.request.parts.size() - 2].hash ^ replicas_[c.replica].hash).next();
     if (best >= 0 && (cost > bestCost || (cost == bestCost && order >= bestOrder))) continue;
     best = static_cast<std::int64_t>(c.replica);
@@ -423,7 +479,7 @@
   if (call.phase != Phase::held) return;
   std::map<CreditKey, Credit>::iterator const it = credits_.find({call.pool, rows_[call.path].instance});
   if (it == credits_.end()) return;
-  for (std::deque<CallId>& lane : it->second.held) lane.erase(std::remove(lane.begin(), lane.end(), id), lane.end());
+  for (std::list<CallId>& lane : it->second.held) lane.remove(id);
 }
 
 void Plane::uncount(Commands& out, Tick now, Call& call) {
@@ -435,7 +491,7 @@
   Credit& c = credits_.at(key);
   c.scaler.ended(call.replica, row.path.cls == blueprint::Class::bulk);
   --replicas_[call.replica].inFlight;
-  ++c.endedSince;
+  c.rate.ended();
   look(out, now, key);
   pump(out, now, key);
 }
@@ -591,11 +647,11 @@
   it->second.judged = now >= it->second.until;
   judge(out, now, it->second, true);
   if (resuming) {
-    replicas_[it->second.replica].coolUntil = now + tuning_.coolFor;
+    cool(it->second.replica, now + tuning_.coolFor);
     if (!rows_[it->second.path].path.stream || !resumeElsewhere(out, now, id)) breakOff(out, now, id);
     return out;
   }
-  replicas_[it->second.replica].coolUntil = now + tuning_.coolFor;
+  cool(it->second.replica, now + tuning_.coolFor);
   note(out, now, "replica-cooled", {{"replica", replicaNames_.name(it->second.replica)}, {"why", "connect denied"}});
   retry(out, now, id, "replica refused the connection");
   refreshCandidates(out, now);
@@ -681,7 +737,7 @@
                        budget_.retry(now, rosterSize(), tuning_.retryAllowance);
     if (end == End::notRun) {
       count(now, "replica_not_run");
-      replicas_[call.replica].coolUntil = std::max(replicas_[call.replica].coolUntil, now + tuning_.busyFor);
+      cool(call.replica, std::max(replicas_[call.replica].coolUntil, now + tuning_.busyFor));
     }
     refreshCandidates(out, now);
     if (again && !fromStart) {
@@ -707,7 +763,7 @@
   if (end == End::notRun && !streaming && call.resumes == 0) {
     if (!call.request.id.empty()) seen_[call.request.instance + "|" + call.request.id].mayHaveRun = false;
     count(now, "replica_not_run");
-    replicas_[call.replica].coolUntil = std::max(replicas_[call.replica].coolUntil, now + tuning_.busyFor);
+    cool(call.replica, std::max(replicas_[call.replica].coolUntil, now + tuning_.busyFor));
     call.phase = Phase::connecting;
     retry(out, now, id, "replica said not run");
     return out;
--- a/signal/include/corkward/signal/message.h
+++ b/signal/include/corkward/signal/message.h
@@ -78,11 +78,16 @@
   void each(F& f) { f("l", link); f("h", http); f("r", role); f("z", zone); f("i", inc); f("a", age); f("d", draining); }
 };
 
+/// Contacts of others and of the sender itself.
 struct Shuffle {
   std::vector<Contact> contacts;
   bool reply = false;
+  /// Stamp of the roster that the sender goes by, 0 for none, and contacts that differ from what this roster says of
+  /// them by incarnation and age alone: place on the roster by link, incarnation, age, and so on.
+  std::uint64_t roster = 0;
+  std::vector<std::uint64_t> known;
   template <class F>
-  void each(F& f) { f("c", contacts); f("r", reply); }
+  void each(F& f) { f("c", contacts); f("r", reply); f("t", roster); f("k", known); }
 };
 
 /// Asks a member to promise an epoch of a key.
@@ -171,6 +176,13 @@
   }
 };
 
+/// Word of a machine that serves operators without a disk, to a disk that has not joined yet: it founds nothing and is never
+/// a member.
+struct NoDisk {
+  template <class F>
+  void each(F&) {}
+};
+
 struct BeatEcho {
   core::Tick tick = 0;
   std::string member;
@@ -427,7 +439,7 @@
 
 using Message = std::variant<Shuffle, Prepare, Promise, Accept, Accepted, Commit, Handover, Beat, BeatEcho, Fetch,
                              Copy, Call, Outcome, News, NewsAck, Holding, Ask, Confirm, Hint, Touch, SeenAsk, SeenEcho, SeenLeft,
-                             WarmAsk, WarmGrant>;
+                             WarmAsk, WarmGrant, NoDisk>;
 
 /// Command: send a message to the process that listens at the link address.
 struct Send {
--- a/substation/src/plane.cpp
+++ b/substation/src/plane.cpp
@@ -193,7 +193,7 @@
     state.key = key;
     state.call.token = id;
     state.call.method = "PUT";
-    state.call.path = "/v1/platform/pools/" + p.first;
+    state.call.path = "/v1/platform/pools/" + blueprint::addressPart(p.first);
     state.call.body = core::jsonText(blueprint::poolJson(p.second));
     state.since = now;
     calls_[id] = state;
@@ -296,6 +296,7 @@
   if (c.key == rosterKey) {
     rosterCommittedAt_ = now;
     foldRoster(c.value);
+    lookout_.setRoster(c.stamp, lookout::rosterContacts(c.value));
   }
   if (c.key == blueprint::wholeKey) {
     wholePools_.clear();
