Name all fields of the shuffles that a guide sends

A guide says no roster and no places, so both are named as none; nothing else changes. Ruled out: a default in the warning's flags, which would hide the next such case.

--- a/substation/src/guide.cpp
+++ b/substation/src/guide.cpp
@@ -19,9 +19,9 @@
   std::map<std::string, Tick>::iterator const known = substations_.find(from);
   if (known != substations_.end()) known->second = now;
   if (signal::Shuffle const* const shuffle = std::get_if<signal::Shuffle>(&message); shuffle != nullptr) {
-    lookout_.arrived(now, from, signal::Shuffle{shuffle->contacts, false});
+    lookout_.arrived(now, from, signal::Shuffle{shuffle->contacts, false, 0, {}});
     if (!shuffle->reply) return {};
-    return {signal::Send{from, signal::Shuffle{lookout_.ofRole(substationRole, now), false}}};
+    return {signal::Send{from, signal::Shuffle{lookout_.ofRole(substationRole, now), false, 0, {}}}};
   }
   signal::Beat const* const beat = std::get_if<signal::Beat>(&message);
   if (beat == nullptr || !beat->empty) return {};
@@ -36,7 +36,7 @@
   for (std::map<std::string, Tick>::value_type const& s : substations_) to.insert(s.first);
   to.erase(lookout_.self().link);
   std::vector<signal::Send> out;
-  for (std::string const& link : to) out.push_back(signal::Send{link, signal::Shuffle{{}, true}});
+  for (std::string const& link : to) out.push_back(signal::Send{link, signal::Shuffle{{}, true, 0, {}}});
   return out;
 }
 
