--- a/rotor/test/rotor_test.cpp
+++ b/rotor/test/rotor_test.cpp
@@ -598,7 +598,7 @@
   CHECK(rig.plane.parts("model").front().first == part);
 }
 
-TEST_CASE("the first prompts of a young part go to the replicas that keep their parts, on every node alike") {
+TEST_CASE("the part begins with and widens by the replica that keeps an arriving prompt's parts") {
   rotor::Tuning tuning;
   tuning.figures.width = 0.005;
   tuning.figures.firstLimit = 1;
