Let links go after twenty seconds without use

Cause: shuffles go to ever other contacts, and each link was kept for two minutes, so the links of a process grew with the fleet up to some 160 a node.

Now a link that is neither sent on nor heard from for twenty seconds is closed. yard-capacity has a part `links` that counts, as signal::Link does, what a process holds and dials.

Ruled out, measured in virtual time: shuffling three, five or ten times with one contact before another is drawn.

Test: a node's links stop growing with the fleet, seen failing with two minutes.

--- a/signal/include/corkward/signal/link.h
+++ b/signal/include/corkward/signal/link.h
@@ -38,6 +38,9 @@
   std::size_t held() const { return out_.size(); }
   /// Closes and frees the ways to addresses that were neither sent to nor heard from for so long.
   void sweep(std::chrono::milliseconds idle);
+  /// How long a way that is neither sent on nor heard from is kept. Shuffles go to ever other contacts, so what a process
+  /// holds grows with this and, once the fleet is larger than what is met within it, no more with the fleet.
+  static constexpr std::chrono::seconds idleAfter{20};
 
  private:
   using Clock = std::chrono::steady_clock;
--- a/signal/include/corkward/signal/message.h
+++ b/signal/include/corkward/signal/message.h
@@ -85,7 +85,7 @@
   /// Stamp of the roster that the sender goes by, 0 for none, and contacts that differ from what this roster says of
   /// them by incarnation and age alone: place on the roster by link, incarnation, age, and so on.
   std::uint64_t roster = 0;
-  std::vector<std::uint64_t> known;
+  std::vector<std::uint64_t> known = {};
   template <class F>
   void each(F& f) { f("c", contacts); f("r", reply); f("t", roster); f("k", known); }
 };
--- a/signal/src/link.cpp
+++ b/signal/src/link.cpp
@@ -15,8 +15,7 @@
 constexpr int queued = 256;
 constexpr std::chrono::milliseconds redialAfter{300};
 constexpr std::chrono::milliseconds redialMost{4800};
-constexpr std::chrono::minutes idleAfter{2};
-constexpr std::chrono::seconds sweepEvery{10};
+constexpr std::chrono::seconds sweepEvery{5};
 
 void check(int rv, char const* what) {
   if (rv != 0) throw Error(std::string(what) + ": " + nng_strerror(rv));
--- a/yard/capacity/fleet.cpp
+++ b/yard/capacity/fleet.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 
 #include <corkward/core/json.h>
+#include <corkward/signal/link.h>
 
 namespace corkward::yard::capacity {
 
@@ -15,6 +16,7 @@
 constexpr Tick within = 1;
 constexpr Tick syncMs = 2;
 constexpr Tick answerLimit = 60000;
+constexpr Tick idleAfter = std::chrono::milliseconds(signal::Link::idleAfter).count();
 
 std::string address(int net, std::size_t ix, int port) {
   return "10." + std::to_string(net) + "." + std::to_string(ix / 250) + "." + std::to_string(ix % 250 + 1) + ":" + std::to_string(port);
@@ -44,6 +46,7 @@
     byLink_[p.link] = processes_.size();
     processes_.push_back(std::move(p));
     dark_.push_back(false);
+    ways_.emplace_back();
   }
 }
 
@@ -266,6 +269,8 @@
 
 void Fleet::deliver(Event& event) {
   Process& p = processes_[event.to];
+  std::unordered_map<std::size_t, Tick>::iterator const way = ways_[event.to].find(event.from);
+  if (way != ways_[event.to].end() && now_ - way->second < idleAfter) way->second = now_;
   std::string const from = processes_[event.from].link;
   signal::Envelope envelope;
   double start = 0;
@@ -338,6 +343,15 @@
   for (signal::Send const& s : commands.sends) send(ix, s);
 }
 
+std::size_t Fleet::waysHeld(bool control) const {
+  std::size_t out = 0;
+  for (std::size_t i = 0; i < processes_.size(); ++i) {
+    if (!processes_[i].alive || (processes_[i].disk != nullptr) != control) continue;
+    for (std::unordered_map<std::size_t, Tick>::value_type const& w : ways_[i]) out += now_ - w.second < idleAfter ? 1 : 0;
+  }
+  return out;
+}
+
 Tick Fleet::delay(Process const& a, Process const& b) const { return a.region == b.region ? within : within + sizes_.apart; }
 
 void Fleet::send(std::size_t from, signal::Send const& send) {
@@ -354,6 +368,9 @@
   }
   std::unordered_map<std::string, std::size_t>::const_iterator const it = byLink_.find(send.to);
   if (it == byLink_.end()) return;
+  std::pair<std::unordered_map<std::size_t, Tick>::iterator, bool> const way = ways_[from].try_emplace(it->second, now_);
+  if (way.second || now_ - way.first->second >= idleAfter) ++dialled_[p.disk ? 1 : 0];
+  way.first->second = now_;
   Process const& to = processes_[it->second];
   if (!to.alive || (regionsCut_ && to.region != p.region)) return;
   if (!counting_) e.message = std::make_shared<signal::Message const>(send.message);
--- a/yard/capacity/fleet.h
+++ b/yard/capacity/fleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -95,6 +96,9 @@
   Tick counted() const { return now_ - countFrom_; }
   /// Bytes and records that went to the disks since the count began.
   std::uint64_t diskBytes() const { return diskBytes_; }
+  /// Ways that the processes of a role hold as signal::Link does, all together, and how often one was dialled so far.
+  std::size_t waysHeld(bool control) const;
+  std::uint64_t dialled(bool control) const { return dialled_[control ? 1 : 0]; }
   /// What the simulated disks hold, which a real process would not hold in memory.
   std::uint64_t disksHold() const;
   /// Lets go of what is under way.
@@ -145,6 +149,9 @@
   double controlClockUs_ = 0;
   double nodeClockUs_ = 0;
   std::uint64_t diskBytes_ = 0;
+  /// When each process last sent to another or heard from it, for the ways that it dialled.
+  std::vector<std::unordered_map<std::size_t, Tick>> ways_;
+  std::array<std::uint64_t, 2> dialled_{};
 };
 
 }  // namespace corkward::yard::capacity
--- a/yard/capacity/parts.cpp
+++ b/yard/capacity/parts.cpp
@@ -6,6 +6,7 @@
 
 #include <corkward/core/json.h>
 #include <corkward/rotor/stream.h>
+#include <corkward/signal/link.h>
 
 #include "fleet.h"
 
@@ -118,6 +119,29 @@
   return out;
 }
 
+/// Ways between processes: how many each holds, and how many it dials.
+Rows links(Sizes const& sizes) {
+  Fleet fleet(sizes);
+  bring(fleet);
+  fleet.run(2 * std::chrono::milliseconds(signal::Link::idleAfter).count());
+  std::array<std::uint64_t, 2> const before{fleet.dialled(false), fleet.dialled(true)};
+  Tick const from = fleet.now();
+  std::array<double, 2> held{};
+  for (std::int64_t s = 0; s < sizes.seconds; ++s) {
+    fleet.run(1000);
+    for (bool const control : {false, true}) held[control ? 1 : 0] += static_cast<double>(fleet.waysHeld(control)) / static_cast<double>(sizes.seconds);
+  }
+  Rows out;
+  for (bool const control : {false, true}) {
+    char const* const role = control ? "substation" : "nacelle";
+    double const n = static_cast<double>(fleet.alive(control));
+    out.push_back({"links.held", role, "links", counted, held[control ? 1 : 0] / n});
+    out.push_back({"links.dialled", role, "links/s", counted,
+                   perSecond(static_cast<double>(fleet.dialled(control) - before[control ? 1 : 0]), fleet.now() - from, fleet.alive(control))});
+  }
+  return out;
+}
+
 /// Single changes of a tenant, one after the other: how long until each is in force, and what it costs.
 Rows change(Sizes const& sizes) {
   if (sizes.tenants == 0) failed("tenants: there is no tenant to change");
@@ -489,6 +513,7 @@
 
 PartRow const partTable[] = {
     {"rest", rest, "messages, bytes, processor time and memory of a fleet at rest, with its changes"},
+    {"links", links, "links that a process holds and dials"},
     {"change", change, "time until a change is in force, its bytes and processor time"},
     {"outage", outage, "time to found, to restart one node, to copy a member, to recover after an outage of all"},
     {"split", split, "regions lose each other"},
--- a/yard/test/capacity_test.cpp
+++ b/yard/test/capacity_test.cpp
@@ -98,7 +98,7 @@
 }
 
 TEST_CASE("the same seed gives the same counts, and another one others") {
-  for (char const* const part : {"rest", "change", "outage", "split", "zone"}) {
+  for (char const* const part : {"rest", "links", "change", "outage", "split", "zone"}) {
     capacity::Sizes sizes = small();
     std::string const once = followsFromTheSeed(capacity::findPart(part)->run(sizes));
     CHECK(once == followsFromTheSeed(capacity::findPart(part)->run(sizes)));
@@ -141,6 +141,21 @@
   CHECK(valueOf(rows, "sent.news", "substation", "bytes/s") > 0);
 }
 
+TEST_CASE("the links that a node holds stop growing with the fleet") {
+  capacity::Sizes sizes = small();
+  sizes.regions = 1;
+  sizes.seconds = 30;
+  std::map<std::int64_t, double> held;
+  for (std::int64_t const nodes : {16, 64, 128}) {
+    sizes.nodes = nodes;
+    held[nodes] = valueOf(capacity::findPart("links")->run(sizes), "links.held", "nacelle", "links");
+  }
+  CAPTURE(held[16], held[64], held[128]);
+  CHECK(held[16] < 18);
+  CHECK(held[64] < 64);
+  CHECK(held[128] < 1.2 * held[64]);
+}
+
 TEST_CASE("every change that is answered is in force at every node") {
   capacity::Rows const rows = capacity::findPart("change")->run(small());
   CHECK(valueOf(rows, "answered", "operator", "share") == 1);
