Ask neighbours for ages after two questions without an answer that counts

Cause: a node asked six neighbours for ages once its newest confirmation was older than 450 ms, one and a half times the 300 ms between questions. An answer's age counts from the question and holds the control machine's own last contact with a majority, up to a beat of 150 ms and a way between regions, so with an unlucky phase it is past 450 ms shortly before each next answer. A node keeps its phase, since two beats are one question's time.

Now the bound is 600 ms, twice the time between questions. Three hops of 200 ms after it end 1.2 s after the last confirmation, under its 1.5 s, so nodes still stand on their neighbours before control's word runs out; the fence and its proof do not go by this bound.

Hosted nodes are not fenced and do not go by this.

--- a/rotor/src/news.cpp
+++ b/rotor/src/news.cpp
@@ -193,7 +193,7 @@
 }
 
 void Plane::touchNeighbours(Commands& out, Tick now) {
-  bool const lacking = tuning_.fenced ? !confirmedWithin(now, tuning_.askEvery + tuning_.askEvery / 2) : !whole_;
+  bool const lacking = tuning_.fenced ? !confirmedWithin(now, 2 * tuning_.askEvery) : !whole_;
   Tick const every = lacking ? tuning_.touchEvery : tuning_.touchAtRest;
   if (now - touchedAt_ < every) return;
   touchedAt_ = now;
--- a/rotor/test/rotor_test.cpp
+++ b/rotor/test/rotor_test.cpp
@@ -908,3 +908,35 @@
   CHECK(twins.scalers.size() == 3);
   CHECK(allAsleep > 200);
 }
+
+TEST_CASE("answers as old as a beat and a far way make no node ask its neighbours for ages, silence soon does") {
+  Rig rig;
+  std::vector<std::pair<core::Tick, signal::Confirm>> under;
+  std::size_t wanted = 0;
+  core::Tick firstWanted = -1;
+  core::Tick const silentFrom = rig.now + 20000;
+  for (core::Tick const until = silentFrom + 2000; rig.now < until; rig.now += 20) {
+    std::erase_if(under, [&](std::pair<core::Tick, signal::Confirm> const& u) {
+      if (u.first > rig.now) return false;
+      rig.plane.arrived(rig.now, "s1", u.second);
+      return true;
+    });
+    for (signal::Send const& s : rig.plane.clockEvent(rig.now).sends) {
+      if (signal::Ask const* const ask = std::get_if<signal::Ask>(&s.message); ask != nullptr && rig.now < silentFrom) {
+        signal::Confirm c;
+        c.tick = ask->tick;
+        c.inTouch = true;
+        c.age = 190;
+        c.digest = ask->digest;
+        under.emplace_back(rig.now + 40, c);
+      }
+      signal::Touch const* const touch = std::get_if<signal::Touch>(&s.message);
+      if (touch == nullptr || !touch->wantAges) continue;
+      wanted += rig.now < silentFrom ? 1 : 0;
+      if (rig.now >= silentFrom && firstWanted < 0) firstWanted = rig.now;
+    }
+  }
+  CHECK(wanted == 0);
+  REQUIRE(firstWanted >= 0);
+  CHECK(firstWanted - silentFrom <= 700);
+}
