Give the door's tests ten seconds of patience instead of 200,000 turns of the loop

Cause: the timed form of processEvents drops WaitForMoreEvents, so until() spun: 200,000 turns took 97 to 99 ms on an idle core, and the test of random and damaged requests waits for limits of 100 ms. It failed in every run of an idle machine and passed on a busy one. Now each turn waits for an event or 10 ms, and a condition has ten seconds. What is checked is as before.

--- a/door/test/turn.h
+++ b/door/test/turn.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <QCoreApplication>
+#include <QDeadlineTimer>
 #include <QEventLoop>
+#include <QTimer>
 
 namespace corkward::door::test {
 
@@ -13,11 +15,16 @@
 /// Turns the event loop until the condition holds; false when it never does.
 template <class Condition>
 bool until(Condition condition) {
-  for (int turns = 0; turns < 200000; ++turns) {
-    if (condition()) return true;
-    QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents | QEventLoop::AllEvents, 50);
+  constexpr int patienceMs = 10000;
+  constexpr int turnMs = 10;
+  QDeadlineTimer const patience(patienceMs);
+  QTimer turn;
+  turn.start(turnMs);
+  while (!condition()) {
+    if (patience.hasExpired()) return false;
+    QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents | QEventLoop::AllEvents);
   }
-  return false;
+  return true;
 }
 
 }  // namespace corkward::door::test
