Declare regimes and certificates, and check them as one with the templates

- blueprint/regimes.h: key "certificates" with value {"spec": {"regimes", "certificates"}}; readRegimes, keptRegimes; certifies(regimes, regime, pool, replica, wall) and nacelleMay(regimes, regime, link, zone, wall) answer who may serve now, null or false in doubt; Regime::reserve is the share of a certified replica's room that work without a regime leaves free.
- blueprint::Path::regime of each tenant's path; template paths may say "events" (a row of events: Path::stream, and repeatable when resumable).
- substation: /v1/certificates (GET, PUT, PATCH under its stamp), DELETE /v1/certificates/{name} revokes one, always; families that name a regime nobody could serve are denied, so are certificates that would leave a tenant unserved.
News, stamps and being in force as for every key.
- rotor, for the data plane to fill: the command Record stands before the HandOver it belongs to; HandOver::regime asks the program to prove the replica's life on the connection first (GET /corkward/life) and to end the call as End::notRun when the record or the proof could not be had; Tuning::records and Plane::recording say whether records can be kept; Plane::wallTime and wallAt carry the wall time, which never goes back.

No command with a regime is emitted yet, and a nacelle does not look at the key.

--- a/blueprint/include/corkward/blueprint/blueprint.h
+++ b/blueprint/include/corkward/blueprint/blueprint.h
@@ -71,6 +71,8 @@
   int tries = 2;
   /// Rank at the replica, 0 first, 9 last.
   int urgency = 5;
+  /// Regime whose certificates bind each request; empty: none.
+  std::string regime;
 };
 
 /// What the whole blueprint says of a pool.
@@ -125,11 +127,13 @@
 
 /// Tells whether a pool is known.
 using PoolKnown = std::function<bool(std::string const&)>;
+/// Why a regime's requests could not be served in a pool; empty: they can.
+using RegimeFaultOf = std::function<std::string(std::string const& regime, std::string const& pool)>;
 
 /// Checks a family (a template and all its instances) as one value; throws Error at the first fault.
 /// Every kept value may carry "changes", the ids of the last accepted changes.
 /// Family: {"template": {"spec", "stamp"}, "instances": {name: {"spec", "stamp"}}, "changes": [...]}.
-void checkFamily(QJsonObject const& family, PoolKnown const& known);
+void checkFamily(QJsonObject const& family, PoolKnown const& known, RegimeFaultOf const& regimeFault);
 
 /// Paths of all instances of a family. The family must be a checked one.
 std::vector<Path> render(std::string const& templateName, QJsonObject const& family);
--- /dev/null
+++ b/blueprint/include/corkward/blueprint/regimes.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <QJsonObject>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <corkward/blueprint/blueprint.h>
+
+namespace corkward::blueprint {
+
+/// Milliseconds of wall time since 1970, UTC; nothing: not known, and then nothing is certified.
+using Wall = std::optional<std::int64_t>;
+
+/// What the carriers of a certificate are.
+enum class Carrier { replicas, nacelles };
+
+/// A certificate for one regime. Of replicas: for each life that the platform lists in that zone of that pool, or for one
+/// life alone. Of nacelles: for each in that zone, or for the one with that link in that zone. An address alone carries none.
+struct Certificate {
+  std::string name;
+  std::string regime;
+  Carrier carrier = Carrier::replicas;
+  std::string zone;
+  std::string pool;
+  /// Address and life go together; both empty: each life in that zone of the pool.
+  std::string address;
+  std::string life;
+  /// Empty: each nacelle in the zone.
+  std::string link;
+  std::int64_t from = 0;
+  std::int64_t until = 0;
+};
+
+/// What a regime demands.
+struct Regime {
+  /// Only certified nacelles hand its requests on.
+  bool certifiedNacelles = true;
+  /// Share of a certified replica's room that work of no regime leaves free; 1: it never goes there.
+  double reserve = 0.5;
+};
+
+/// Regimes and certificates: one value under one key.
+struct Regimes {
+  std::map<std::string, Regime> regimes;
+  std::map<std::string, Certificate> certificates;
+};
+
+/// Key of regimes and certificates.
+inline constexpr char const* regimesKey = "certificates";
+/// A certificate counts from this long after its beginning until this long before its end, so that clocks may differ by it.
+inline constexpr std::int64_t wallMargin = 60000;
+inline constexpr std::size_t maxRegimes = 64;
+inline constexpr std::size_t maxCertificates = 4096;
+
+/// Reads and checks {"regimes": {...}, "certificates": {...}}; throws Error.
+Regimes readRegimes(QJsonObject const& spec);
+/// The same from a value as it is kept; none when there is no such value.
+Regimes keptRegimes(QJsonObject const& value);
+
+/// Whether it counts at that moment.
+bool counts(Certificate const& certificate, Wall now);
+/// The certificate under which this replica may have requests of the regime now; null: none, or in doubt. A replica whose
+/// life is not told has none.
+Certificate const* certifies(Regimes const& regimes, std::string const& regime, std::string const& pool, Replica const& replica, Wall now);
+/// Whether this nacelle may hand requests of the regime on now.
+bool nacelleMay(Regimes const& regimes, std::string const& regime, std::string const& link, std::string const& zone, Wall now);
+
+/// Why no request of the regime could be served in the pool, as a JSON pointer into the regimes and a reason; nothing:
+/// it can. Without a time only what has no certificate at all is a fault.
+struct RegimeFault {
+  std::string pointer;
+  std::string reason;
+};
+std::optional<RegimeFault> faultOf(Regimes const& regimes, std::string const& regime, std::string const& pool, Wall now);
+
+/// A tenant's path that wants a regime.
+struct RegimeUse {
+  std::string instance;
+  std::string regime;
+  std::string pool;
+};
+/// What the paths want of regimes, each once.
+std::vector<RegimeUse> regimeUses(std::vector<Path> const& paths);
+
+}  // namespace corkward::blueprint
--- a/blueprint/src/blueprint.cpp
+++ b/blueprint/src/blueprint.cpp
@@ -101,8 +101,22 @@
   return v.toInteger();
 }
 
-std::vector<Path> renderInstance(std::string const& instance, QJsonObject const& spec, QJsonObject const& given,
+/// Where an instance's regime stands: an instance may put another in place of its template's, but never none.
+std::string regimePlace(QJsonObject const& one, std::string const& at) {
+  return one.contains("regime") ? at + "/regime" : "/template/regime";
+}
+
+std::string regimeOf(QJsonObject const& spec, QJsonObject const& one, QJsonObject const& parameters, std::string const& at) {
+  if (!one.contains("regime") && !spec.contains("regime")) return "";
+  std::string const place = regimePlace(one, at);
+  QJsonValue const v = one.contains("regime") ? one.value("regime") : fill(spec.value("regime"), parameters, place);
+  if (!v.isString() || !validName(str(v.toString()))) throw Error(place, "not a valid name");
+  return str(v.toString());
+}
+
+std::vector<Path> renderInstance(std::string const& instance, QJsonObject const& spec, QJsonObject const& one,
                                  std::string const& at) {
+  QJsonObject const given = one.value("parameters").toObject();
   QJsonObject const declared = spec.value("parameters").toObject();
   QJsonObject parameters;
   for (QString const& name : declared.keys()) {
@@ -114,6 +128,7 @@
   }
   for (QString const& name : given.keys())
     if (!declared.contains(name)) throw Error(at + "/parameters/" + str(name), "the template has no such parameter");
+  std::string const regime = regimeOf(spec, one, parameters, at);
   std::vector<Path> out;
   std::set<std::string> seen;
   QJsonArray const rows = spec.value("paths").toArray();
@@ -138,13 +153,19 @@
     QJsonValue const resumable = fill(row.value("resumable"), parameters, place + "/resumable");
     if (!resumable.isUndefined() && !resumable.isBool()) throw Error(place + "/resumable", "must be true or false");
     p.resumable = resumable.toBool();
+    QJsonValue const events = fill(row.value("events"), parameters, place + "/events");
+    if (!events.isUndefined() && !events.isBool()) throw Error(place + "/events", "must be true or false");
+    p.stream = events.toBool();
+    p.repeatable = p.stream && p.resumable;
+    p.regime = regime;
     out.push_back(std::move(p));
   }
   return out;
 }
 
 void checkTemplate(QJsonObject const& spec) {
-  onlyFields(spec, {"parameters", "paths", "note"}, "/template");
+  onlyFields(spec, {"parameters", "paths", "regime", "note"}, "/template");
+  if (spec.contains("regime") && !spec.value("regime").isString()) throw Error("/template/regime", "must be a text");
   if (spec.contains("note") && !spec.value("note").isString()) throw Error("/template/note", "must be a text");
   QJsonObject const declared = objectAt(spec, "parameters", "/template", false);
   if (declared.size() > 64) throw Error("/template/parameters", "more than 64");
@@ -164,7 +185,7 @@
     std::string const at = "/template/paths/" + std::to_string(i);
     if (!rows.at(i).isObject()) throw Error(at, "must be an object");
     QJsonObject const row = rows.at(i).toObject();
-    onlyFields(row, {"path", "pool", "class", "aimMs", "deadlineMs", "resumable"}, at);
+    onlyFields(row, {"path", "pool", "class", "aimMs", "deadlineMs", "resumable", "events"}, at);
     for (char const* needed : {"path", "pool", "class"})
       if (!row.value(QLatin1String(needed)).isString()) throw Error(at + "/" + needed, "must be a text");
   }
@@ -178,7 +199,7 @@
                      [](char c) { return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-'; });
 }
 
-void checkFamily(QJsonObject const& family, PoolKnown const& known) {
+void checkFamily(QJsonObject const& family, PoolKnown const& known, RegimeFaultOf const& regimeFault) {
   QJsonObject const instances = family.value("instances").toObject();
   if (!family.contains("template")) {
     if (!instances.isEmpty()) throw Error("/template", "has instances");
@@ -191,10 +212,12 @@
   for (QString const& name : instances.keys()) {
     std::string const at = "/instances/" + str(name);
     QJsonObject const one = instances.value(name).toObject().value("spec").toObject();
-    onlyFields(one, {"parameters", "note"}, at);
-    QJsonObject const given = objectAt(one, "parameters", at, false);
-    for (Path const& p : renderInstance(str(name), spec, given, at)) {
+    onlyFields(one, {"parameters", "regime", "note"}, at);
+    objectAt(one, "parameters", at, false);
+    for (Path const& p : renderInstance(str(name), spec, one, at)) {
       if (!known(p.pool)) throw Error(at, "no pool named " + p.pool);
+      std::string const fault = p.regime.empty() ? "" : regimeFault(p.regime, p.pool);
+      if (!fault.empty()) throw Error(regimePlace(one, at), fault);
       if (++rendered > maxRendered) throw Error("/instances", "more than " + std::to_string(maxRendered) + " paths in all");
     }
   }
@@ -205,8 +228,8 @@
   QJsonObject const spec = family.value("template").toObject().value("spec").toObject();
   QJsonObject const instances = family.value("instances").toObject();
   for (QString const& name : instances.keys()) {
-    QJsonObject const given = instances.value(name).toObject().value("spec").toObject().value("parameters").toObject();
-    std::vector<Path> const paths = renderInstance(templateName + "." + str(name), spec, given, "/instances/" + str(name));
+    QJsonObject const one = instances.value(name).toObject().value("spec").toObject();
+    std::vector<Path> const paths = renderInstance(templateName + "." + str(name), spec, one, "/instances/" + str(name));
     out.insert(out.end(), paths.begin(), paths.end());
   }
   return out;
--- a/blueprint/test/blueprint_test.cpp
+++ b/blueprint/test/blueprint_test.cpp
@@ -13,6 +13,9 @@
                      {"instances", core::parseJson(instances)}};
 }
 
+/// No template here has a regime.
+std::string noRegime(std::string const&, std::string const&) { return "not asked for"; }
+
 bool known(std::string const& pool) { return pool == "model" || pool == "gateway"; }
 
 constexpr char const* good = R"({"parameters":{"farm":{"type":"string"},"aim":{"type":"integer","default":500,"min":50,"max":900}},
@@ -25,7 +28,7 @@
 TEST_CASE("a template and its instances render to paths") {
   QJsonObject const f = family(good, R"({"nord":{"spec":{"parameters":{"farm":"nord-7"}},"stamp":2},
                                          "sued":{"spec":{"parameters":{"farm":"sued","aim":60}},"stamp":3}})");
-  blueprint::checkFamily(f, known);
+  blueprint::checkFamily(f, known, noRegime);
   std::vector<blueprint::Path> const paths = blueprint::render("fault", f);
   REQUIRE(paths.size() == 6);
   CHECK(paths[0].instance == "fault.nord");
@@ -59,7 +62,7 @@
       {R"({"paths":[{"path":"a","pool":"model","class":"${c}"}]})", R"({"i":{"spec":{}}})", "/template/paths/0/class"}};
   for (Row const& r : rows) {
     try {
-      blueprint::checkFamily(family(r.spec, r.instances), known);
+      blueprint::checkFamily(family(r.spec, r.instances), known, noRegime);
       FAIL("accepted: " << r.spec << r.instances);
     } catch (blueprint::Error const& e) {
       CHECK(e.pointer() == r.pointer);
--- a/programs/cli/declare.cpp
+++ b/programs/cli/declare.cpp
@@ -1,12 +1,13 @@
 #include "declare.h"
 
+#include <QDateTime>
 #include <QDirIterator>
 #include <QJsonArray>
 #include <algorithm>
 #include <iostream>
 #include <map>
 
-#include <corkward/blueprint/blueprint.h>
+#include <corkward/blueprint/regimes.h>
 #include <corkward/core/json.h>
 #include <corkward/core/types.h>
 
@@ -38,6 +39,12 @@
   Declaration const* own = nullptr;
 };
 
+/// What stands beside the families.
+struct Known {
+  blueprint::PoolKnown pool;
+  blueprint::RegimeFaultOf regimeFault;
+};
+
 OperatorOutcome read(Ask const& ask, std::string const& path) {
   OperatorOutcome const out = ask(OperatorCall{"GET", path, "", "", "", false});
   if (out.status != 200 && out.status != 404)
@@ -61,7 +68,7 @@
 }
 
 /// Carries a planned change out on a copy of the family and checks the result.
-void step(QJsonObject& family, Declaration const& d, blueprint::PoolKnown const& known) {
+void step(QJsonObject& family, Declaration const& d, Known const& known) {
   QJsonObject const entry{{"spec", d.spec}, {"stamp", 1}};
   if (d.instance.empty()) {
     family.insert("template", entry);
@@ -70,10 +77,10 @@
     all.insert(core::qstr(d.instance), entry);
     family.insert("instances", all);
   }
-  blueprint::checkFamily(family, known);
+  blueprint::checkFamily(family, known.pool, known.regimeFault);
 }
 
-std::vector<PlannedChange> planFamily(std::string const& name, Family const& f, bool prune, blueprint::PoolKnown const& known) {
+std::vector<PlannedChange> planFamily(std::string const& name, Family const& f, bool prune, Known const& known) {
   std::vector<Declaration const*> changed;
   QJsonObject const have = f.now.value("instances").toObject();
   bool const ownChanged = f.own != nullptr && f.now.value("template").toObject().value("spec") != QJsonValue(f.own->spec);
@@ -174,7 +181,14 @@
   std::map<std::string, bool> pools;
   for (QJsonValue const p : read(ask, "/v1/blueprint").body.value("spec").toObject().value("pools").toArray())
     pools[core::str(p.toObject().value("name").toString())] = true;
-  blueprint::PoolKnown const known = [&](std::string const& pool) {
+  blueprint::Regimes const regimes = blueprint::keptRegimes(read(ask, "/v1/certificates").body);
+  blueprint::Wall const wall = QDateTime::currentMSecsSinceEpoch();
+  Known known;
+  known.regimeFault = [&](std::string const& regime, std::string const& pool) {
+    std::optional<blueprint::RegimeFault> const fault = blueprint::faultOf(regimes, regime, pool, wall);
+    return fault ? fault->reason : std::string();
+  };
+  known.pool = [&](std::string const& pool) {
     std::map<std::string, bool>::const_iterator const it = pools.find(pool);
     return it != pools.end() ? it->second : (pools[pool] = read(ask, "/v1/platform/pools/" + pool).status == 200);
   };
--- a/programs/nacelle/nacelle.cpp
+++ b/programs/nacelle/nacelle.cpp
@@ -1,5 +1,6 @@
 #include "nacelle.h"
 
+#include <QDateTime>
 #include <algorithm>
 
 #include <corkward/core/json.h>
@@ -128,6 +129,10 @@
 
 void Nacelle::act(rotor::Abandon const& m) { abandon(m.call); }
 
+void Nacelle::act(rotor::Record const& m) {
+  core::writeLog(core::Note{"regime", {{"regime", m.regime}, {"instance", m.instance}, {"life", m.life}, {"certificate", m.certificate}}});
+}
+
 void Nacelle::act(rotor::Deny const& m) {
   abandon(m.call);
   calls_.erase(m.call);
@@ -224,6 +229,7 @@
 
 void Nacelle::clockEvent() {
   watchPaused();
+  plane_.wallTime(now(), QDateTime::currentMSecsSinceEpoch());
   run(plane_.clockEvent(now()));
   drain_.look(plane_.inHand() + server_.inHand());
 }
--- a/programs/nacelle/nacelle.h
+++ b/programs/nacelle/nacelle.h
@@ -76,6 +76,7 @@
   void act(rotor::Connect const& m);
   void act(rotor::HandOver const& m);
   void act(rotor::Abandon const& m);
+  void act(rotor::Record const& m);
   void act(rotor::Deny const& m);
   void act(rotor::Answer const& m);
   void act(rotor::Abort const& m);
--- a/programs/substation/substation_program.cpp
+++ b/programs/substation/substation_program.cpp
@@ -1,5 +1,6 @@
 #include "substation_program.h"
 
+#include <QDateTime>
 #include <QHostAddress>
 #include <QTcpSocket>
 #include <fcntl.h>
@@ -156,6 +157,7 @@
 }
 
 void Substation::clockEvent() {
+  plane_.wallTime(QDateTime::currentMSecsSinceEpoch());
   run(plane_.clockEvent(now()));
   drain_.look(plane_.inHand() + server_.inHand());
 }
--- a/rotor/include/corkward/rotor/plane.h
+++ b/rotor/include/corkward/rotor/plane.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include <corkward/blueprint/blueprint.h>
+#include <corkward/blueprint/regimes.h>
 #include <corkward/core/journal.h>
 #include <corkward/governor/governor.h>
 #include <corkward/lookout/lookout.h>
@@ -83,6 +84,8 @@
   /// False: whoever has a whole image serves, without confirmations, roster or joining wait, and takes the image from
   /// anyone who offers it; for callers whose own rules bound how old a blueprint may be.
   bool fenced = true;
+  /// Records of regimes' work can be kept here; without them nothing of a regime is handed on.
+  bool records = false;
   governor::Figures figures = governor::figures;
 };
 
@@ -148,6 +151,9 @@
   /// Milliseconds that the caller still waits.
   Tick left = 0;
   int urgency = 5;
+  /// Not empty: a request of a regime. The Record of it stands before this; it goes out only once that is written and the
+  /// replica has named its life on this very connection, and it is the expected one. Else it ended as End::notRun.
+  std::string regime = {};
 };
 /// Command: close the replica's connection, if there is one.
 struct Abandon {
@@ -177,7 +183,26 @@
   QJsonObject body;
 };
 
-using CallCommand = std::variant<Connect, HandOver, Abandon, Deny, Abort, Answer>;
+/// What becomes of a regime's request.
+enum class Happened { handedOver, resumed, served, notRun, broken, denied };
+
+/// Command: write down for the audit report, before the commands after it, what becomes of a regime's request.
+struct Record {
+  CallId call = 0;
+  Happened happened = Happened::handedOver;
+  std::string regime;
+  std::string instance;
+  /// Where it runs or ran, and the certificate's name; empty for a denial.
+  std::string pool = {};
+  std::string address = {};
+  std::string life = {};
+  std::string zone = {};
+  std::string certificate = {};
+  /// Why it was denied, resumed or broken off.
+  std::string reason = {};
+};
+
+using CallCommand = std::variant<Connect, HandOver, Abandon, Deny, Abort, Answer, Record>;
 
 /// Commands of one event, in order.
 struct Commands {
@@ -225,6 +250,12 @@
   void retune(Tuning const& tuning, std::vector<std::string> seeds);
   /// No new work from here on; ids and duties go to the others.
   Commands drain(Tick now);
+  /// Wall time at that tick, in milliseconds since 1970; told with each clock event. Within one life it never goes back.
+  void wallTime(Tick now, std::int64_t wall);
+  /// Wall time at a tick; nothing before it was told.
+  blueprint::Wall wallAt(Tick now) const;
+  /// Whether records can be written from here on.
+  void recording(bool works) { tuning_.records = works; }
 
   /// Whether clients should be sent here.
   bool ready(Tick now) const;
@@ -522,6 +553,8 @@
   Tick lookAt_ = 0;
   Tick freeAt_ = 0;
   bool pumping_ = false;
+  /// Most that wall time was ahead of the tick.
+  std::optional<std::int64_t> wallAhead_;
 };
 
 }  // namespace corkward::rotor
--- a/rotor/src/plane.cpp
+++ b/rotor/src/plane.cpp
@@ -190,6 +190,10 @@
   lookout_.setSeeds(std::move(seeds));
 }
 
+void Plane::wallTime(Tick now, std::int64_t wall) { wallAhead_ = std::max(wallAhead_.value_or(wall - now), wall - now); }
+
+blueprint::Wall Plane::wallAt(Tick now) const { return wallAhead_ ? blueprint::Wall(now + *wallAhead_) : std::nullopt; }
+
 Commands Plane::drain(Tick now) {
   Commands out;
   if (draining_) return out;
--- a/rotor/test/grey_test.cpp
+++ b/rotor/test/grey_test.cpp
@@ -117,6 +117,7 @@
   void act(rotor::Deny const& m) { denied.push_back(m); }
   void act(rotor::Abort const&) {}
   void act(rotor::Answer const&) {}
+  void act(rotor::Record const&) {}
 
   /// Time goes on up to then, with a request each so many milliseconds.
   void go(core::Tick duration, core::Tick every) {
--- a/substation/include/corkward/substation/judge.h
+++ b/substation/include/corkward/substation/judge.h
@@ -3,6 +3,7 @@
 #include <optional>
 #include <string>
 
+#include <corkward/blueprint/regimes.h>
 #include <corkward/mooring/mooring.h>
 
 namespace corkward::substation {
@@ -22,8 +23,18 @@
 /// Largest body of a call on the whole blueprint, and largest whole blueprint as text.
 inline constexpr std::size_t maxWholeBody = 8U << 20;
 
-/// Judges every call on every kind of key. Pools tells which pools are known.
-mooring::Verdict judge(std::string const& key, std::uint64_t stamp, QJsonObject const& value, signal::Call const& call,
-                       std::function<bool(std::string const&)> const& poolKnown);
+/// What a judge asks of the other keys, as this substation knows them.
+struct Around {
+  blueprint::PoolKnown poolKnown;
+  /// Why a regime could not be served in a pool under these certificates.
+  std::function<std::optional<blueprint::RegimeFault>(blueprint::Regimes const&, std::string const& regime, std::string const& pool)> regimeFault = {};
+  /// Regimes and certificates in place.
+  std::function<blueprint::Regimes()> regimes = {};
+  /// What the tenants in place want of regimes.
+  std::function<std::vector<blueprint::RegimeUse>()> regimeUses = {};
+};
+
+/// Judges every call on every kind of key.
+mooring::Verdict judge(std::string const& key, std::uint64_t stamp, QJsonObject const& value, signal::Call const& call, Around const& around);
 
 }  // namespace corkward::substation
--- a/substation/include/corkward/substation/plane.h
+++ b/substation/include/corkward/substation/plane.h
@@ -10,6 +10,7 @@
 #include <corkward/core/journal.h>
 #include <corkward/lookout/lookout.h>
 #include <corkward/mooring/mooring.h>
+#include <corkward/substation/judge.h>
 
 namespace corkward::substation {
 
@@ -81,6 +82,8 @@
   Commands platformLists(Tick now, std::map<std::string, blueprint::Pool> const& lists);
   /// True while this substation is to read the platform's list on behalf of all: the duty goes with the roster's key.
   bool readsLists(Tick now) const;
+  /// Wall time, by which certificates are checked when they are declared; unknown, only their names are.
+  void wallTime(std::int64_t wall) { wall_ = wall; }
   void setSeeds(std::vector<std::string> seeds) { lookout_.setSeeds(std::move(seeds)); }
   /// Hands every owned key to a named successor and takes no calls from here on.
   Commands drain(Tick now);
@@ -158,6 +161,7 @@
   Lease* grant(Tick now, std::string const& what, std::string const& holder, std::uint64_t inc, Tick lease, bool& ok);
   void release(Tick now, std::string const& what, std::string const& holder, std::uint64_t inc, std::string const& successor, Tick lease);
   Answer dutyPage(Tick now, signal::Call const& call, std::string const& name);
+  Around around() const;
   void take(Commands& out, Tick now, mooring::Commands&& from);
   void decided(Commands& out, Tick now, mooring::Decided const& d);
   void finish(Commands& out, Tick now, std::uint64_t call, int status, QJsonObject body);
@@ -211,6 +215,7 @@
   std::map<std::string, Nacelle> nacelles_;
   /// Pools of the whole blueprint in place.
   std::set<std::string> wholePools_;
+  blueprint::Wall wall_;
   std::map<std::string, Lease> leases_;
   Tick started_ = 0;
   Tick joinedAt_ = -1;
--- a/substation/src/judge.cpp
+++ b/substation/src/judge.cpp
@@ -63,7 +63,7 @@
 }
 
 Verdict judgeFamily(std::uint64_t stamp, QJsonObject const& family, signal::Call const& call,
-                    std::function<bool(std::string const&)> const& poolKnown) {
+                    Around const& around) {
   Target const target = *targetOf(call.path);
   bool const ofInstance = !target.instance.empty();
   QJsonObject const instances = family.value("instances").toObject();
@@ -107,7 +107,10 @@
     } else {
       changed.insert("template", fresh);
     }
-    blueprint::checkFamily(changed, poolKnown);
+    blueprint::checkFamily(changed, around.poolKnown, [&](std::string const& regime, std::string const& pool) {
+      std::optional<blueprint::RegimeFault> const fault = around.regimeFault(around.regimes(), regime, pool);
+      return fault ? fault->reason : std::string();
+    });
   } catch (core::JsonError const& e) {
     return deny(400, "malformed", e.what(), "/");
   } catch (blueprint::Error const& e) {
@@ -233,6 +236,71 @@
   return v;
 }
 
+/// What the tenants in place could not be served under these certificates, one line for each.
+std::vector<blueprint::RegimeFault> uncovered(blueprint::Regimes const& regimes, Around const& around) {
+  std::vector<blueprint::RegimeFault> out;
+  for (blueprint::RegimeUse const& use : around.regimeUses()) {
+    std::optional<blueprint::RegimeFault> const fault = around.regimeFault(regimes, use.regime, use.pool);
+    if (fault) out.push_back(blueprint::RegimeFault{fault->pointer, use.instance + ": " + fault->reason});
+  }
+  return out;
+}
+
+Verdict judgeRegimes(std::uint64_t stamp, QJsonObject const& current, signal::Call const& call, Around const& around) {
+  std::string const name = targetOf(call.path)->instance;
+  QJsonObject const spec = current.value("spec").toObject();
+  Verdict v;
+  if (call.method == "GET") {
+    if (stamp == 0) return deny(404, "not found", "no certificates so far");
+    v.body = QJsonObject{{"spec", spec}, {"stamp", static_cast<qint64>(stamp)}};
+    if (name.empty()) return v;
+    QJsonValue const one = spec.value("certificates").toObject().value(core::qstr(name));
+    if (!one.isObject()) return deny(404, "not found", "no such certificate");
+    v.body.insert("spec", one);
+    return v;
+  }
+  bool const revokes = call.method == "DELETE" && !name.empty();
+  if (!revokes && !name.empty()) return deny(405, "method not allowed", "a certificate is read or deleted; declare it with all others");
+  if (!revokes && call.method == "DELETE") return deny(405, "method not allowed", "certificates are put, patched, or deleted one by one");
+  if (!revokes && call.ifMatch.empty())
+    return deny(428, "stamp missing", "say If-Match with the stamp the change was built on, 0 when there are none so far");
+  if (!call.ifMatch.empty() && bare(call.ifMatch) != std::to_string(stamp)) return stale(call, static_cast<qint64>(stamp));
+  if (call.method != "PUT" && stamp == 0) return deny(404, "not found", "no certificates so far");
+  try {
+    QJsonObject next = spec;
+    if (revokes) {
+      QJsonObject all = spec.value("certificates").toObject();
+      if (!all.contains(core::qstr(name))) return deny(404, "not found", "no such certificate");
+      all.remove(core::qstr(name));
+      next.insert("certificates", all);
+    } else {
+      next = call.method == "PUT" ? readBody(call) : core::mergePatch(spec, readBody(call)).toObject();
+    }
+    std::vector<blueprint::RegimeFault> const faults = uncovered(blueprint::readRegimes(next), around);
+    if (!revokes && !faults.empty())
+      return deny(422, "not a valid declaration", faults.front().reason + "; a certificate that must end at once is deleted by its name", faults.front().pointer);
+    if (core::jsonText(next).size() > maxBody) return deny(413, "too large", "the certificates would pass their limit");
+    v.status = stamp == 0 ? 201 : 200;
+    v.body = QJsonObject{{"changeId", core::qstr(call.changeId)}, {"stamp", static_cast<qint64>(stamp) + 1}};
+    if (!faults.empty()) {
+      QJsonArray lines;
+      for (blueprint::RegimeFault const& f : faults) lines.append(core::qstr(f.reason));
+      v.body.insert("uncovered", lines);
+    }
+    v.value = QJsonObject{{"spec", next}};
+    v.change = !call.dryRun;
+    if (call.dryRun) {
+      v.status = 200;
+      v.body.insert("dryRun", true);
+    }
+    return v;
+  } catch (core::JsonError const& e) {
+    return deny(400, "malformed", e.what(), "/");
+  } catch (blueprint::Error const& e) {
+    return deny(422, "not a valid declaration", e.reason(), e.pointer());
+  }
+}
+
 Verdict judgeAlert(std::uint64_t stamp, QJsonObject const& current, signal::Call const& call) {
   Verdict v;
   if (call.method == "GET") {
@@ -293,7 +361,9 @@
 std::optional<Target> targetOf(std::string const& path) {
   std::vector<std::string> const parts = split(path);
   if (parts.size() == 2 && parts[0] == "v1" && parts[1] == "blueprint") return Target{blueprint::wholeKey, "", ""};
+  if (parts.size() == 2 && parts[0] == "v1" && parts[1] == "certificates") return Target{blueprint::regimesKey, "", ""};
   if (parts.size() < 3 || parts[0] != "v1") return std::nullopt;
+  if (parts[1] == "certificates" && parts.size() == 3 && blueprint::validName(parts[2])) return Target{blueprint::regimesKey, "", parts[2]};
   if (parts[1] == "templates" && blueprint::validName(parts[2])) {
     if (parts.size() == 3) return Target{"family:" + parts[2], parts[2], ""};
     if (parts.size() == 5 && parts[3] == "instances" && blueprint::validName(parts[4]))
@@ -310,7 +380,7 @@
 }
 
 mooring::Verdict judge(std::string const& key, std::uint64_t stamp, QJsonObject const& value, signal::Call const& call,
-                       std::function<bool(std::string const&)> const& poolKnown) {
+                       Around const& around) {
   QJsonArray window = value.value("changes").toArray();
   for (QJsonValue const c : window) {
     QJsonObject const o = c.toObject();
@@ -323,11 +393,12 @@
   }
   QJsonObject bare = value;
   bare.remove("changes");
-  Verdict v = key.rfind("family:", 0) == 0 ? judgeFamily(stamp, bare, call, poolKnown)
+  Verdict v = key.rfind("family:", 0) == 0 ? judgeFamily(stamp, bare, call, around)
               : key.rfind("pool:", 0) == 0 ? judgePool(stamp, bare, call)
               : key.rfind("zone:", 0) == 0 ? judgeZone(stamp, bare, call)
               : key.rfind("alert:", 0) == 0 ? judgeAlert(stamp, bare, call)
               : key == "roster"            ? judgeRoster(stamp, bare, call)
+              : key == blueprint::regimesKey ? judgeRegimes(stamp, bare, call, around)
               : key == blueprint::wholeKey ? judgeWhole(stamp, value, call)
                                            : deny(404, "not found", "no such key");
   if (!v.change) return v;
--- a/substation/src/plane.cpp
+++ b/substation/src/plane.cpp
@@ -38,12 +38,40 @@
       lookout_(self, std::move(seeds), seed ^ 0x51),
       mooring_(mooring::Member{std::move(memberId), self.link}, std::move(founders),
                [this](std::string const& key, std::uint64_t stamp, QJsonObject const& value, signal::Call const& call) {
-                 return judge(key, stamp, value, call, [this](std::string const& pool) {
-                   return wholePools_.count(pool) > 0 || mooring_.committed().count("pool:" + pool) > 0;
-                 });
+                 return judge(key, stamp, value, call, around());
                },
                seed ^ 0x77, tuning.mooring) {}
 
+Around Plane::around() const {
+  Around out;
+  out.poolKnown = [this](std::string const& pool) { return wholePools_.count(pool) > 0 || mooring_.committed().count("pool:" + pool) > 0; };
+  out.regimes = [this] {
+    std::map<std::string, mooring::Committed>::const_iterator const it = mooring_.committed().find(blueprint::regimesKey);
+    return it == mooring_.committed().end() ? blueprint::Regimes{} : blueprint::keptRegimes(it->second.value);
+  };
+  out.regimeUses = [this] {
+    std::vector<blueprint::RegimeUse> uses;
+    for (std::map<std::string, mooring::Committed>::value_type const& c : mooring_.committed()) {
+      if (c.first.rfind("family:", 0) != 0) continue;
+      std::vector<blueprint::RegimeUse> const some = blueprint::regimeUses(blueprint::render(c.first.substr(7), c.second.value));
+      uses.insert(uses.end(), some.begin(), some.end());
+    }
+    return uses;
+  };
+  out.regimeFault = [this](blueprint::Regimes const& regimes, std::string const& regime, std::string const& pool) {
+    std::optional<blueprint::RegimeFault> fault = blueprint::faultOf(regimes, regime, pool, wall_);
+    std::map<std::string, mooring::Committed>::const_iterator const list = mooring_.committed().find("pool:" + pool);
+    if (fault || !wall_ || list == mooring_.committed().end()) return fault;
+    std::vector<blueprint::Replica> const replicas = blueprint::keptPool(list->second.value).replicas;
+    bool const any = std::any_of(replicas.begin(), replicas.end(), [&](blueprint::Replica const& r) {
+      return blueprint::certifies(regimes, regime, pool, r, wall_) != nullptr;
+    });
+    if (!any) fault = blueprint::RegimeFault{"/certificates", "no replica on the list of pool " + pool + " is certified for regime " + regime};
+    return fault;
+  };
+  return out;
+}
+
 Commands Plane::restore(std::map<std::string, std::string> const& slots, bool damaged, Tick now) {
   Commands out;
   started_ = now;
