--- /dev/null
+++ b/audit/include/corkward/audit/trail.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include <QJsonObject>
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <corkward/core/error.h>
+#include <corkward/ledger/ledger.h>
+
+namespace corkward::audit {
+
+/// What became of requests, whose they were, and where they ran: what is counted together.
+struct Kind {
+  /// handed-over, resumed, served, not-run, broken or denied.
+  std::string what;
+  std::string regime;
+  std::string instance;
+  std::string pool = {};
+  std::string address = {};
+  std::string life = {};
+  std::string zone = {};
+  std::string certificate = {};
+  std::string reason = {};
+  auto operator<=>(Kind const&) const = default;
+};
+
+/// The newest record of a trail: a trail that was cut short since does not hold it.
+struct Head {
+  std::uint64_t number = 0;
+  std::string hash;
+};
+
+/// Counts of one span are written when it ends.
+inline constexpr std::int64_t spanMs = 60000;
+
+struct Bounds {
+  std::uint64_t segmentBytes = 1U << 20;
+  std::size_t segments = 64;
+};
+
+/// Writes the audit trail of one node: records in lines, each with the SHA-256 of its text, which holds the hash of the
+/// record before. Writing may throw ledger::Error.
+class Trail {
+ public:
+  /// Goes on after the newest record in the folder; a last line that was torn is cut off. The folder must outlive it.
+  Trail(ledger::Folder& folder, std::string node, std::int64_t wall, Bounds bounds = {});
+  /// Counts one request. The first of its kind in a span is in the file when this returns, the others when the span ends.
+  void count(Kind const& kind, std::int64_t wall);
+  /// Writes the counts of a span that has ended.
+  void clockEvent(std::int64_t wall);
+  /// Writes all counts; nothing is missing from this life.
+  void close(std::int64_t wall);
+  Head const& head() const { return head_; }
+  /// File with records that were not synced yet, to be synced where it holds nothing up; empty: none.
+  std::string takeUnsynced();
+
+ private:
+  void write(QJsonObject record, std::int64_t wall);
+  void writeCounts(std::int64_t wall);
+  void begin(std::int64_t wall);
+
+  ledger::Folder& folder_;
+  std::string node_;
+  Bounds bounds_;
+  Head head_;
+  std::string file_;
+  std::uint64_t size_ = 0;
+  std::vector<std::string> files_;
+  bool unsynced_ = false;
+  /// The file may end in a part of a line that could not be written.
+  bool halfWritten_ = false;
+  std::int64_t span_ = 0;
+  /// Counted in this span and not written yet; 0: the first one is written.
+  std::map<Kind, std::uint64_t> counts_;
+};
+
+/// A place where a trail is not as it was written.
+struct Fault {
+  std::string file;
+  std::size_t line = 0;
+  std::string reason;
+};
+
+/// A trail as it was read from its folder.
+struct TrailView {
+  std::string node;
+  std::vector<QJsonObject> records;
+  std::vector<Fault> faults;
+  /// Number of the first record that is kept; those before were dropped by the bound.
+  std::uint64_t first = 0;
+  Head head;
+  /// Hash of each record by its number.
+  std::map<std::uint64_t, std::string> hashes;
+};
+
+/// Reads a trail and checks that each record is as it was written and follows the one before.
+TrailView readTrail(ledger::Folder& folder);
+
+/// What ran where, what was denied and what resumed, by regime and span of time, from the trails of all nodes.
+struct Ask {
+  /// Empty: all.
+  std::string regime;
+  /// Wall time in milliseconds; 0: no bound.
+  std::int64_t from = 0;
+  std::int64_t until = 0;
+  std::int64_t span = 3600000;
+  /// Heads that were noted elsewhere, by node: each must be in its trail.
+  std::vector<std::pair<std::string, Head>> heads;
+};
+/// {"regimes": {name: [{"span", "counts": [{"what", "instance", ..., "count"}]}]}, "nodes": [{"node", "first", "head",
+/// "lives": [...], "faults": [...]}], "whole"}; a life that has no end says that its counts are the least.
+QJsonObject report(std::vector<TrailView> const& trails, Ask const& ask);
+
+}  // namespace corkward::audit
--- /dev/null
+++ b/audit/src/report.cpp
@@ -0,0 +1,136 @@
+#include <QDateTime>
+#include <QJsonArray>
+#include <algorithm>
+#include <utility>
+
+#include <corkward/core/json.h>
+
+#include "lines.h"
+
+namespace corkward::audit {
+
+namespace {
+
+struct FieldRow {
+  char const* name;
+  std::string Kind::*field;
+};
+
+constexpr FieldRow fieldTable[] = {{"what", &Kind::what}, {"regime", &Kind::regime}, {"instance", &Kind::instance},
+                                   {"pool", &Kind::pool}, {"address", &Kind::address}, {"life", &Kind::life},
+                                   {"zone", &Kind::zone}, {"certificate", &Kind::certificate}, {"reason", &Kind::reason}};
+
+std::int64_t wallOf(QJsonObject const& record, char const* field) {
+  return QDateTime::fromString(record.value(QLatin1String(field)).toString(), Qt::ISODateWithMs).toMSecsSinceEpoch();
+}
+
+QJsonObject nodeReport(TrailView const& t, Ask const& ask, bool& whole) {
+  QJsonArray lives;
+  QJsonObject life;
+  for (QJsonObject const& r : t.records) {
+    QString const what = r.value("what").toString();
+    if (what == "opened") {
+      if (!life.isEmpty()) lives.append(life);
+      life = QJsonObject{{"from", r.value("at")}, {"countsAreLeast", true}};
+    }
+    if (life.isEmpty()) life = QJsonObject{{"countsAreLeast", true}};
+    life.insert("until", r.value("at"));
+    if (what == "closed") life.insert("countsAreLeast", false);
+  }
+  if (!life.isEmpty()) lives.append(life);
+  QJsonArray faults;
+  for (Fault const& f : t.faults)
+    faults.append(QJsonObject{{"file", core::qstr(f.file)}, {"line", static_cast<qint64>(f.line)}, {"reason", core::qstr(f.reason)}});
+  for (std::pair<std::string, Head> const& h : ask.heads) {
+    if (h.first != t.node || h.second.number < t.first) continue;
+    std::map<std::uint64_t, std::string>::const_iterator const it = t.hashes.find(h.second.number);
+    if (it != t.hashes.end() && it->second == h.second.hash) continue;
+    faults.append(QJsonObject{{"reason", core::qstr("record " + std::to_string(h.second.number) + " that was noted elsewhere is not in the trail")}});
+  }
+  whole = whole && faults.isEmpty();
+  return QJsonObject{{"node", core::qstr(t.node)}, {"first", static_cast<qint64>(t.first)}, {"faults", faults}, {"lives", lives},
+                     {"head", QJsonObject{{"n", static_cast<qint64>(t.head.number)}, {"hash", core::qstr(t.head.hash)}}}};
+}
+
+}  // namespace
+
+QJsonObject countRecord(Kind const& kind, std::int64_t span, std::uint64_t count) {
+  QJsonObject out{{"span", core::qstr(timeText(span))}, {"count", static_cast<qint64>(count)}};
+  for (FieldRow const& f : fieldTable)
+    if (!(kind.*f.field).empty()) out.insert(QLatin1String(f.name), core::qstr(kind.*f.field));
+  return out;
+}
+
+Kind kindOf(QJsonObject const& record) {
+  Kind out;
+  for (FieldRow const& f : fieldTable) out.*f.field = core::str(record.value(QLatin1String(f.name)).toString());
+  return out;
+}
+
+TrailView readTrail(ledger::Folder& folder) {
+  TrailView out;
+  std::vector<std::string> const files = trailFiles(folder);
+  for (std::string const& file : files) {
+    std::vector<Line> const lines = readLines(folder.read(file));
+    for (std::size_t i = 0; i < lines.size(); ++i) {
+      Line const& line = lines[i];
+      if (!line.fault.empty()) {
+        out.faults.push_back(Fault{file, i + 1, line.fault});
+        continue;
+      }
+      std::uint64_t const n = static_cast<std::uint64_t>(line.record.value("n").toInteger());
+      std::string const prev = core::str(line.record.value("prev").toString());
+      if (out.records.empty()) {
+        out.first = n;
+        if (n == 1 && !prev.empty()) out.faults.push_back(Fault{file, i + 1, "is the first record and names one before"});
+      } else if (n != out.head.number + 1 || prev != out.head.hash) {
+        out.faults.push_back(Fault{file, i + 1, "does not follow record " + std::to_string(out.head.number)});
+      }
+      if (line.record.value("what").toString() == "opened") out.node = core::str(line.record.value("node").toString());
+      out.records.push_back(line.record);
+      out.hashes[n] = line.hash;
+      out.head = Head{n, line.hash};
+    }
+  }
+  return out;
+}
+
+QJsonObject report(std::vector<TrailView> const& trails, Ask const& ask) {
+  std::map<std::string, std::map<std::int64_t, std::map<Kind, std::uint64_t>>> sums;
+  bool whole = true;
+  QJsonArray nodes;
+  for (TrailView const& t : trails) {
+    nodes.append(nodeReport(t, ask, whole));
+    for (QJsonObject const& r : t.records) {
+      if (!r.contains("count")) continue;
+      Kind const kind = kindOf(r);
+      std::int64_t const span = wallOf(r, "span");
+      if ((!ask.regime.empty() && kind.regime != ask.regime) || span < ask.from || (ask.until > 0 && span >= ask.until)) continue;
+      sums[kind.regime][span - span % ask.span][kind] += static_cast<std::uint64_t>(r.value("count").toInteger());
+    }
+  }
+  for (std::pair<std::string, Head> const& h : ask.heads) {
+    bool const known = std::any_of(trails.begin(), trails.end(), [&](TrailView const& t) { return t.node == h.first; });
+    if (known) continue;
+    whole = false;
+    nodes.append(QJsonObject{{"node", core::qstr(h.first)}, {"faults", QJsonArray{QJsonObject{{"reason", "no trail of this node was given"}}}}});
+  }
+  QJsonObject regimes;
+  for (std::pair<std::string const, std::map<std::int64_t, std::map<Kind, std::uint64_t>>> const& regime : sums) {
+    QJsonArray spans;
+    for (std::pair<std::int64_t const, std::map<Kind, std::uint64_t>> const& span : regime.second) {
+      QJsonArray counts;
+      for (std::map<Kind, std::uint64_t>::value_type const& c : span.second) {
+        QJsonObject row = countRecord(c.first, span.first, c.second);
+        row.remove("span");
+        row.remove("regime");
+        counts.append(row);
+      }
+      spans.append(QJsonObject{{"span", core::qstr(timeText(span.first))}, {"counts", counts}});
+    }
+    regimes.insert(core::qstr(regime.first), spans);
+  }
+  return QJsonObject{{"regimes", regimes}, {"nodes", nodes}, {"whole", whole}};
+}
+
+}  // namespace corkward::audit
--- /dev/null
+++ b/audit/src/trail.cpp
@@ -0,0 +1,152 @@
+#include <corkward/audit/trail.h>
+
+#include <QCryptographicHash>
+#include <QDateTime>
+#include <algorithm>
+
+#include <corkward/core/json.h>
+
+#include "lines.h"
+
+namespace corkward::audit {
+
+namespace {
+
+constexpr char const* prefix = "audit-";
+
+std::string fileFor(std::uint64_t number) {
+  std::string const digits = std::to_string(number);
+  return prefix + std::string(12 - std::min<std::size_t>(digits.size(), 12), '0') + digits;
+}
+
+}  // namespace
+
+std::string timeText(std::int64_t wall) { return core::str(QDateTime::fromMSecsSinceEpoch(wall, Qt::UTC).toString(Qt::ISODateWithMs)); }
+
+std::string hashOf(std::string const& text) {
+  return QCryptographicHash::hash(QByteArray::fromStdString(text), QCryptographicHash::Sha256).toHex().toStdString();
+}
+
+std::vector<std::string> trailFiles(ledger::Folder& folder) {
+  std::vector<std::string> out;
+  for (std::string const& name : folder.list())
+    if (name.rfind(prefix, 0) == 0) out.push_back(name);
+  std::sort(out.begin(), out.end());
+  return out;
+}
+
+std::vector<Line> readLines(std::string const& text) {
+  std::vector<Line> out;
+  std::size_t at = 0;
+  while (at < text.size()) {
+    std::size_t const end = text.find('\n', at);
+    Line line;
+    line.at = at;
+    std::string const bytes = text.substr(at, end == std::string::npos ? std::string::npos : end - at);
+    at = end == std::string::npos ? text.size() : end + 1;
+    line.end = at;
+    std::size_t const blank = bytes.find(' ');
+    if (end == std::string::npos) {
+      line.fault = "is torn";
+      line.torn = true;
+    } else if (blank != 64 || hashOf(bytes.substr(blank + 1)) != bytes.substr(0, blank)) {
+      line.fault = "is not as it was written: its hash differs";
+    } else {
+      try {
+        line.record = core::parseJson(bytes.substr(blank + 1)).toObject();
+        line.hash = bytes.substr(0, blank);
+      } catch (core::JsonError const&) {
+        line.fault = "is no record";
+      }
+    }
+    out.push_back(std::move(line));
+  }
+  return out;
+}
+
+Trail::Trail(ledger::Folder& folder, std::string node, std::int64_t wall, Bounds bounds)
+    : folder_(folder), node_(std::move(node)), bounds_(bounds), files_(trailFiles(folder)), span_(wall - wall % spanMs) {
+  for (std::size_t i = files_.size(); i > 0 && head_.number == 0; --i) {
+    std::vector<Line> lines = readLines(folder_.read(files_[i - 1]));
+    if (!lines.empty() && lines.back().torn) {
+      folder_.truncate(files_[i - 1], lines.back().at);
+      lines.pop_back();
+    }
+    std::vector<Line>::const_reverse_iterator const good =
+        std::find_if(lines.crbegin(), lines.crend(), [](Line const& l) { return l.fault.empty(); });
+    if (good == lines.crend()) continue;
+    head_ = Head{static_cast<std::uint64_t>(good->record.value("n").toInteger()), good->hash};
+    if (i < files_.size() || good != lines.crbegin()) continue;
+    file_ = files_[i - 1];
+    size_ = good->end;
+  }
+  begin(wall);
+}
+
+void Trail::begin(std::int64_t wall) { write(QJsonObject{{"what", "opened"}, {"node", core::qstr(node_)}}, wall); }
+
+void Trail::write(QJsonObject record, std::int64_t wall) {
+  record.insert("n", static_cast<qint64>(head_.number + 1));
+  record.insert("prev", core::qstr(head_.hash));
+  record.insert("at", core::qstr(timeText(wall)));
+  std::string const text = core::jsonText(record);
+  std::string const hash = hashOf(text);
+  std::string const line = hash + " " + text + "\n";
+  if (file_.empty() || size_ + line.size() > bounds_.segmentBytes) {
+    if (!file_.empty()) folder_.sync(file_);
+    file_ = fileFor(head_.number + 1);
+    size_ = 0;
+    if (files_.empty() || files_.back() != file_) files_.push_back(file_);
+    while (files_.size() > std::max<std::size_t>(bounds_.segments, 2)) {
+      folder_.remove(files_.front());
+      files_.erase(files_.begin());
+    }
+  }
+  if (halfWritten_) folder_.truncate(file_, size_);
+  halfWritten_ = true;
+  folder_.append(file_, line);
+  halfWritten_ = false;
+  size_ += line.size();
+  unsynced_ = true;
+  head_ = Head{head_.number + 1, hash};
+}
+
+void Trail::count(Kind const& kind, std::int64_t wall) {
+  clockEvent(wall);
+  std::map<Kind, std::uint64_t>::iterator const it = counts_.find(kind);
+  if (it != counts_.end()) {
+    ++it->second;
+    return;
+  }
+  write(countRecord(kind, span_, 1), wall);
+  counts_[kind] = 0;
+}
+
+void Trail::clockEvent(std::int64_t wall) {
+  if (wall >= span_ && wall < span_ + spanMs) return;
+  writeCounts(wall);
+  span_ = wall - wall % spanMs;
+}
+
+void Trail::writeCounts(std::int64_t wall) {
+  while (!counts_.empty()) {
+    std::map<Kind, std::uint64_t>::iterator const it = counts_.begin();
+    if (it->second > 0) write(countRecord(it->first, span_, it->second), wall);
+    counts_.erase(it);
+  }
+}
+
+void Trail::close(std::int64_t wall) {
+  writeCounts(wall);
+  write(QJsonObject{{"what", "closed"}}, wall);
+  folder_.sync(file_);
+  unsynced_ = false;
+}
+
+std::string Trail::takeUnsynced() {
+  if (!unsynced_) return "";
+  unsynced_ = false;
+  return file_;
+}
+
+}  // namespace corkward::audit
--- /dev/null
+++ b/audit/test/trail_test.cpp
@@ -0,0 +1,258 @@
+#include <catch2/catch.hpp>
+
+#include <QDateTime>
+#include <QJsonArray>
+#include <functional>
+
+#include <corkward/audit/trail.h>
+#include <corkward/core/json.h>
+#include <corkward/core/types.h>
+
+namespace core = corkward::core;
+namespace audit = corkward::audit;
+namespace ledger = corkward::ledger;
+
+namespace {
+
+class MemoryFolder : public ledger::Folder {
+ public:
+  std::map<std::string, std::string> files;
+  bool full = false;
+
+  std::vector<std::string> list() override {
+    std::vector<std::string> out;
+    for (std::map<std::string, std::string>::value_type const& f : files) out.push_back(f.first);
+    return out;
+  }
+  std::string read(std::string const& name) override { return files.at(name); }
+  void append(std::string const& name, std::string const& bytes) override {
+    files[name] += full ? bytes.substr(0, bytes.size() / 2) : bytes;
+    if (full) throw ledger::Error("full");
+  }
+  void sync(std::string const&) override {}
+  void rename(std::string const& from, std::string const& to) override {
+    files[to] = files[from];
+    files.erase(from);
+  }
+  void remove(std::string const& name) override { files.erase(name); }
+  void truncate(std::string const& name, std::uint64_t size) override { files[name].resize(size); }
+  void syncFolder() override {}
+};
+
+std::int64_t const noon = QDateTime::fromString("2026-06-01T12:00:00Z", Qt::ISODate).toMSecsSinceEpoch();
+
+audit::Kind handed(std::string const& life) { return audit::Kind{"handed-over", "health", "desk.nord", "model", "10.0.0.1:80", life, "z1", "c1", {}}; }
+
+audit::Kind denied() {
+  audit::Kind k;
+  k.what = "denied";
+  k.regime = "health";
+  k.instance = "desk.nord";
+  k.reason = "no certified replica";
+  return k;
+}
+
+/// Counts of a report by what and life, over all spans of a regime.
+std::map<std::string, qint64> countsOf(QJsonObject const& report, char const* regime) {
+  std::map<std::string, qint64> out;
+  for (QJsonValue const s : report.value("regimes").toObject().value(regime).toArray())
+    for (QJsonValue const c : s.toObject().value("counts").toArray()) {
+      QJsonObject const row = c.toObject();
+      out[core::str(row.value("what").toString() + " " + row.value("life").toString())] += row.value("count").toInteger();
+    }
+  return out;
+}
+
+QJsonObject reportOf(MemoryFolder& folder, audit::Ask const& ask = {}) { return audit::report({audit::readTrail(folder)}, ask); }
+
+}  // namespace
+
+TEST_CASE("the first of a kind is written before anything else happens, the others when the minute ends") {
+  MemoryFolder folder;
+  audit::Trail trail(folder, "n1", noon);
+  trail.count(handed("r1"), noon + 10);
+  CHECK(countsOf(reportOf(folder), "health")["handed-over r1"] == 1);
+  for (int i = 0; i < 5; ++i) trail.count(handed("r1"), noon + 20 + i);
+  trail.count(handed("r2"), noon + 30);
+  CHECK(countsOf(reportOf(folder), "health") == std::map<std::string, qint64>{{"handed-over r1", 1}, {"handed-over r2", 1}});
+  trail.clockEvent(noon + audit::spanMs);
+  CHECK(countsOf(reportOf(folder), "health") == std::map<std::string, qint64>{{"handed-over r1", 6}, {"handed-over r2", 1}});
+  trail.count(handed("r1"), noon + audit::spanMs + 1);
+  CHECK(countsOf(reportOf(folder), "health")["handed-over r1"] == 7);
+  trail.count(denied(), noon + audit::spanMs + 2);
+  trail.count(denied(), noon + audit::spanMs + 2);
+  trail.close(noon + audit::spanMs + 3);
+  CHECK(countsOf(reportOf(folder), "health")["denied "] == 2);
+  CHECK(reportOf(folder).value("whole").toBool());
+}
+
+TEST_CASE("a trail goes on after a restart, and says which counts are the least") {
+  MemoryFolder folder;
+  {
+    audit::Trail trail(folder, "n1", noon);
+    trail.count(handed("r1"), noon);
+    trail.count(handed("r1"), noon);
+  }
+  {
+    audit::Trail trail(folder, "n1", noon + 1000);
+    trail.count(handed("r1"), noon + 1000);
+    trail.close(noon + 2000);
+  }
+  QJsonObject const out = reportOf(folder);
+  CHECK(out.value("whole").toBool());
+  CHECK(countsOf(out, "health")["handed-over r1"] == 2);
+  QJsonArray const lives = out.value("nodes").toArray().at(0).toObject().value("lives").toArray();
+  REQUIRE(lives.size() == 2);
+  CHECK(lives.at(0).toObject().value("countsAreLeast").toBool());
+  CHECK_FALSE(lives.at(1).toObject().value("countsAreLeast").toBool(true));
+}
+
+TEST_CASE("a torn last line is cut off, whatever its length") {
+  MemoryFolder whole;
+  {
+    audit::Trail trail(whole, "n1", noon);
+    trail.count(handed("r1"), noon);
+    trail.count(handed("r2"), noon);
+  }
+  std::string const file = whole.files.begin()->first;
+  std::string const text = whole.files.begin()->second;
+  std::size_t const lastLine = text.rfind('\n', text.size() - 2) + 1;
+  for (std::size_t cut = lastLine; cut < text.size(); ++cut) {
+    MemoryFolder folder;
+    folder.files[file] = text.substr(0, cut);
+    audit::Trail trail(folder, "n1", noon + 1);
+    QJsonObject const out = reportOf(folder);
+    CHECK(out.value("whole").toBool());
+    CHECK(countsOf(out, "health") == std::map<std::string, qint64>{{"handed-over r1", 1}});
+  }
+}
+
+TEST_CASE("whatever is changed, moved or taken out shows") {
+  MemoryFolder folder;
+  audit::Trail trail(folder, "n1", noon, audit::Bounds{1200, 100});
+  for (int i = 0; i < 30; ++i) trail.count(handed("r" + std::to_string(i)), noon + i);
+  audit::Head const head = trail.head();
+  REQUIRE(folder.files.size() > 5);
+  REQUIRE(reportOf(folder).value("whole").toBool());
+  std::function<bool(std::function<void(std::map<std::string, std::string>&)> const&, audit::Ask const&)> const shows =
+      [&](std::function<void(std::map<std::string, std::string>&)> const& harm, audit::Ask const& ask) {
+        MemoryFolder harmed;
+        harmed.files = folder.files;
+        harm(harmed.files);
+        return !reportOf(harmed, ask).value("whole").toBool();
+      };
+  std::string const middle = std::next(folder.files.begin(), 2)->first;
+  std::string const last = folder.files.rbegin()->first;
+  CHECK(shows([&](std::map<std::string, std::string>& f) { f.erase(middle); }, {}));
+  CHECK(shows([&](std::map<std::string, std::string>& f) { f[middle].erase(0, f[middle].find('\n') + 1); }, {}));
+  CHECK(shows([&](std::map<std::string, std::string>& f) { std::swap(f[middle], f[last]); }, {}));
+  core::Rng rng(7);
+  for (int i = 0; i < 300; ++i)
+    CHECK(shows(
+        [&](std::map<std::string, std::string>& f) {
+          std::string& text = std::next(f.begin(), static_cast<std::ptrdiff_t>(rng.below(f.size())))->second;
+          text[rng.below(text.size())] ^= static_cast<char>(1U << rng.below(7));
+        },
+        {}));
+  audit::Ask ask;
+  ask.heads = {{"n1", head}};
+  CHECK_FALSE(shows([](std::map<std::string, std::string>&) {}, ask));
+  std::function<void(std::map<std::string, std::string>&)> const cutShort = [&](std::map<std::string, std::string>& f) { f.erase(last); };
+  CHECK_FALSE(shows(cutShort, {}));
+  CHECK(shows(cutShort, ask));
+  ask.heads = {{"n2", head}};
+  CHECK(shows([](std::map<std::string, std::string>&) {}, ask));
+}
+
+TEST_CASE("a restart hides no harm: only a line that was torn at the very end is cut off") {
+  MemoryFolder folder;
+  {
+    audit::Trail trail(folder, "n1", noon);
+    for (int i = 0; i < 5; ++i) trail.count(handed("r" + std::to_string(i)), noon);
+  }
+  std::string& text = folder.files.begin()->second;
+  text[text.size() - 10] ^= 1;
+  {
+    audit::Trail trail(folder, "n1", noon + 1);
+    trail.count(handed("r9"), noon + 1);
+  }
+  CHECK_FALSE(reportOf(folder).value("whole").toBool());
+  CHECK(countsOf(reportOf(folder), "health")["handed-over r9"] == 1);
+  MemoryFolder lost;
+  lost.files["audit-000000000001"] = "harm\n";
+  audit::Trail trail(lost, "n1", noon);
+  trail.count(handed("r1"), noon);
+  CHECK_FALSE(reportOf(lost).value("whole").toBool());
+}
+
+TEST_CASE("a record that was made up does not fit its neighbours, even with a proper hash of its own") {
+  MemoryFolder folder;
+  {
+    audit::Trail trail(folder, "n1", noon);
+    trail.count(handed("r1"), noon);
+    trail.count(handed("r2"), noon);
+  }
+  MemoryFolder other;
+  {
+    audit::Trail trail(other, "n1", noon + 5);
+    trail.count(handed("good"), noon);
+    trail.count(handed("r2"), noon);
+  }
+  std::string& text = folder.files.begin()->second;
+  std::string const& foreign = other.files.begin()->second;
+  std::size_t const from = text.find('\n') + 1;
+  std::size_t const foreignFrom = foreign.find('\n') + 1;
+  text.replace(from, text.find('\n', from) - from, foreign.substr(foreignFrom, foreign.find('\n', foreignFrom) - foreignFrom));
+  CHECK_FALSE(reportOf(folder).value("whole").toBool());
+}
+
+TEST_CASE("the trail stays within its bound and names what was dropped") {
+  MemoryFolder folder;
+  audit::Trail trail(folder, "n1", noon, audit::Bounds{2000, 4});
+  for (int i = 0; i < 500; ++i) trail.count(handed("r" + std::to_string(i)), noon);
+  std::size_t bytes = 0;
+  for (std::map<std::string, std::string>::value_type const& f : folder.files) bytes += f.second.size();
+  CHECK(folder.files.size() == 4);
+  CHECK(bytes <= 8000);
+  QJsonObject const out = reportOf(folder);
+  CHECK(out.value("whole").toBool());
+  CHECK(out.value("nodes").toArray().at(0).toObject().value("first").toInteger() > 400);
+  audit::Trail again(folder, "n1", noon, audit::Bounds{2000, 4});
+  CHECK(again.head().number == 502);
+}
+
+TEST_CASE("a disk that does not write is told at once, and nothing is counted as written") {
+  MemoryFolder folder;
+  audit::Trail trail(folder, "n1", noon);
+  folder.full = true;
+  CHECK_THROWS_AS(trail.count(handed("r1"), noon), ledger::Error);
+  folder.full = false;
+  trail.count(handed("r1"), noon);
+  QJsonObject const out = reportOf(folder);
+  CHECK(out.value("whole").toBool());
+  CHECK(countsOf(out, "health")["handed-over r1"] == 1);
+}
+
+TEST_CASE("a report is by regime and span, over several nodes") {
+  MemoryFolder one;
+  MemoryFolder two;
+  audit::Trail a(one, "n1", noon);
+  audit::Trail b(two, "n2", noon);
+  a.count(handed("r1"), noon);
+  b.count(handed("r1"), noon + 3600000);
+  audit::Kind other = handed("r9");
+  other.regime = "export";
+  b.count(other, noon + 3600000);
+  audit::Ask ask;
+  ask.regime = "health";
+  QJsonObject out = audit::report({audit::readTrail(one), audit::readTrail(two)}, ask);
+  CHECK(out.value("regimes").toObject().keys() == QStringList{"health"});
+  QJsonArray const spans = out.value("regimes").toObject().value("health").toArray();
+  REQUIRE(spans.size() == 2);
+  CHECK(spans.at(0).toObject().value("span").toString() == "2026-06-01T12:00:00.000Z");
+  ask.from = noon + 3600000;
+  out = audit::report({audit::readTrail(one), audit::readTrail(two)}, ask);
+  CHECK(out.value("regimes").toObject().value("health").toArray().size() == 1);
+  ask.until = noon + 3600000;
+  CHECK(audit::report({audit::readTrail(one), audit::readTrail(two)}, ask).value("regimes").toObject().isEmpty());
+}
