Keep records of regimes' work in a nacelle's folder

Synced by a worker each second; the head stands in /v1/state and each minute in the log. The lock of a folder is shared with the substation's.

--- a/audit/include/corkward/audit/trail.h
+++ b/audit/include/corkward/audit/trail.h
@@ -52,6 +52,8 @@
   void count(Kind const& kind, std::int64_t wall);
   /// Writes the counts of a span that has ended.
   void clockEvent(std::int64_t wall);
+  /// Writes a record that says no more than that it could be written.
+  void probe(std::int64_t wall);
   /// Writes all counts; nothing is missing from this life.
   void close(std::int64_t wall);
   Head const& head() const { return head_; }
--- a/audit/src/trail.cpp
+++ b/audit/src/trail.cpp
@@ -136,6 +136,8 @@
   }
 }
 
+void Trail::probe(std::int64_t wall) { write(QJsonObject{{"what", "probed"}}, wall); }
+
 void Trail::close(std::int64_t wall) {
   writeCounts(wall);
   write(QJsonObject{{"what", "closed"}}, wall);
--- a/programs/common/process.cpp
+++ b/programs/common/process.cpp
@@ -1,6 +1,9 @@
 #include "process.h"
 
 #include <QDateTime>
+#include <fcntl.h>
+#include <sys/file.h>
+#include <unistd.h>
 
 namespace corkward::programs {
 
@@ -40,6 +43,14 @@
   return true;
 }
 
+FolderLock::FolderLock(char const* setting, std::string const& folder) : fd_(::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC)) {
+  if (fd_ >= 0 && ::flock(fd_, LOCK_EX | LOCK_NB) == 0) return;
+  if (fd_ >= 0) ::close(fd_);
+  throw SettingsError(std::string(setting) + ": in use by another process: " + folder);
+}
+
+FolderLock::~FolderLock() { ::close(fd_); }
+
 bool Drain::begin() {
   if (until_ != 0) return false;
   until_ = now() + limitSeconds_ * 1000;
--- a/programs/common/process.h
+++ b/programs/common/process.h
@@ -24,6 +24,18 @@
 /// Path of a request without its query.
 std::string pathOf(door::Request const& request);
 
+/// Keeps a folder for this process alone. Throws SettingsError with the setting's name when another process has it.
+class FolderLock {
+ public:
+  FolderLock(char const* setting, std::string const& folder);
+  ~FolderLock();
+  FolderLock(FolderLock const&) = delete;
+  FolderLock& operator=(FolderLock const&) = delete;
+
+ private:
+  int fd_;
+};
+
 /// The end of a process after SIGTERM: when nothing is in hand, or at the limit.
 class Drain {
  public:
--- a/programs/common/settings.cpp
+++ b/programs/common/settings.cpp
@@ -33,12 +33,11 @@
   if (!ok) throw SettingsError(name + ": must be ip:port, but is " + value);
 }
 
-void checkData(std::string const& path) {
-  if (path.empty()) throw SettingsError("data: missing");
+void checkFolder(std::string const& name, std::string const& path) {
   struct stat info {};
   if (::stat(path.c_str(), &info) == 0) {
-    if (!S_ISDIR(info.st_mode)) throw SettingsError("data: is not a folder: " + path);
-    if (::access(path.c_str(), W_OK | X_OK) != 0) throw SettingsError("data: cannot be written: " + path);
+    if (!S_ISDIR(info.st_mode)) throw SettingsError(name + ": is not a folder: " + path);
+    if (::access(path.c_str(), W_OK | X_OK) != 0) throw SettingsError(name + ": cannot be written: " + path);
   }
 }
 
@@ -60,6 +59,9 @@
   if (disk)
     shared.add_options()("data", po::value<std::string>(&s.data), "folder for this machine's ledger")(
         "founder", po::value<std::vector<std::string>>(&s.founders), "link address of a founder of the cohort, once for each; counts at the first start of an empty folder");
+  else
+    shared.add_options()("audit", po::value<std::string>(&s.audit), "folder for the records of regimes' work; without it nothing of a regime is served here")(
+        "audit-megabytes", po::value<int>(&s.auditMegabytes)->default_value(64), "most that the records take, 2 to 65536");
   po::options_description flags("Flags");
   flags.add_options()("settings", po::value<std::string>(), "settings file: name = value lines")("check", "check the settings and exit")(
       "help", "print this and exit")("version", "print the version and exit");
@@ -102,11 +104,14 @@
   for (char const* l : levels) known = known || s.logLevel == l;
   if (!known) throw SettingsError("log-level: must be trace, debug, info, warn or error, but is " + s.logLevel);
   if (disk) {
-    checkData(s.data);
+    if (s.data.empty()) throw SettingsError("data: missing");
+    checkFolder("data", s.data);
     if (s.founders.empty() && s.seeds.empty()) throw SettingsError("seed: missing, and no founder");
     if (s.founders.size() > 9) throw SettingsError("founder: more than 9");
     for (std::string const& f : s.founders) checkAddress("founder", f, true);
   }
+  if (!s.audit.empty()) checkFolder("audit", s.audit);
+  if (s.auditMegabytes < 2 || s.auditMegabytes > 65536) throw SettingsError("audit-megabytes: must be 2 to 65536");
   if (vm.count("check") > 0) {
     std::cout << "settings are valid\n";
     return std::nullopt;
--- a/programs/common/settings.h
+++ b/programs/common/settings.h
@@ -18,6 +18,9 @@
   std::vector<std::string> seeds;
   std::string data;
   std::vector<std::string> founders;
+  /// Folder for the records of regimes' work, and their bound; empty: none are kept.
+  std::string audit;
+  int auditMegabytes = 64;
   std::string logFile;
   std::string logLevel = "info";
   int drainLimit = 60;
--- a/programs/nacelle/nacelle.cpp
+++ b/programs/nacelle/nacelle.cpp
@@ -25,6 +25,7 @@
       surface_(std::move(surface)),
       drain_(s.drainLimit),
       plane_(contactOf(s, "nacelle"), s.seeds, freshSeed(), tuning),
+      records_(this, s, [this](bool works) { plane_.recording(works); }),
       link_(this, s.link, [this](signal::Envelope e) { run(plane_.arrived(now(), e.from, e.message)); }, s.listen),
       relays_(surface_.kept, [] { return now(); }),
       server_(surface_.http.empty() ? std::vector<std::string>{s.http} : surface_.http, surface_.limits, events()) {
@@ -60,7 +61,9 @@
   if (plainPage(server_, request, [this] { return ready(); }, [this] { return metrics(); })) return true;
   std::string const path = pathOf(request);
   if (path == "/v1/state" && request.method == "GET") {
-    server_.answer(request.id, 200, {{"content-type", "application/json"}}, core::jsonText(plane_.state(now())) + "\n");
+    QJsonObject state = plane_.state(now());
+    if (std::optional<QJsonObject> const head = records_.head()) state.insert("audit", *head);
+    server_.answer(request.id, 200, {{"content-type", "application/json"}}, core::jsonText(state) + "\n");
   } else if (path.rfind(listPath, 0) == 0 && request.method == "PUT") {
     run(plane_.platformList(now(), request.id, path.substr(std::string(listPath).size()), request.body));
   } else {
@@ -87,7 +90,11 @@
   run(plane_.request(now(), asked));
 }
 
-void Nacelle::retune(rotor::Tuning const& tuning, std::vector<std::string> const& seeds) { plane_.retune(tuning, seeds); }
+void Nacelle::retune(rotor::Tuning const& tuning, std::vector<std::string> const& seeds) {
+  bool const records = plane_.recording();
+  plane_.retune(tuning, seeds);
+  plane_.recording(records);
+}
 
 void Nacelle::platformList(std::string const& pool, std::string const& body) { run(plane_.platformList(now(), 0, pool, body)); }
 
@@ -123,6 +130,11 @@
   std::unordered_map<std::uint64_t, Call>::iterator const it = calls_.find(m.call);
   if (it == calls_.end() || it->second.relay == nullptr) return;
   Call& call = it->second;
+  if (!m.regime.empty() && call.unrecorded) {
+    abandon(m.call);
+    run(plane_.ended(now(), m.call, rotor::End::notRun));
+    return;
+  }
   rotor::Resume const resume = call.stream.resume();
   call.relay->send(mapping_.replicaRequest(door::Dispatch{call.request, call.caller, call.path, m, resume}), call.request.body);
 }
@@ -130,7 +142,9 @@
 void Nacelle::act(rotor::Abandon const& m) { abandon(m.call); }
 
 void Nacelle::act(rotor::Record const& m) {
-  core::writeLog(core::Note{"regime", {{"regime", m.regime}, {"instance", m.instance}, {"life", m.life}, {"certificate", m.certificate}}});
+  bool const written = records_.write(m);
+  std::unordered_map<std::uint64_t, Call>::iterator const it = calls_.find(m.call);
+  if (it != calls_.end()) it->second.unrecorded = !written;
 }
 
 void Nacelle::act(rotor::Deny const& m) {
@@ -231,6 +245,7 @@
   watchPaused();
   plane_.wallTime(now(), QDateTime::currentMSecsSinceEpoch());
   run(plane_.clockEvent(now()));
+  records_.clockEvent();
   drain_.look(plane_.inHand() + server_.inHand());
 }
 
--- a/programs/nacelle/nacelle.h
+++ b/programs/nacelle/nacelle.h
@@ -16,6 +16,7 @@
 #include <corkward/signal/link.h>
 
 #include "process.h"
+#include "records.h"
 #include "settings.h"
 
 namespace corkward::programs {
@@ -67,6 +68,8 @@
     rotor::Stream stream;
     core::Tick movedAt = 0;
     core::Tick pausedSince = 0;
+    /// What it is about to do could not be written down.
+    bool unrecorded = false;
   };
 
   door::Server::Events events();
@@ -95,6 +98,7 @@
   NacelleSurface surface_;
   Drain drain_;
   rotor::Plane plane_;
+  Records records_;
   std::unordered_map<std::uint64_t, Call> calls_;
   signal::Link link_;
   door::Relays relays_;
--- /dev/null
+++ b/programs/nacelle/records.cpp
@@ -0,0 +1,125 @@
+#include "records.h"
+
+#include <QDateTime>
+#include <QMetaObject>
+#include <QObject>
+
+#include <corkward/core/json.h>
+#include <corkward/core/log.h>
+
+#include "clock.h"
+
+namespace corkward::programs {
+
+namespace {
+
+constexpr core::Tick syncEvery = 1000;
+constexpr core::Tick headEvery = 60000;
+
+struct HappenedRow {
+  rotor::Happened happened;
+  char const* name;
+};
+
+constexpr HappenedRow happenedTable[] = {
+    {rotor::Happened::handedOver, "handed-over"}, {rotor::Happened::resumed, "resumed"}, {rotor::Happened::served, "served"},
+    {rotor::Happened::notRun, "not-run"},         {rotor::Happened::broken, "broken"},   {rotor::Happened::denied, "denied"}};
+
+std::int64_t wall() { return QDateTime::currentMSecsSinceEpoch(); }
+
+audit::Kind kindOf(rotor::Record const& r) {
+  audit::Kind out;
+  for (HappenedRow const& h : happenedTable)
+    if (h.happened == r.happened) out.what = h.name;
+  out.regime = r.regime;
+  out.instance = r.instance;
+  out.pool = r.pool;
+  out.address = r.address;
+  out.life = r.life;
+  out.zone = r.zone;
+  out.certificate = r.certificate;
+  out.reason = r.reason;
+  return out;
+}
+
+}  // namespace
+
+Records::Records(QObject* owner, Settings const& settings, Works works) : owner_(owner), node_(settings.link), works_(std::move(works)) {
+  if (settings.audit.empty()) return;
+  bounds_.segments = static_cast<std::size_t>(settings.auditMegabytes);
+  folder_ = ledger::openFolder(settings.audit);
+  lock_.emplace("audit", settings.audit);
+  disk_.emplace(1);
+  open();
+  tell(true, "");
+}
+
+void Records::open() { trail_ = std::make_unique<audit::Trail>(*folder_, node_, wall(), bounds_); }
+
+void Records::tell(bool works, std::string const& why) {
+  if (ok_ == works) return;
+  ok_ = works;
+  core::writeLog(core::Note{works ? "records-kept" : "records-not-kept", {{"error", why}}});
+  works_(works);
+}
+
+bool Records::guarded(std::function<void()> const& step) {
+  try {
+    step();
+    return true;
+  } catch (ledger::Error const& e) {
+    tell(false, e.what());
+    return false;
+  }
+}
+
+bool Records::write(rotor::Record const& record) {
+  if (trail_ == nullptr) return false;
+  return guarded([&] { trail_->count(kindOf(record), wall()); });
+}
+
+void Records::clockEvent() {
+  if (trail_ == nullptr) return;
+  if (guarded([this] { trail_->clockEvent(wall()); }) && now() >= syncAt_) {
+    syncAt_ = now() + syncEvery;
+    sync();
+  }
+  if (now() < headAt_) return;
+  headAt_ = now() + headEvery;
+  core::writeLog(core::Note{"audit-head", {{"n", std::to_string(trail_->head().number)}, {"hash", trail_->head().hash}}});
+}
+
+void Records::sync() {
+  if (syncing_) return;
+  std::string const file = trail_->takeUnsynced();
+  if (file.empty() && ok_) return;
+  syncing_ = true;
+  disk_->run([this, file] {
+    std::string why;
+    try {
+      if (!file.empty()) folder_->sync(file);
+      folder_->syncFolder();
+    } catch (ledger::Error const& e) {
+      why = e.what();
+    }
+    QMetaObject::invokeMethod(
+        owner_,
+        [this, why] {
+          syncing_ = false;
+          if (!why.empty()) tell(false, why);
+          if (why.empty() && !ok_ && guarded([this] { trail_->probe(wall()); })) tell(true, "");
+        },
+        Qt::QueuedConnection);
+  });
+}
+
+Records::~Records() {
+  if (trail_ != nullptr) guarded([this] { trail_->close(wall()); });
+}
+
+std::optional<QJsonObject> Records::head() const {
+  if (trail_ == nullptr) return std::nullopt;
+  return QJsonObject{{"n", static_cast<qint64>(trail_->head().number)}, {"hash", core::qstr(trail_->head().hash)}, {"works", ok_}};
+}
+
+}  // namespace corkward::programs
--- a/programs/substation/substation_program.cpp
+++ b/programs/substation/substation_program.cpp
@@ -3,9 +3,6 @@
 #include <QDateTime>
 #include <QHostAddress>
 #include <QTcpSocket>
-#include <fcntl.h>
-#include <sys/file.h>
-#include <unistd.h>
 
 #include <corkward/core/log.h>
 
@@ -26,12 +23,12 @@
       drain_(s.drainLimit),
       seed_(freshSeed()),
       folder_(ledger::openFolder(s.data)),
+      lock_("data", s.data),
       log_(std::make_unique<ledger::Ledger>(*folder_)),
       plane_(contactOf(s, "substation"), freshName(), s.seeds, s.founders, seed_, tuning),
       link_(this, s.link, [this](signal::Envelope e) { run(plane_.arrived(now(), e.from, e.message)); }, s.listen),
       server_(surface_.http.empty() ? std::vector<std::string>{s.http} : surface_.http, surface_.limits, events()),
       disk_(1) {
-  lockFolder();
   ledger::Recovered got = log_->recover();
   if (got.tornTail) core::writeLog(core::Note{"torn-tail-cut", {}});
   if (got.damaged) {
@@ -58,11 +55,6 @@
 
 void Substation::retune(std::vector<std::string> const& seeds) { plane_.setSeeds(seeds); }
 
-void Substation::lockFolder() {
-  int const fd = ::open(settings_.data.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-  if (fd < 0 || ::flock(fd, LOCK_EX | LOCK_NB) != 0) throw SettingsError("data: in use by another process: " + settings_.data);
-}
-
 void Substation::setAside() {
   for (std::string const& name : folder_->list())
     if (name.rfind("damaged-", 0) != 0) folder_->rename(name, "damaged-" + std::to_string(now()) + "-" + name);
--- a/programs/substation/substation_program.h
+++ b/programs/substation/substation_program.h
@@ -57,7 +57,6 @@
 
  private:
   door::Server::Events events();
-  void lockFolder();
   void setAside();
   void serve(door::Request request);
   void answer(substation::Answer const& a);
@@ -71,6 +70,7 @@
   Drain drain_;
   std::uint64_t seed_;
   std::unique_ptr<ledger::Folder> folder_;
+  FolderLock lock_;
   std::unique_ptr<ledger::Ledger> log_;
   substation::Plane plane_;
   std::unordered_map<std::uint64_t, signal::Call> calls_;
--- a/rotor/include/corkward/rotor/plane.h
+++ b/rotor/include/corkward/rotor/plane.h
@@ -256,6 +256,7 @@
   blueprint::Wall wallAt(Tick now) const;
   /// Whether records can be written from here on.
   void recording(bool works) { tuning_.records = works; }
+  bool recording() const { return tuning_.records; }
 
   /// Whether clients should be sent here.
   bool ready(Tick now) const;
