Declare certificates with the command line, and report what regimes' work did

certificates-get, -put, -patch, revoke; diff and apply take one file with regimes and certificates and order it before or after the families, so that every step is valid, else say so before anything is sent; regime report reads copies of audit folders, checks the chains and sums up by regime and span. A plan that fails in both orders now tells the fault of the first one (it told the second's, 'has instances', of a template to be made).

--- a/audit/include/corkward/audit/trail.h
+++ b/audit/include/corkward/audit/trail.h
@@ -92,6 +92,8 @@
   std::string node;
   std::vector<QJsonObject> records;
   std::vector<Fault> faults;
+  /// The newest line is not whole: the node was writing, or lost its power.
+  bool tornEnd = false;
   /// Number of the first record that is kept; those before were dropped by the bound.
   std::uint64_t first = 0;
   Head head;
--- a/audit/src/report.cpp
+++ b/audit/src/report.cpp
@@ -48,7 +48,7 @@
     faults.append(QJsonObject{{"reason", core::qstr("record " + std::to_string(h.second.number) + " that was noted elsewhere is not in the trail")}});
   }
   whole = whole && faults.isEmpty();
-  return QJsonObject{{"node", core::qstr(t.node)}, {"first", static_cast<qint64>(t.first)}, {"faults", faults}, {"lives", lives},
+  return QJsonObject{{"node", core::qstr(t.node)}, {"first", static_cast<qint64>(t.first)}, {"faults", faults}, {"lives", lives}, {"tornEnd", t.tornEnd},
                      {"head", QJsonObject{{"n", static_cast<qint64>(t.head.number)}, {"hash", core::qstr(t.head.hash)}}}};
 }
 
@@ -74,6 +74,10 @@
     std::vector<Line> const lines = readLines(folder.read(file));
     for (std::size_t i = 0; i < lines.size(); ++i) {
       Line const& line = lines[i];
+      if (line.torn && file == files.back()) {
+        out.tornEnd = true;
+        continue;
+      }
       if (!line.fault.empty()) {
         out.faults.push_back(Fault{file, i + 1, line.fault});
         continue;
--- a/programs/cli/declare.cpp
+++ b/programs/cli/declare.cpp
@@ -15,6 +15,8 @@
 
 namespace {
 
+constexpr char const* certificatesPath = "/v1/certificates";
+
 std::string pathOf(std::string const& templateName, std::string const& instance) {
   return "/v1/templates/" + templateName + (instance.empty() ? "" : "/instances/" + instance);
 }
@@ -42,7 +44,13 @@
 /// What stands beside the families.
 struct Known {
   blueprint::PoolKnown pool;
-  blueprint::RegimeFaultOf regimeFault;
+  blueprint::Regimes regimes;
+  blueprint::Wall wall;
+
+  std::string regimeFault(std::string const& regime, std::string const& in) const {
+    std::optional<blueprint::RegimeFault> const fault = blueprint::faultOf(regimes, regime, in, wall);
+    return fault ? fault->reason : std::string();
+  }
 };
 
 OperatorOutcome read(Ask const& ask, std::string const& path) {
@@ -77,7 +85,7 @@
     all.insert(core::qstr(d.instance), entry);
     family.insert("instances", all);
   }
-  blueprint::checkFamily(family, known.pool, known.regimeFault);
+  blueprint::checkFamily(family, known.pool, [&](std::string const& regime, std::string const& pool) { return known.regimeFault(regime, pool); });
 }
 
 std::vector<PlannedChange> planFamily(std::string const& name, Family const& f, bool prune, Known const& known) {
@@ -89,6 +97,7 @@
   std::vector<Declaration const*> order = changed;
   if (ownChanged) order.insert(order.begin(), f.own);
   std::string fault;
+  std::string firstFault;
   for (int turn = 0; turn < 2; ++turn) {
     QJsonObject family = f.now;
     fault.clear();
@@ -101,12 +110,13 @@
       break;
     } catch (blueprint::Error const& e) {
       fault = at->file + ": " + e.what();
+      if (firstFault.empty()) firstFault = fault;
     }
     if (!ownChanged || turn == 1) break;
     order = changed;
     order.push_back(f.own);
   }
-  if (!fault.empty()) throw UsageError(fault);
+  if (!fault.empty()) throw UsageError(firstFault);
   std::vector<PlannedChange> out;
   for (Declaration const* const d : order) {
     QJsonObject const entry = d->instance.empty() ? f.now.value("template").toObject() : have.value(core::qstr(d->instance)).toObject();
@@ -123,6 +133,42 @@
   return out;
 }
 
+std::vector<PlannedChange> planFamilies(std::map<std::string, Family> const& families, bool prune, Known const& known) {
+  std::vector<PlannedChange> out;
+  for (std::map<std::string, Family>::value_type const& f : families) {
+    std::vector<PlannedChange> const part = planFamily(f.first, f.second, prune, known);
+    out.insert(out.end(), part.begin(), part.end());
+  }
+  return out;
+}
+
+/// The family as it will be.
+QJsonObject familyToCome(Family const& f, bool prune) {
+  QJsonObject out = prune ? QJsonObject{{"template", f.now.value("template")}} : f.now;
+  QJsonObject instances = out.value("instances").toObject();
+  if (f.own != nullptr) out.insert("template", QJsonObject{{"spec", f.own->spec}});
+  for (Declaration const* const d : f.instances) instances.insert(core::qstr(d->instance), QJsonObject{{"spec", d->spec}});
+  out.insert("instances", instances);
+  return out;
+}
+
+/// First tenant that could not be served, of those in force or of those to come, and why.
+std::string uncovered(std::map<std::string, Family> const& families, bool toCome, bool prune, Known const& known) {
+  for (std::map<std::string, Family>::value_type const& f : families) {
+    std::vector<blueprint::Path> paths;
+    try {
+      paths = blueprint::render(f.first, toCome ? familyToCome(f.second, prune) : f.second.now);
+    } catch (blueprint::Error const&) {
+      continue;
+    }
+    for (blueprint::RegimeUse const& use : blueprint::regimeUses(paths)) {
+      std::string const fault = known.regimeFault(use.regime, use.pool);
+      if (!fault.empty()) return use.instance + ": " + fault;
+    }
+  }
+  return "";
+}
+
 void say(std::vector<PlannedChange> const& plan, std::string const& head) {
   std::cout << head << "\n";
   for (PlannedChange const& c : plan) std::cout << "  " << c.action << " " << c.call.path << " (stamp " << c.call.stamp << ")\n";
@@ -130,7 +176,7 @@
 
 }  // namespace
 
-std::string Declaration::path() const { return pathOf(templateName, instance); }
+std::string Declaration::path() const { return templateName.empty() ? certificatesPath : pathOf(templateName, instance); }
 
 std::vector<Declaration> readFolder(std::string const& folder) {
   if (!QDir(core::qstr(folder)).exists()) throw UsageError("no such folder: " + folder);
@@ -152,6 +198,12 @@
     }
     if (!v.isObject()) throw UsageError(file + ": /: must be an object");
     QJsonObject const o = v.toObject();
+    if (o.contains("regimes")) {
+      d.spec = o;
+      out.push_back(d);
+      if (!seen.emplace(d.path(), file).second) throw UsageError(file + ": /regimes: regimes stand in " + seen.at(d.path()) + " already");
+      continue;
+    }
     for (QString const& k : o.keys())
       if (k != "template" && k != "instance" && k != "spec") throw UsageError(file + ": /" + core::str(k) + ": unknown field");
     d.templateName = core::str(o.value("template").toString());
@@ -169,7 +221,12 @@
 
 std::vector<PlannedChange> planChanges(std::vector<Declaration> const& declared, bool prune, Ask const& ask) {
   std::map<std::string, Family> families;
+  Declaration const* certificates = nullptr;
   for (Declaration const& d : declared) {
+    if (d.templateName.empty()) {
+      certificates = &d;
+      continue;
+    }
     Family& f = families[d.templateName];
     if (d.instance.empty())
       f.own = &d;
@@ -181,26 +238,41 @@
   std::map<std::string, bool> pools;
   for (QJsonValue const p : read(ask, "/v1/blueprint").body.value("spec").toObject().value("pools").toArray())
     pools[core::str(p.toObject().value("name").toString())] = true;
-  blueprint::Regimes const regimes = blueprint::keptRegimes(read(ask, "/v1/certificates").body);
-  blueprint::Wall const wall = QDateTime::currentMSecsSinceEpoch();
-  Known known;
-  known.regimeFault = [&](std::string const& regime, std::string const& pool) {
-    std::optional<blueprint::RegimeFault> const fault = blueprint::faultOf(regimes, regime, pool, wall);
-    return fault ? fault->reason : std::string();
-  };
-  known.pool = [&](std::string const& pool) {
-    std::map<std::string, bool>::const_iterator const it = pools.find(pool);
-    return it != pools.end() ? it->second : (pools[pool] = read(ask, "/v1/platform/pools/" + pool).status == 200);
-  };
-  std::vector<PlannedChange> out;
+  OperatorOutcome const inForce = read(ask, certificatesPath);
+  Known known{[&](std::string const& pool) {
+                std::map<std::string, bool>::const_iterator const it = pools.find(pool);
+                return it != pools.end() ? it->second : (pools[pool] = read(ask, "/v1/platform/pools/" + pool).status == 200);
+              },
+              blueprint::keptRegimes(inForce.body), QDateTime::currentMSecsSinceEpoch()};
   for (std::map<std::string, Family>::value_type& f : families) {
     f.second.now = familyInForce(ask, f.first);
     if (f.second.now.isEmpty() && f.second.own == nullptr && !f.second.instances.empty())
       throw UsageError(f.second.instances.front()->file + ": /template: " + f.first + " is neither declared nor in force");
-    std::vector<PlannedChange> const part = planFamily(f.first, f.second, prune, known);
-    out.insert(out.end(), part.begin(), part.end());
   }
-  return out;
+  if (certificates == nullptr || inForce.body.value("spec") == QJsonValue(certificates->spec)) return planFamilies(families, prune, known);
+  Known next = known;
+  try {
+    next.regimes = blueprint::readRegimes(certificates->spec);
+  } catch (blueprint::Error const& e) {
+    throw UsageError(certificates->file + ": " + e.what());
+  }
+  PlannedChange const own = changeOf(inForce.status == 404 ? "create" : "change", "PUT", certificatesPath, &certificates->spec,
+                                     inForce.body.value("stamp").toInteger());
+  std::string const before = uncovered(families, false, prune, next);
+  std::string const after = uncovered(families, true, prune, next);
+  if (!after.empty()) throw UsageError(certificates->file + ": /certificates: " + after);
+  if (before.empty()) {
+    std::vector<PlannedChange> out = planFamilies(families, prune, next);
+    out.insert(out.begin(), own);
+    return out;
+  }
+  try {
+    std::vector<PlannedChange> out = planFamilies(families, prune, known);
+    out.push_back(own);
+    return out;
+  } catch (UsageError const& e) {
+    throw UsageError(std::string(e.what()) + "; with the declared certificates first: " + before + "; declare this in two steps");
+  }
 }
 
 int declare(std::vector<std::string> const& substations, ApplyWays const& ways, std::function<int(int)> const& exitCode) {
--- a/programs/cli/declare.h
+++ b/programs/cli/declare.h
@@ -9,7 +9,8 @@
 
 namespace corkward::programs {
 
-/// One declaration of a folder: a template, or an instance when a name is given.
+/// One declaration of a folder: a template, or an instance when a name is given, or regimes and certificates when no
+/// template is.
 struct Declaration {
   std::string templateName;
   std::string instance;
--- a/programs/cli/main.cpp
+++ b/programs/cli/main.cpp
@@ -7,6 +7,7 @@
 #include <corkward/core/json.h>
 
 #include "declare.h"
+#include "regime_report.h"
 #include "operator_client.h"
 
 namespace corkward::programs {
@@ -34,6 +35,10 @@
     {"blueprint-get", "", "read the whole blueprint"},
     {"blueprint-put", "FILE", "replace the whole blueprint (--stamp, the version it was built on, 0 when there is none so far)"},
     {"blueprint-patch", "FILE", "set and drop named items of the whole blueprint (--stamp, the version it was built on)"},
+    {"certificates-get", "", "read the regimes and their certificates"},
+    {"certificates-put", "FILE", "replace the regimes and their certificates (--stamp, 0 when there are none so far)"},
+    {"certificates-patch", "FILE", "change part of them by a merge patch (--stamp)"},
+    {"revoke", "CERTIFICATE", "revoke a certificate at once; answers which tenants are left without one"},
     {"evacuate", "ZONE", "evacuate a zone"},
     {"lift", "ZONE", "lift a zone's evacuation"},
     {"evacuation", "ZONE", "read whether a zone is evacuated"},
@@ -42,6 +47,7 @@
     {"change", "ID", "ask what became of a change"},
     {"diff", "DIR", "compare a folder of declarations with what is in force (exit code 1 when they differ)"},
     {"apply", "DIR", "bring what is in force to the folder's declarations (--dry-run, --prune, --wait)"},
+    {"regime", "report FOLDER...", "what ran where, was denied and resumed, from copies of the nacelles' audit folders (--regime, --from, --until, --span, --head; exit code 1 when records were changed or are missing)"},
     {"node-gone", "LINK", "declare that a lost node's machine is off for good"},
     {"fleet", "", "show the fleet as one substation sees it"}};
 
@@ -78,9 +84,11 @@
   if (c == "evacuate") return {"PUT", "/v1/evacuations/" + words[1], ""};
   if (c == "lift") return {"DELETE", "/v1/evacuations/" + words[1], ""};
   if (c == "evacuation") return {"GET", "/v1/evacuations/" + words[1], ""};
+  if (c == "revoke") return {"DELETE", "/v1/certificates/" + words[1], ""};
   if (c == "node-gone") return {"DELETE", "/v1/nodes/" + words[1], ""};
   bool const body = method == "PUT" || method == "PATCH";
   if (c.rfind("blueprint-", 0) == 0) return {method, "/v1/blueprint", body ? words[1] : ""};
+  if (c.rfind("certificates-", 0) == 0) return {method, "/v1/certificates", body ? words[1] : ""};
   if (c.rfind("pool-", 0) == 0) return {method, "/v1/platform/pools/" + words[1], body ? words[2] : ""};
   if (c.rfind("template-", 0) == 0) return {method, "/v1/templates/" + words[1], body ? words[2] : ""};
   return {method, "/v1/templates/" + words[1] + "/instances/" + words[2], body ? words[3] : ""};
@@ -127,6 +135,7 @@
   std::string changeId;
   int limit = 15;
   int wait = 0;
+  ReportWays ways;
   flags.add_options()("substation", po::value(&substations)->default_value({"127.0.0.1:9100"}, "127.0.0.1:9100"),
                       "address of a substation, ip:port; when given more than once, the first that answers")(
       "stamp", po::value<std::string>(&stamp), "stamp that the change is built on (of the whole blueprint: its version); 0 to make a new one")(
@@ -134,6 +143,10 @@
       "prune", "apply and diff: remove what is in force and not declared")(
       "json", "print one JSON object")("limit", po::value<int>(&limit)->default_value(15), "seconds to wait for the answer, 1 to 300")(
       "wait", po::value<int>(&wait)->default_value(0), "seconds to go on asking until the change is in force, 0 to 3600")(
+      "regime", po::value(&ways.regime), "regime report: this one alone")("from", po::value(&ways.from), "regime report: from this time on, as 2027-01-31T00:00:00Z")(
+      "until", po::value(&ways.until), "regime report: before this time")(
+      "span", po::value(&ways.spanMinutes)->default_value(60), "regime report: minutes that are summed up, 1 to 44640")(
+      "head", po::value(&ways.heads), "regime report: NODE=NUMBER:HASH that was noted elsewhere, of which the records must hold each")(
       "help", "print this and exit")("version", "print the version and exit");
   po::options_description hidden;
   hidden.add_options()("word", po::value<std::vector<std::string>>());
@@ -170,6 +183,12 @@
                                wait > 0 ? wait : 60},
                      exitCodeOf);
     }
+    if (!words.empty() && words[0] == "regime") {
+      if (words.size() < 3 || words[1] != "report") throw UsageError("regime wants: report FOLDER...");
+      ways.folders.assign(words.begin() + 2, words.end());
+      ways.json = vm.count("json") > 0;
+      return reportRegimes(ways);
+    }
     if (vm.count("prune") > 0) throw UsageError("prune: goes with diff and apply alone");
     return call(substations, wireOf(words), stamp, changeId, vm.count("dry-run") > 0, vm.count("json") > 0, limit, wait);
   } catch (po::error const& e) {
