Simulate operators that declare, race and revoke certificates; oracles from outside

Plan::regimes: replicas have lives on the platform's list, the tenant nord is of a regime, certificates stand for each pool and zone but the last, and are revoked, put back, raced on one stamp and let expire all the time. Oracles (yard/sim/certificates.cpp, handOver, finalChecks): a regulated request reached a replica of the zone that never had a certificate, or one whose revocation was acknowledged or whose time was over; older certificates than acknowledged ones in force at a hand-over; two changes on one stamp both taken; acknowledged certificates lost.

--- /dev/null
+++ b/yard/sim/certificates.cpp
@@ -0,0 +1,123 @@
+#include <QDateTime>
+#include <algorithm>
+
+#include <corkward/blueprint/regimes.h>
+#include <corkward/core/json.h>
+
+#include "internal.h"
+
+namespace corkward::yard {
+
+namespace {
+
+constexpr char const* page = "/v1/certificates";
+constexpr Tick farAway = 86400000;
+
+}  // namespace
+
+std::string World::lifeOf(Replica const& r) const { return r.address + "/" + std::to_string(r.life); }
+
+std::int64_t World::wall() const { return wallBegin + now_ + wallJump_; }
+
+QJsonObject World::certificateFor(std::string const& name, Tick lasts) const {
+  std::size_t const dash = name.rfind('-');
+  return QJsonObject{{"regime", regime}, {"carrier", "replicas"}, {"pool", core::qstr(name.substr(0, dash))}, {"zone", core::qstr(name.substr(dash + 1))},
+                     {"until", QDateTime::fromMSecsSinceEpoch(wallBegin + now_ + lasts, Qt::UTC).toString(Qt::ISODate)}};
+}
+
+std::vector<std::string> World::certificateNames() const {
+  std::vector<std::string> out;
+  for (char const* const pool : {"model", "other"})
+    for (int z = 1; z < plan_.zones; ++z) out.push_back(std::string(pool) + "-z" + std::to_string(z));
+  return out;
+}
+
+void World::declareRegime() {
+  QJsonObject all;
+  for (std::string const& name : certificateNames()) all.insert(core::qstr(name), certificateFor(name, farAway));
+  QJsonObject const spec{{"regimes", QJsonObject{{regime, QJsonObject{{"nacelles", "any"}}}}}, {"certificates", all}};
+  change(blueprint::regimesKey, core::jsonText(spec), "PUT", page, core::jsonText(spec), "0", "", [this](int status, QJsonObject const& body) {
+    if (status == 200 || status == 201) {
+      certificateStamp_ = std::to_string(body.value("stamp").toInteger());
+      certificateTurn();
+    } else {
+      after(700, [this] { declareRegime(); });
+    }
+  });
+}
+
+void World::declareRegulated() {
+  change("family:desk/nord", "", "PUT", std::string(templatePath) + "/instances/nord", R"({"parameters":{"site":"s"},"regime":"health"})", "0", "",
+         [this](int status, QJsonObject const&) {
+           if (status != 200 && status != 201 && status != 412 && !quiet_) after(700, [this] { declareRegulated(); });
+         });
+}
+
+void World::patchCertificates(std::vector<std::string> const& names, Tick lasts) {
+  QJsonObject all;
+  for (std::string const& name : names) {
+    all.insert(core::qstr(name), certificateFor(name, lasts));
+    outSince_.erase(name);
+    ++certificateTurns_[name];
+  }
+  std::map<std::string, std::uint64_t> const turns = certificateTurns_;
+  Tick const until = now_ + lasts;
+  std::string const body = core::jsonText(QJsonObject{{"certificates", all}});
+  change(blueprint::regimesKey, "", "PATCH", page, body, certificateStamp_, "", [this, names, turns, until](int status, QJsonObject const& answer) {
+    if (answer.contains("stamp")) certificateStamp_ = std::to_string(answer.value("stamp").toInteger());
+    if (status != 200) return;
+    for (std::string const& name : names)
+      at(std::max(now_, until), [this, name, turn = turns.at(name)] {
+        if (certificateTurns_[name] == turn) outSince_[name] = now_;
+      });
+  });
+}
+
+void World::revoke(std::string const& name) {
+  std::uint64_t const turn = ++certificateTurns_[name];
+  change(blueprint::regimesKey, "", "DELETE", std::string(page) + "/" + name, "", "", "", [this, name, turn](int status, QJsonObject const& answer) {
+    if (status != 200 || !answer.value("inForce").toBool()) return;
+    ++result_.counts["revoked"];
+    certificateStamp_ = std::to_string(answer.value("stamp").toInteger());
+    if (certificateTurns_[name] == turn) outSince_[name] = now_;
+  });
+}
+
+void World::certificateTurn() {
+  if (quiet_) return;
+  after(700 + static_cast<Tick>(rng_.below(1500)), [this] { certificateTurn(); });
+  std::vector<std::string> const names = certificateNames();
+  std::string const one = names[rng_.below(names.size())];
+  switch (rng_.below(5)) {
+    case 0:
+    case 1: revoke(one); break;
+    case 2: patchCertificates(names, farAway); break;
+    case 3:
+      patchCertificates({one}, farAway);
+      patchCertificates({names[rng_.below(names.size())]}, farAway);
+      break;
+    default: patchCertificates({one}, blueprint::wallMargin + 1000 + static_cast<Tick>(rng_.below(6000)));
+  }
+}
+
+void World::watchLives() {
+  after(1000, [this] { watchLives(); });
+  for (std::map<std::string, Replica>::value_type const& r : replicas_) {
+    std::map<std::string, std::string>::const_iterator const it = shownLives_.find(r.first);
+    if (!r.second.listed || (it != shownLives_.end() && it->second == lifeOf(r.second))) continue;
+    platform();
+    return;
+  }
+}
+
+void World::judgeRegime(std::string const& instance, Replica const& r) {
+  if (!plan_.regimes || instance != regulated) return;
+  ++result_.counts["regulated"];
+  std::string const name = r.pool + "-" + r.zone;
+  if (r.zone == "z" + std::to_string(plan_.zones)) violation("a regulated request reached a replica that never had a certificate: " + r.address);
+  std::map<std::string, Tick>::const_iterator const out = outSince_.find(name);
+  if (out != outSince_.end() && now_ > out->second + 5)
+    violation("a regulated request reached " + r.address + " " + std::to_string(now_ - out->second) + " ms after its revocation was acknowledged");
+}
+
+}  // namespace corkward::yard
--- a/yard/sim/judge.cpp
+++ b/yard/sim/judge.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include <corkward/blueprint/regimes.h>
 #include <corkward/core/json.h>
 
 #include "internal.h"
@@ -54,8 +55,11 @@
   std::map<std::pair<std::string, std::string>, std::string> accepted;
   std::uint64_t newest = 0;
   Change const* last = nullptr;
+  std::uint64_t newestCertificates = 0;
   for (Change const& c : changes_) {
-    if (c.key.rfind("family:", 0) != 0 || c.stamp == 0 || !(c.status == 200 || c.status == 201 || c.pending)) continue;
+    if (c.key == blueprint::regimesKey && c.stamp > 0 && c.inForce) newestCertificates = std::max(newestCertificates, c.stamp);
+    if (c.key == blueprint::regimesKey && c.ifMatch.empty()) continue;
+    if ((c.key.rfind("family:", 0) != 0 && c.key != blueprint::regimesKey) || c.stamp == 0 || !(c.status == 200 || c.status == 201 || c.pending)) continue;
     std::string& before = accepted[{c.key, c.ifMatch}];
     if (!before.empty()) violation("two changes built on " + c.ifMatch + " of " + c.key + " were both accepted");
     before = c.id;
@@ -86,6 +90,20 @@
       if (!unknown) violation("a change stands that nobody was told of");
     }
   };
+  if (newestCertificates > 0) {
+    signal::Call kept;
+    kept.token = nextCall_++;
+    kept.method = "GET";
+    kept.path = "/v1/certificates";
+    answers_[{link, kept.token}] = [this, newestCertificates](int status, QJsonObject const& body) {
+      ++result_.counts["certificates-read"];
+      if (status != 200 || static_cast<std::uint64_t>(body.value("stamp").toInteger()) < newestCertificates)
+        violation("acknowledged certificates lost: status " + std::to_string(status) + ", stamp " + std::to_string(body.value("stamp").toInteger()) +
+                  ", acknowledged " + std::to_string(newestCertificates));
+    };
+    Node& at = *node(link);
+    run(at, at.control->operatorCall(local(at), kept));
+  }
   signal::Call call;
   call.token = token;
   call.method = "GET";
--- a/yard/sim/operators.cpp
+++ b/yard/sim/operators.cpp
@@ -120,7 +120,12 @@
       else
         leaving.push_back(r.first);
       if (!r.second.listed) continue;
-      list.append(QJsonObject{{"address", core::qstr(r.first)}, {"zone", core::qstr(r.second.zone)}, {"state", core::qstr(r.second.state)}});
+      QJsonObject row{{"address", core::qstr(r.first)}, {"zone", core::qstr(r.second.zone)}, {"state", core::qstr(r.second.state)}};
+      if (plan_.regimes) {
+        row.insert("id", core::qstr(lifeOf(r.second)));
+        shownLives_[r.first] = lifeOf(r.second);
+      }
+      list.append(row);
     }
     showList(pool, generation_, leaving,
              core::jsonText(QJsonObject{{"generation", static_cast<qint64>(generation_)}, {"coldRate", coldRate}, {"replicas", list}}));
--- a/yard/sim/replicas.cpp
+++ b/yard/sim/replicas.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include <corkward/blueprint/regimes.h>
 #include <corkward/core/json.h>
 
 #include "internal.h"
@@ -52,6 +53,13 @@
     if (c.key == family && c.inForce && c.answeredAt >= 0 && c.answeredAt < now_ && have < c.stamp)
       violation("older blueprint served: " + link + " has " + std::to_string(have) + ", in force since " + std::to_string(c.answeredAt) + " is " +
                 std::to_string(c.stamp));
+  if (plan_.regimes && callers_.at(it->second.caller).instance == regulated) {
+    std::uint64_t const certificates = n.data->stampOf(blueprint::regimesKey);
+    for (Change const& c : changes_)
+      if (c.key == blueprint::regimesKey && c.inForce && c.answeredAt >= 0 && c.answeredAt < now_ && certificates < c.stamp)
+        violation("older certificates in force: " + link + " has " + std::to_string(certificates) + ", in force since " + std::to_string(c.answeredAt) +
+                  " is " + std::to_string(c.stamp));
+  }
   after(1 + static_cast<Tick>(rng_.below(3)), [this, link, life, call, turn] {
     std::map<std::pair<std::string, std::uint64_t>, Relayed>::iterator const r = relays_.find({link, call});
     if (r == relays_.end() || r->second.turn != turn) return;
@@ -72,6 +80,7 @@
 void World::reach(Node& n, std::uint64_t life, std::uint64_t call, Replica& r, rotor::Connect const& m) {
   Relayed& relayed = relays_.at({n.link, call});
   std::string const id = relayed.caller;
+  judgeRegime(callers_.at(id).instance, r);
   if (r.shownLeaving >= 0 && now_ > r.shownLeaving + 3000)
     violation("replica " + r.address + " reached " + std::to_string(now_ - r.shownLeaving) + " ms after it was shown leaving");
   std::map<std::string, std::pair<Tick, bool>>::const_iterator const zone = zoneShown_.find(r.zone);
--- a/yard/sim/world.cpp
+++ b/yard/sim/world.cpp
@@ -124,6 +124,7 @@
     if (plan_.mutation == Mutation::vouchTooSoon) t.ageMargin = -1000000000;
     if (plan_.mutation == Mutation::warmForever) t.warmLease = 1000000000;
     t.figures = plan_.figures;
+    t.records = plan_.regimes;
     if (plan_.plain) {
       t.figures.firstPart = 1000;
       t.figures.calmFor = 1000000000;
@@ -140,10 +141,13 @@
   Node* const n = node(link);
   if (n == nullptr || !n->alive || n->life != life) return;
   if (!n->frozen) {
-    if (n->control)
+    if (n->control) {
+      n->control->wallTime(wall());
       run(*n, n->control->clockEvent(local(*n)));
-    else
+    } else {
+      n->data->wallTime(local(*n), wall());
       run(*n, n->data->clockEvent(local(*n)));
+    }
   }
   after(clockEvery, [this, link, life] { clock(link, life); });
 }
@@ -350,10 +354,15 @@
 Result World::run() {
   for (std::map<std::string, Node>::value_type& n : nodes_) boot(n.second);
   at(3500, [this] { platform(); });
+  if (plan_.regimes) at(4000, [this] {
+    watchLives();
+    declareRegime();
+  });
   at(5000, [this] {
     putTemplate("0", 0, [this](int, QJsonObject const&) {
+      if (plan_.regimes) declareRegulated();
       for (char const* name : {"nord", "sued"})
-        change("family:desk/" + std::string(name), "", "PUT", std::string(templatePath) + "/instances/" + name, R"({"parameters":{"site":"s"}})", "0", "");
+        if (!plan_.regimes || std::string(name) == "sued") change("family:desk/" + std::string(name), "", "PUT", std::string(templatePath) + "/instances/" + name, R"({"parameters":{"site":"s"}})", "0", "");
     });
   });
   Tick const begin = trafficFrom - 10000;
--- a/yard/sim/world.h
+++ b/yard/sim/world.h
@@ -164,6 +164,9 @@
   double clockSpread = 0.002;
   /// First words count only for callers that began so long after the first one.
   Tick skip = 0;
+  /// The tenant nord is of a regime; operators declare, revoke and exchange certificates all the time. The last zone has
+  /// none, ever.
+  bool regimes = false;
   /// Messages are packed and counted, by kind and by the role of the sender; costs time.
   bool traffic = false;
 };
@@ -329,6 +332,20 @@
   void callerCut(std::string const& id);
   void callerEnds(std::string const& id, std::string const& outcome);
   void operatorTurn();
+  /// Name of a replica's life on the platform's list.
+  std::string lifeOf(Replica const& r) const;
+  /// Wall time as machines are told it.
+  std::int64_t wall() const;
+  std::vector<std::string> certificateNames() const;
+  QJsonObject certificateFor(std::string const& name, Tick lasts) const;
+  void declareRegime();
+  void declareRegulated();
+  void patchCertificates(std::vector<std::string> const& names, Tick lasts);
+  void revoke(std::string const& name);
+  void certificateTurn();
+  void watchLives();
+  /// A request of that instance has reached the replica: may it?
+  void judgeRegime(std::string const& instance, Replica const& r);
   void change(std::string const& key, std::string const& what, std::string const& method, std::string const& path, std::string const& body,
               std::string const& ifMatch, std::string const& mark, std::function<void(int, QJsonObject const&)> then = {});
   void putTemplate(std::string const& ifMatch, int extraPaths, std::function<void(int, QJsonObject const&)> then = {});
@@ -399,6 +416,12 @@
   int grown_ = 0;
   bool totalOutage_ = false;
   std::map<std::string, int> seenKinds_;
+  std::string certificateStamp_ = "0";
+  /// Changes of each certificate, as they were sent.
+  std::map<std::string, std::uint64_t> certificateTurns_;
+  /// Certificates that are out of force for certain, since when.
+  std::map<std::string, Tick> outSince_;
+  std::map<std::string, std::string> shownLives_;
   Result result_;
 };
 
--- a/yard/test/sim_test.cpp
+++ b/yard/test/sim_test.cpp
@@ -113,6 +113,24 @@
   }
 }
 
+TEST_CASE("certificates are declared, raced and revoked while everything fails", "[regimes]") {
+  std::map<std::string, std::size_t> counts;
+  for (std::vector<Fault> const& faults :
+       std::vector<std::vector<Fault>>{{Fault::killControl, Fault::powerLoss}, {Fault::isolateNacelle, Fault::freezeNacelle, Fault::oneWayCut},
+                                       {Fault::splitCore, Fault::cutCore, Fault::isolateMember}, {Fault::wipeSameAddress, Fault::returnNewAddress},
+                                       {Fault::rollReplicas, Fault::replicaCrash, Fault::breakStreams}, {Fault::evacuate, Fault::coldReplicas},
+                                       {Fault::killHerd, Fault::killAll}})
+    for (std::uint64_t seed = 1; seed <= 2; ++seed) {
+      yard::Plan plan = yard::only(seed, faults);
+      plan.regimes = true;
+      plan.every = 3000;
+      for (std::map<std::string, std::size_t>::value_type const& c : clean(plan).counts) counts[c.first] += c.second;
+    }
+  CHECK(counts["revoked"] > 50);
+  CHECK(counts["regulated"] > 500);
+  CHECK(counts["certificates-read"] == 14);
+}
+
 TEST_CASE("seeds that once failed", "[kept]") {
   for (Kept const& k : std::vector<Kept>{{2, {Fault::splitCore}}, {8, {Fault::splitCore}}, {3, {Fault::cutZone}}, {5, {Fault::cutZone}},
                                          {6, {Fault::killHerd}}})
