Document certified regimes for operators, and say how long certificates count

Operations, interface, architecture, examples/regimes (read and planned by a test), corkward_substation_certificate_seconds_left for alerts.

--- a/programs/test/declare_test.cpp
+++ b/programs/test/declare_test.cpp
@@ -108,6 +108,13 @@
   CHECK(faultOf(folder, desk).find("certificates.json: /certificates: desk.nord: no regime named health") != std::string::npos);
 }
 
+TEST_CASE("the examples of regimes are valid, certificates first") {
+  std::vector<programs::PlannedChange> const changes = programs::planChanges(programs::readFolder(CORKWARD_SOURCE "/examples/regimes"), false, withPool());
+  REQUIRE(changes.size() == 3);
+  CHECK(changes[0].call.path == "/v1/certificates");
+  CHECK(changes[2].call.path == "/v1/templates/pilot-desk/instances/nord");
+}
+
 TEST_CASE("bad declarations of certificates are told by file and place, before anything is sent") {
   Folder folder;
   folder.write("c.json", R"({"regimes":{"health":{"nacelles":"any"}},"certificates":{"c1":{"regime":"health","carrier":"replicas","pool":"m","zone":"z1"}}})");
--- a/substation/src/plane.cpp
+++ b/substation/src/plane.cpp
@@ -936,6 +936,12 @@
          std::to_string(mooring_.majorityAge(now)) + "\n";
   out += "# TYPE corkward_substation_owned_keys gauge\ncorkward_substation_owned_keys " + std::to_string(mooring_.ownedCount()) + "\n";
   out += "# TYPE corkward_substation_calls_in_hand gauge\ncorkward_substation_calls_in_hand " + std::to_string(calls_.size()) + "\n";
+  blueprint::Regimes const regimes = around().regimes();
+  if (!wall_ || regimes.certificates.empty()) return out;
+  out += "# TYPE corkward_substation_certificate_seconds_left gauge\n";
+  for (std::map<std::string, blueprint::Certificate>::value_type const& c : regimes.certificates)
+    out += "corkward_substation_certificate_seconds_left{certificate=\"" + c.first + "\",regime=\"" + c.second.regime + "\"} " +
+           std::to_string((c.second.until - blueprint::wallMargin - *wall_) / 1000) + "\n";
   return out;
 }
 
--- a/substation/test/regimes_test.cpp
+++ b/substation/test/regimes_test.cpp
@@ -145,6 +145,13 @@
   CHECK(d.call("PUT", "/v1/templates/desk/instances/sued", "{}", "0") == 422);
 }
 
+TEST_CASE("metrics say how long each certificate still counts") {
+  Desk d;
+  CHECK(d.rig.plane.metrics(d.rig.now).find("certificate_seconds_left") == std::string::npos);
+  REQUIRE(d.put({{"c1", certificate("model", "z1", "2026-06-01T01:00:00Z")}}, "0") == 201);
+  CHECK(d.rig.plane.metrics(d.rig.now).find("corkward_substation_certificate_seconds_left{certificate=\"c1\",regime=\"health\"} 3540\n") != std::string::npos);
+}
+
 TEST_CASE("of two operators on one stamp one is taken, a revocation among them") {
   Desk d;
   REQUIRE(d.put({{"c1", certificate("model", "z1", farAway)}}, "0") == 201);
