Judge certified regimes with real processes, by each replica's own record

fleet_regimes (yard/test/regimes_test.cpp): real nacelles, substations and replicas under load; the certificate is revoked and put back, two operators race on one stamp, a certified replica dies and another process without a life takes its address, comes back under a new life; then `corkward regime report` over all audit folders with the nodes' heads, and again with one byte changed. Rows of events of a regime whose replica is killed; a nacelle without an audit folder. The stand-in replica names its life, and serves rows of events that go on.

--- a/yard/fleet/fleet.cpp
+++ b/yard/fleet/fleet.cpp
@@ -69,6 +69,7 @@
       std::string text = "link = " + n.link + "\nhttp = " + n.http + "\nzone = " + n.zone + "\n";
       if (!n.listen.empty()) text += "listen = " + n.listen + "\n";
       for (std::size_t i = 0; i < 3; ++i) text += "seed = " + substations_[i % substations_.size()].link + "\n";
+      if (!disk && regimes_) text += "audit = " + auditFolder(n) + "\n";
       if (disk) text += "data = " + n.data + "\n";
       for (std::size_t i = 0; disk && i < std::min<std::size_t>(3, substations_.size()); ++i) text += "founder = " + substations_[i].link + "\n";
       text += "log-file = " + folder() + "/" + n.name + ".log\n";
@@ -86,6 +87,11 @@
   writeSettings();
 }
 
+void Fleet::withRegimes() {
+  regimes_ = true;
+  writeSettings();
+}
+
 Fleet::~Fleet() {
   closing_ = true;
   for (std::vector<Node>* const group : {&nacelles_, &substations_, &replicas_})
@@ -109,7 +115,12 @@
       rlimit const limit{fileLimit, fileLimit};
       ::setrlimit(RLIMIT_FSIZE, &limit);
     });
-  node.process->start(node.program, node.flags);
+  QStringList flags = node.flags;
+  if (regimes_ && !node.record.empty()) {
+    node.life = node.name + "-" + std::to_string(++lives_);
+    flags += {"--life", core::qstr(node.life)};
+  }
+  node.process->start(node.program, flags);
   if (!node.process->waitForStarted(10000)) throw FleetError("cannot start " + node.name);
 }
 
@@ -236,9 +247,11 @@
       if (r.pool != pool) continue;
       std::map<std::string, std::string>::const_iterator const it = states.find(r.name);
       if (it != states.end() && it->second == "gone") continue;
-      list.append(QJsonObject{{"address", core::qstr(r.shown.empty() ? r.http : r.shown)},
+      QJsonObject row{{"address", core::qstr(r.shown.empty() ? r.http : r.shown)},
                               {"zone", core::qstr(r.zone)},
-                              {"state", core::qstr(it == states.end() ? "serving" : it->second)}});
+                              {"state", core::qstr(it == states.end() ? "serving" : it->second)}};
+      if (!r.life.empty()) row.insert("id", core::qstr(r.life));
+      list.append(row);
     }
     std::string const body =
         core::jsonText(QJsonObject{{"generation", static_cast<qint64>(generation_)}, {"coldRate", 2}, {"replicas", list}});
--- a/yard/fleet/fleet.h
+++ b/yard/fleet/fleet.h
@@ -58,6 +58,8 @@
   std::string pool;
   std::string record;
   std::string data;
+  /// Name of a replica's life, fresh at each start; empty: it has none.
+  std::string life;
   QStringList flags;
   QString program;
   std::unique_ptr<QProcess> process;
@@ -80,6 +82,11 @@
   void start(Node& node, std::uint64_t fileLimit = 0);
   /// Puts a tap before every link address. Before anything is started.
   void tapLinks(std::function<std::string(std::string const& listen)> const& tap);
+  /// Replicas have lives, which the platform's lists tell, and nacelles keep records of regimes' work. Before anything is
+  /// started.
+  void withRegimes();
+  /// Folder of a nacelle's records.
+  std::string auditFolder(Node const& nacelle) const { return folder() + "/" + nacelle.name + ".audit"; }
   void kill9(Node& node);
   void freeze(Node& node);
   void wake(Node& node);
@@ -134,6 +141,8 @@
   QNetworkAccessManager manager_;
   std::string net_;
   bool closing_ = false;
+  bool regimes_ = false;
+  int lives_ = 0;
   std::uint64_t generation_ = 0;
   std::vector<Node> substations_;
   std::vector<Node> nacelles_;
--- a/yard/fleet/traffic.cpp
+++ b/yard/fleet/traffic.cpp
@@ -67,6 +67,7 @@
   o.record.cls = cls;
   o.record.began = programs::now();
   o.instance = fleet_.instances()[rng_.below(2)];
+  o.record.instance = o.instance;
   o.path = cls == "urgent" ? d.quickPath : cls == "long" ? d.bulkPath : d.shortPath;
   if (cls != "urgent") o.prefix = "turbine-" + std::to_string(rng_.chance(0.3) ? 0 : rng_.below(40));
   o.body = core::jsonText(QJsonObject{{"prefix", core::qstr(o.prefix)}, {"text", core::qstr(std::string(cls == "long" ? 4000 : 200, 'x'))}});
--- a/yard/fleet/traffic.h
+++ b/yard/fleet/traffic.h
@@ -19,6 +19,7 @@
 struct CallerRecord {
   std::string id;
   std::string cls;
+  std::string instance;
   std::string outcome;
   int attempts = 0;
   /// Says attempts and ages; the others send the same id again and say no more.
--- a/yard/replica/main.cpp
+++ b/yard/replica/main.cpp
@@ -30,6 +30,7 @@
     int words = 5;
     int longWords = 60;
     int dropAfter = 0;
+    std::string life;
   };
 
   explicit Replica(Ways const& ways)
@@ -47,6 +48,9 @@
     std::uint64_t words = 0;
     std::uint64_t next = 0;
     std::string resumed;
+    /// The answer is a row of events, whose ids go on from here.
+    bool events = false;
+    bool begun = false;
   };
 
   door::Server::Events events() {
@@ -65,6 +69,13 @@
     std::string const id = r.fields["corkward-request-id"];
     std::string const target = r.target;
     std::string const attempt = r.fields["corkward-attempt"];
+    if (r.method == "GET" && target == "/corkward/life") {
+      if (ways_.life.empty())
+        server_.answer(r.id, 404, {}, "");
+      else
+        server_.answer(r.id, 200, {{"corkward-life", ways_.life}}, "");
+      return;
+    }
     if (r.fields.count("corkward-run") > 0) {
       resume(r, id);
       return;
@@ -81,6 +92,9 @@
     run.bulk = target.find("narrate") != std::string::npos || target.find("deck") != std::string::npos;
     run.words = static_cast<std::uint64_t>(run.bulk ? ways_.longWords : ways_.words);
     run.firstMs = ways_.firstMs;
+    run.events = target.find("tale") != std::string::npos;
+    if (run.events) run.words = static_cast<std::uint64_t>(ways_.longWords);
+    if (run.events && r.fields.count("last-event-id") > 0) run.next = std::stoull(r.fields.at("last-event-id"));
     std::string prefix;
     try {
       prefix = core::str(core::parseJson(r.body).toObject().value("prefix").toString());
@@ -90,7 +104,7 @@
     bool const hit = !prefix.empty() && prefixes_.count(prefix) > 0;
     if (hit) run.firstMs /= 4;
     if (!prefix.empty()) prefixes_[prefix] = 1;
-    write("run", run.run, id, attempt + "/" + target.substr(1) + "/" + (prefix.empty() ? "none" : hit ? "hit" : "miss"));
+    write(run.next > 0 ? "go-on" : "run", run.run, id, attempt + "/" + target.substr(1) + "/" + (prefix.empty() ? "none" : hit ? "hit" : "miss"));
     queue_.push_back(run);
     next();
   }
@@ -126,6 +140,10 @@
     std::unordered_map<std::uint64_t, Run>::iterator const it = running_.find(call);
     if (it == running_.end()) return;
     Run& run = it->second;
+    if (run.events) {
+      stepEvents(run);
+      return;
+    }
     if (run.next == 0) server_.begin(call, 200, {{"corkward-run", run.run}, {"content-type", "text/plain"}}, -1);
     if (ways_.dropAfter > 0 && run.next == static_cast<std::uint64_t>(ways_.dropAfter)) {
       write("dropped", run.run, run.id, "");
@@ -146,6 +164,22 @@
     next();
   }
 
+  void stepEvents(Run& run) {
+    std::uint64_t const call = run.call;
+    if (!run.begun) server_.begin(call, 200, {{"corkward-run", run.run}, {"content-type", "text/event-stream"}}, -1);
+    run.begun = true;
+    if (run.next < run.words) {
+      std::string const number = std::to_string(++run.next);
+      server_.piece(call, "id: " + number + "\ndata: " + run.id + " " + number + "\n\n");
+      QTimer::singleShot(ways_.gapMs, this, [this, call] { step(call); });
+      return;
+    }
+    server_.finish(call);
+    write("end", run.run, run.id, "");
+    running_.erase(call);
+    next();
+  }
+
   void gone(std::uint64_t id) {
     std::unordered_map<std::uint64_t, Run>::iterator const it = running_.find(id);
     if (it != running_.end()) {
@@ -183,6 +217,7 @@
       "slots", boost::program_options::value(&w.slots), "runs at a time")("queue", boost::program_options::value(&w.queue), "runs that wait")(
       "first-ms", boost::program_options::value(&w.firstMs), "time to the first word")("gap-ms", boost::program_options::value(&w.gapMs), "time between words")(
       "words", boost::program_options::value(&w.words), "words of a short run")("long-words", boost::program_options::value(&w.longWords), "words of a long run")(
+      "life", boost::program_options::value(&w.life), "name of this life, told to who asks for it")(
       "drop-after", boost::program_options::value(&w.dropAfter), "cut every stream after so many words");
   try {
     boost::program_options::variables_map vm;
--- /dev/null
+++ b/yard/test/regimes_test.cpp
@@ -0,0 +1,277 @@
+#include <catch2/catch.hpp>
+
+#include <QCoreApplication>
+#include <QFile>
+#include <QJsonArray>
+#include <fstream>
+#include <memory>
+#include <set>
+#include <sstream>
+
+#include <corkward/core/json.h>
+#include <corkward/door/relay.h>
+
+#include "clock.h"
+#include "fleet.h"
+#include "traffic.h"
+
+namespace core = corkward::core;
+namespace door = corkward::door;
+namespace programs = corkward::programs;
+namespace yard = corkward::yard;
+
+namespace {
+
+constexpr char const* page = "/v1/certificates";
+constexpr char const* regulated = "fault-desk.nord";
+constexpr char const* pilot = R"({"regime":"health","paths":[{"path":"tale","pool":"model","class":"long","events":true,"resumable":true}]})";
+
+QJsonObject certificate(std::string const& pool, std::string const& zone) {
+  return QJsonObject{{"regime", "health"}, {"carrier", "replicas"}, {"pool", core::qstr(pool)}, {"zone", core::qstr(zone)}, {"until", "2099-01-01T00:00:00Z"}};
+}
+
+/// A fleet in which the tenant nord is of a regime, and of the models those in z1 alone are certified.
+struct Ward {
+  yard::Fleet fleet;
+  yard::Node imposter;
+
+  Ward() : fleet(yard::deployments[2]) {
+    fleet.withRegimes();
+    fleet.startAll();
+    fleet.until("ready substations", [&] {
+      for (yard::Node& n : fleet.substations())
+        if (fleet.get(n.http, "/readyz").status != 200) return false;
+      return true;
+    });
+    fleet.giveLists();
+    fleet.loadBlueprints();
+    QJsonObject const spec{{"regimes", QJsonObject{{"health", QJsonObject{{"nacelles", "any"}}}}},
+                           {"certificates", QJsonObject{{"model-z1", certificate("model", "z1")}, {"gateway", certificate("gateway", "z2")}}}};
+    REQUIRE(call("PUT", page, core::jsonText(spec), "0").status == 201);
+    yard::Reply const nord = call("GET", "/v1/templates/fault-desk/instances/nord");
+    REQUIRE(call("PATCH", "/v1/templates/fault-desk/instances/nord", R"({"regime":"health"})", std::to_string(nord.body.value("stamp").toInteger())).status == 200);
+    REQUIRE(call("PUT", "/v1/templates/pilot", pilot, "0").status == 201);
+    REQUIRE(call("PUT", "/v1/templates/pilot/instances/n", "{}", "0").status == 201);
+    fleet.untilReady(fleet.nacelles().size());
+  }
+  yard::Reply call(std::string const& method, std::string const& path, std::string const& body = "", std::string const& ifMatch = "") {
+    return fleet.call(fleet.firstSubstation(), method, path, body, ifMatch);
+  }
+  bool certified(yard::Node const& replica) const { return replica.pool != "model" || replica.zone == "z1"; }
+};
+
+struct Line {
+  core::Tick tick = 0;
+  std::string what;
+  std::string id;
+};
+
+/// What a replica wrote down of whom it ran.
+std::vector<Line> recordOf(std::string const& file) {
+  std::ifstream in(file);
+  std::vector<Line> out;
+  std::string text;
+  while (std::getline(in, text)) {
+    std::istringstream words(text);
+    Line line;
+    std::string run;
+    words >> line.tick >> line.what >> run >> line.id;
+    if (line.id != "-") out.push_back(line);
+  }
+  return out;
+}
+
+std::set<std::string> regulatedIds(yard::Traffic const& traffic) {
+  std::set<std::string> out;
+  for (yard::CallerRecord const& r : traffic.records())
+    if (r.instance == regulated) out.insert(r.id);
+  return out;
+}
+
+/// One caller of a row of events.
+struct Tale {
+  std::unique_ptr<door::Relay> relay;
+  std::string got;
+  int status = 0;
+  bool over = false;
+  bool whole = false;
+
+  void begin(std::string const& node, std::string const& id) {
+    door::Relay::Events e;
+    e.connected = [this, id] {
+      relay->send(door::ReplicaRequest{"POST", "/v1/pilot.n/tale", {{"corkward-request-id", id}, {"corkward-attempt", "1"}}}, "{}");
+    };
+    e.denied = [this] { over = true; };
+    e.head = [this](door::ReplicaHead const& head) { status = head.status; };
+    e.piece = [this](std::string bytes) { got += bytes; };
+    e.ended = [this](bool end) {
+      whole = end;
+      over = true;
+    };
+    relay = std::make_unique<door::Relay>(node, std::move(e), nullptr);
+  }
+};
+
+std::string taleOf(std::string const& id, int events) {
+  std::string out;
+  for (int i = 1; i <= events; ++i) out += "id: " + std::to_string(i) + "\ndata: " + id + " " + std::to_string(i) + "\n\n";
+  return out;
+}
+
+/// One application for all tests of the program.
+void application() {
+  static int argc = 0;
+  static QCoreApplication app(argc, nullptr);
+}
+
+}  // namespace
+
+TEST_CASE("no regulated request reaches an uncertified process, though certified ones are busy, die, and lose their addresses", "[regimes]") {
+  application();
+  Ward ward;
+  yard::Fleet& fleet = ward.fleet;
+  yard::Traffic traffic(fleet, 11, 1.0);
+  traffic.startCalling();
+  fleet.runFor(4000);
+
+  yard::Reply const gone = ward.call("DELETE", std::string(page) + "/model-z1");
+  CHECK(gone.status == 200);
+  CHECK(gone.body.value("uncovered").toArray().size() == 2);
+  core::Tick const revokedFrom = programs::now();
+  fleet.runFor(1500);
+  core::Tick const revokedUntil = programs::now();
+  std::string const stamp = std::to_string(ward.call("GET", page).body.value("stamp").toInteger());
+  std::string const again = core::jsonText(QJsonObject{{"certificates", QJsonObject{{"model-z1", certificate("model", "z1")}}}});
+  CHECK(ward.call("PATCH", page, again, stamp).status == 200);
+  CHECK(ward.call("PATCH", page, again, stamp).status == 412);
+  fleet.runFor(2000);
+
+  yard::Node& lost = fleet.replicas().front();
+  REQUIRE(ward.certified(lost));
+  REQUIRE(lost.pool == "model");
+  fleet.kill9(lost);
+  yard::Node imposter;
+  imposter.name = "imposter";
+  imposter.record = fleet.folder() + "/imposter.record";
+  imposter.program = lost.program;
+  imposter.flags = {"--http", core::qstr(lost.http), "--record", core::qstr(imposter.record)};
+  fleet.start(imposter);
+  fleet.runFor(3000);
+  fleet.kill9(imposter);
+  fleet.start(lost);
+  fleet.runFor(500);
+  fleet.giveLists();
+  fleet.runFor(3000);
+  traffic.stopCalling();
+  fleet.until("the last answers", [&] { return traffic.open() == 0; });
+
+  std::set<std::string> const ids = regulatedIds(traffic);
+  std::size_t ran = 0;
+  std::size_t elsewhere = 0;
+  for (yard::Node const& r : fleet.replicas())
+    for (Line const& l : recordOf(r.record)) {
+      if (ids.count(l.id) == 0) {
+        elsewhere += ward.certified(r) ? 0 : 1;
+        continue;
+      }
+      ran += l.what == "run" ? 1 : 0;
+      INFO(r.name << " " << l.what << " " << l.id);
+      CHECK(ward.certified(r));
+      CHECK_FALSE((l.what == "run" && r.pool == "model" && l.tick > revokedFrom && l.tick < revokedUntil));
+    }
+  std::size_t atImposter = 0;
+  for (Line const& l : recordOf(imposter.record)) {
+    ++atImposter;
+    CHECK(ids.count(l.id) == 0);
+  }
+  CHECK(ran > 50);
+  CHECK(elsewhere > 50);
+  CHECK(atImposter > 0);
+  yard::Report const report = traffic.report();
+  CHECK(report.runTwice == 0);
+  CHECK(report.badBodies == 0);
+  CHECK(report.deniedButRan == 0);
+
+  std::vector<std::string> words{"regime", "report", "--json"};
+  for (yard::Node& n : fleet.nacelles()) {
+    QJsonObject const head = fleet.get(n.http, "/v1/state").body.value("audit").toObject();
+    words.push_back("--head");
+    words.push_back(n.link + "=" + std::to_string(head.value("n").toInteger()) + ":" + core::str(head.value("hash").toString()));
+    CHECK(fleet.stop(n) == 0);
+  }
+  for (yard::Node const& n : fleet.nacelles()) words.push_back(fleet.auditFolder(n));
+  yard::Fleet::Tool const told = fleet.tool("corkward", words);
+  INFO(told.out << told.err);
+  CHECK(told.code == 0);
+  QJsonObject const out = core::parseJson(told.out).toObject();
+  std::size_t handed = 0;
+  std::size_t denied = 0;
+  for (QJsonValue const s : out.value("regimes").toObject().value("health").toArray())
+    for (QJsonValue const v : s.toObject().value("counts").toArray()) {
+      QJsonObject const c = v.toObject();
+      std::size_t const n = static_cast<std::size_t>(c.value("count").toInteger());
+      if (c.value("what") == "denied") denied += n;
+      if (c.value("what") != "handed-over") continue;
+      handed += n;
+      CHECK(c.value("certificate") == (c.value("pool") == "model" ? "model-z1" : "gateway"));
+    }
+  CHECK(handed >= ran);
+  CHECK(denied > 0);
+  QFile file(core::qstr(fleet.auditFolder(fleet.nacelles().front()) + "/audit-000000000001"));
+  REQUIRE(file.open(QIODevice::ReadWrite));
+  file.seek(70);
+  file.write("x");
+  file.close();
+  CHECK(fleet.tool("corkward", words).code == 1);
+}
+
+TEST_CASE("a row of events of a regime goes on once, at its place, at another certified replica, else ends broken", "[regimes]") {
+  application();
+  Ward ward;
+  yard::Fleet& fleet = ward.fleet;
+  std::vector<yard::Node*> certified;
+  for (yard::Node& r : fleet.replicas())
+    if (r.pool == "model" && ward.certified(r)) certified.push_back(&r);
+  REQUIRE(certified.size() == 2);
+  for (int round = 0; round < 2; ++round) {
+    std::string const id = "tale-" + std::to_string(round);
+    Tale tale;
+    tale.begin(fleet.nacelles().front().http, id);
+    fleet.until("some events", [&] { return tale.got.size() > 300 || tale.over; });
+    REQUIRE_FALSE(tale.over);
+    for (yard::Node* const r : certified)
+      for (Line const& l : recordOf(r->record))
+        if (l.id == id && r->process) fleet.kill9(*r);
+    fleet.until("the end", [&] { return tale.over; });
+    CHECK(tale.whole == (round == 0));
+    if (round == 0) CHECK(tale.got == taleOf(id, 60));
+    CHECK(taleOf(id, 60).rfind(tale.got, 0) == 0);
+  }
+  for (yard::Node const& r : fleet.replicas())
+    if (!ward.certified(r))
+      for (Line const& l : recordOf(r.record)) CHECK(l.id.rfind("tale-", 0) != 0);
+  Tale denied;
+  denied.begin(fleet.nacelles().front().http, "tale-denied");
+  fleet.until("a denial", [&] { return denied.over; });
+  CHECK(denied.status == 503);
+}
+
+TEST_CASE("a nacelle whose records cannot be kept serves nothing of a regime and everything else", "[regimes]") {
+  application();
+  Ward ward;
+  yard::Fleet& fleet = ward.fleet;
+  std::string const http = fleet.nacelles().front().http;
+  REQUIRE(fleet.stop(fleet.nacelles().front()) == 0);
+  std::string const folder = fleet.auditFolder(fleet.nacelles().front());
+  fleet.nacelles().front().flags += {"--audit", ""};
+  fleet.start(fleet.nacelles().front());
+  fleet.untilReady(fleet.nacelles().size());
+  Tale tale;
+  tale.begin(http, "tale-1");
+  fleet.until("a denial", [&] { return tale.over; });
+  CHECK(tale.status == 503);
+  yard::Node at;
+  at.http = http;
+  CHECK(fleet.call(at, "POST", "/v1/fault-desk.sued/pitch", "{}").status == 200);
+  CHECK(fleet.call(at, "POST", "/v1/fault-desk.nord/pitch", "{}").status == 503);
+}
