Hand requests of a regime on to certified replicas alone, and to no other

What binds a request is looked up by the newest blueprint; parts, credits, choices, retries, resumes and steps beyond the part hold certified replicas alone, and the certificate is looked up once more when the connection stands, right before the bytes go. Without standing, fence, wall time, declaration, own certificate or records a regime is closed: denied at once, not run. When a certificate or life goes away, what is held or connecting goes to another certified replica or is denied, and what streams leaves: once, after the last whole event, else it is broken off. Work without a regime leaves `reserve` of its own learned limit free at certified replicas, and does not count against a regime's room.

The replica names its life before the connection counts as standing (Connect::life), not after HandOver as first drafted: a node that froze between the two would have sent after it had lost its standing. A replica that names another life is thereby a denied connection like any other.

Rows of events were known to the platform's surface alone; the product's own now passes Last-Event-ID, too, where a template's path says `events`.

--- a/door/include/corkward/door/relay.h
+++ b/door/include/corkward/door/relay.h
@@ -49,6 +49,8 @@
   };
   /// Opens a connection of its own, which ends with the request.
   Relay(std::string const& address, Events events, QObject* parent);
+  /// The same; it stands only once the replica has named this life on it (GET /corkward/life), else it is denied.
+  Relay(std::string const& address, std::string life, Events events, QObject* parent);
   ~Relay() override;
   /// Hands the request over. Only after connected, and once.
   void send(ReplicaRequest const& request, std::string const& body);
@@ -69,6 +71,8 @@
   void open();
   void attach();
   void ready();
+  void askLife();
+  void lifeReadable();
   void denied();
   void readable();
   void over(bool whole);
--- a/door/src/mapping.cpp
+++ b/door/src/mapping.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr std::size_t maxName = 256;
+constexpr char const* lastEventId = "last-event-id";
 
 bool number(std::string const& text, std::uint64_t most, std::uint64_t& out) {
   if (text.empty() || text.size() > 12 || !std::all_of(text.begin(), text.end(), [](char c) { return c >= '0' && c <= '9'; })) return false;
@@ -59,6 +60,8 @@
   if (!age.empty() && !number(age, 99999999999, old)) return fault(400, "corkward-age-ms: must be a number from 0 to 99999999999");
   r.age = age.empty() ? -1 : static_cast<core::Tick>(old);
   CallerRequest out;
+  std::string const last = field(request.fields, lastEventId);
+  if (last.size() <= maxName) out.lastEvent = last;
   out.request = r;
   return out;
 }
@@ -69,7 +72,9 @@
   ReplicaRequest out{"POST", "/" + dispatch.path, {{"content-type", std::move(type)}}};
   out.fields.emplace_back("corkward-attempt", std::to_string(std::max<std::uint64_t>(dispatch.caller.attempt, 1)));
   if (!dispatch.caller.id.empty()) out.fields.emplace_back("corkward-request-id", dispatch.caller.id);
-  if (dispatch.resume.resuming) {
+  if (!dispatch.resume.lastEvent.empty()) {
+    out.fields.emplace_back(lastEventId, dispatch.resume.lastEvent);
+  } else if (dispatch.resume.resuming) {
     out.fields.emplace_back("corkward-run", dispatch.resume.run);
     out.fields.emplace_back("corkward-offset", std::to_string(dispatch.resume.offset));
   }
@@ -84,6 +89,7 @@
   std::string const run = field(head.fields, "corkward-run");
   out.notRun = head.status == 503 && run == "none";
   out.failed = head.status >= 500 && !out.notRun;
+  out.events = head.status / 100 == 2 && lower(field(head.fields, "content-type")).rfind("text/event-stream", 0) == 0;
   if (run != "none") out.run = run;
   out.offset = field(head.fields, "corkward-offset");
   for (char const* const kept : {"content-type", "corkward-run", "corkward-replica"}) {
--- a/door/src/relay.cpp
+++ b/door/src/relay.cpp
@@ -26,6 +26,8 @@
 constexpr qint64 readBuffer = 64 << 10;
 constexpr std::size_t longestRest = 16U << 10;
 constexpr int restMs = 500;
+constexpr char const* lifePage = "/corkward/life";
+constexpr char const* lifeField = "corkward-life";
 constexpr core::Tick noLimit = std::numeric_limits<core::Tick>::max();
 
 /// Nothing waits on the connection, not even its end.
@@ -58,6 +60,9 @@
   QPointer<Relays> relays;
   QByteArray buffer;
   core::Tick keepAlive = noLimit;
+  /// The life that the replica must name first; empty: none.
+  std::string life;
+  bool asking = false;
   bool kept = false;
   bool rested = false;
   bool connected = false;
@@ -80,6 +85,10 @@
 
 Relay::Relay(std::string const& address, Events events, QObject* parent) : Relay(address, std::move(events), parent, nullptr, nullptr) {}
 
+Relay::Relay(std::string const& address, std::string life, Events events, QObject* parent) : Relay(address, std::move(events), parent) {
+  state_->life = std::move(life);
+}
+
 Relay::Relay(std::string const& address, Events events, QObject* parent, Relays* relays, QTcpSocket* kept, bool rested)
     : QObject(parent), events_(std::move(events)), address_(address), socket_(kept), state_(std::make_unique<State>()) {
   state_->relays = relays;
@@ -118,19 +127,19 @@
   QObject::connect(socket_, &QTcpSocket::readyRead, this, [this] { readable(); });
   QObject::connect(socket_, &QTcpSocket::disconnected, this, [this] {
     if (!state_->sent) {
-      if (state_->connected) denied();
+      if (state_->connected || state_->asking) denied();
       return;
     }
     if (!state_->paused) readable();
     if (!state_->paused) over(false);
   });
   QObject::connect(socket_, &QTcpSocket::errorOccurred, this, [this](QAbstractSocket::SocketError) {
-    if (!state_->kept && !state_->connected) denied();
+    if (!state_->kept && !state_->connected && !state_->asking) denied();
   });
 }
 
 void Relay::ready() {
-  if (state_->over || state_->connected) return;
+  if (state_->over || state_->connected || state_->asking) return;
   if (!quiet(*socket_)) {
     bool const again = state_->kept;
     if (!again) {
@@ -144,11 +153,46 @@
     open();
     return;
   }
+  if (!state_->life.empty()) {
+    askLife();
+    return;
+  }
   if (state_->kept && state_->relays) ++state_->relays->reused_;
   state_->connected = true;
   events_.connected();
 }
 
+void Relay::askLife() {
+  http::request<http::empty_body> message;
+  message.version(11);
+  message.method(http::verb::get);
+  message.target(lifePage);
+  message.set(http::field::host, address_);
+  state_->asking = true;
+  state_->fresh();
+  put(*socket_, headText(message));
+}
+
+void Relay::lifeReadable() {
+  state_->buffer += socket_->readAll();
+  State::Parser& parser = *state_->parser;
+  boost::beast::error_code ec;
+  std::size_t const used = parser.put(boost::asio::buffer(state_->buffer.constData(), static_cast<std::size_t>(state_->buffer.size())), ec);
+  state_->buffer.remove(0, static_cast<qsizetype>(used));
+  bool const more = !parser.is_header_done() && (!ec || ec == http::error::need_more);
+  if (more) return;
+  bool const named = parser.is_header_done() && parser.get().result_int() == 200 && parser.get().version() == 11 && parser.get().keep_alive() &&
+                     parser.content_length() && *parser.content_length() == 0 && state_->buffer.isEmpty() &&
+                     std::string(parser.get()[lifeField]) == state_->life;
+  if (!named) {
+    denied();
+    return;
+  }
+  state_->asking = false;
+  state_->connected = true;
+  events_.connected();
+}
+
 void Relay::denied() {
   if (state_->over) return;
   state_->over = true;
@@ -247,6 +291,10 @@
 }
 
 void Relay::readable() {
+  if (state_->asking && !state_->over) {
+    lifeReadable();
+    return;
+  }
   if (!state_->sent) return;
   QPointer<Relay> const alive(this);
   std::array<char, 32768> part;
--- a/governor/include/corkward/governor/governor.h
+++ b/governor/include/corkward/governor/governor.h
@@ -117,6 +117,8 @@
   /// The same; while answers are steady the limit is raised so that there is room.
   bool makeRoom(bool bulk);
   std::vector<Candidate> const& part() const { return part_; }
+  /// How many it may draw from.
+  std::size_t candidates() const { return all_.size(); }
   int inFlight() const { return inFlight_; }
   int inFlightAt(Index replica) const;
   double limit() const { return limit_; }
--- a/programs/nacelle/nacelle.cpp
+++ b/programs/nacelle/nacelle.cpp
@@ -80,7 +80,10 @@
   }
   std::uint64_t const id = request.id;
   Call& call = calls_[id];
-  if (caller.events) call.stream.asEvents(std::move(caller.lastEvent));
+  if (caller.events)
+    call.stream.asEvents(std::move(caller.lastEvent));
+  else
+    call.lastEvent = std::move(caller.lastEvent);
   call.request = std::move(request);
   call.caller = std::move(*caller.request);
   rotor::Request const asked = call.caller;
@@ -109,6 +112,8 @@
   std::uint64_t const id = m.call;
   it->second.path = m.path;
   it->second.pausedSince = 0;
+  if (m.events && !it->second.connected) it->second.stream.asEvents(std::move(it->second.lastEvent));
+  it->second.connected = true;
   it->second.stream.connecting(m.resume);
   door::Relay::Events e;
   e.connected = [this, id] { run(plane_.connected(now(), id)); };
@@ -116,7 +121,7 @@
   e.head = [this, id](door::ReplicaHead const& head) { replicaHead(id, head); };
   e.piece = [this, id](std::string bytes) { replicaPiece(id, std::move(bytes)); };
   e.ended = [this, id](bool whole) { replicaEnded(id, whole); };
-  it->second.relay = relays_.lend(m.address, m.fresh, std::move(e), this);
+  it->second.relay = m.life.empty() ? relays_.lend(m.address, m.fresh, std::move(e), this) : new door::Relay(m.address, m.life, std::move(e), this);
 }
 
 void Nacelle::act(rotor::HandOver const& m) {
--- a/programs/nacelle/nacelle.h
+++ b/programs/nacelle/nacelle.h
@@ -65,6 +65,9 @@
     rotor::Request caller;
     std::string path;
     rotor::Stream stream;
+    /// Id of the last event that the caller says it has, for a path whose answer is a row of events.
+    std::string lastEvent;
+    bool connected = false;
     core::Tick movedAt = 0;
     core::Tick pausedSince = 0;
   };
--- a/rotor/include/corkward/rotor/plane.h
+++ b/rotor/include/corkward/rotor/plane.h
@@ -142,6 +142,11 @@
   bool resume = false;
   /// The request may run once only: no connection may be used that the replica could be about to close.
   bool fresh = true;
+  /// Not empty: a request of a regime. A connection of its own is opened, and it stands only once the replica has named this
+  /// life on it; another life, another answer or none counts as a denied connection.
+  std::string life = {};
+  /// The path's answer is a row of events with ids.
+  bool events = false;
 };
 /// Command: hand the request over on the connection that was opened.
 struct HandOver {
@@ -151,8 +156,8 @@
   /// Milliseconds that the caller still waits.
   Tick left = 0;
   int urgency = 5;
-  /// Not empty: a request of a regime. The Record of it stands before this; it goes out only once that is written and the
-  /// replica has named its life on this very connection, and it is the expected one. Else it ended as End::notRun.
+  /// Not empty: a request of a regime. The Record of it stands before this, and it goes out at once when that is written; else
+  /// it ended as End::notRun.
   std::string regime = {};
 };
 /// Command: close the replica's connection, if there is one.
@@ -426,6 +431,8 @@
   void avoidWorst(Tick now, Index pool);
   bool overdue(Call const& call, Tick took) const;
   void connectTo(Commands& out, Tick now, CallId id, Index replica);
+  /// All serving replicas of the pool, whatever the part is.
+  std::vector<governor::Candidate> beyondPart(Tick now, Index pool) const;
   bool resumeElsewhere(Commands& out, Tick now, CallId id);
   std::int64_t choose(Tick now, Call const& call, std::vector<governor::Candidate> const& choices) const;
   Index home(Call const& call) const;
@@ -466,12 +473,24 @@
   void drop(Commands& out, Tick now, CallId id);
   Seen& remember(Tick now, std::string const& key);
   std::string const& addressOf(Index replica) const;
-  void breakOff(Commands& out, Tick now, CallId id);
+  void breakOff(Commands& out, Tick now, CallId id, std::string const& why = "the connection broke");
   void unhold(CallId id);
   void retry(Commands& out, Tick now, CallId id, char const* why);
   double comeBack(Credit const& c, blueprint::Class cls) const;
   Tick expectedWait(Credit const& c, blueprint::Class cls) const;
   void warmDuties(Commands& out, Tick now);
+  std::string const& regimeOf(Call const& call) const;
+  std::string const& regimeOf(Index instance) const;
+  std::string unsure(Tick now, std::string const& regime) const;
+  std::string closed(Tick now, std::string const& regime) const;
+  blueprint::Certificate const* certificate(Tick now, std::string const& regime, Index replica) const;
+  bool lawful(Tick now, Call const& call) const;
+  bool fits(Tick now, Call const& call, Index replica) const;
+  void refreshCertified(Tick now);
+  bool mayDraw(std::string const& regime, Index replica) const;
+  void record(Commands& out, Tick now, Call const& call, Happened happened, std::string reason = {});
+  void watchRegimes(Commands& out, Tick now);
+  void leave(Commands& out, Tick now, CallId id, std::string const& why);
   bool warmHeld(Tick now, Index replica) const;
   void expireSeen(Tick now);
   void freeGone(Tick now);
@@ -553,6 +572,15 @@
   Tick lookAt_ = 0;
   Tick freeAt_ = 0;
   bool pumping_ = false;
+  blueprint::Regimes regimes_;
+  /// Some path has been bound to a regime in this life.
+  bool bound_ = false;
+  /// What binds an instance, by the newest of its paths.
+  std::map<Index, std::string> instanceRegimes_;
+  /// Replicas that have a certificate for a regime, and the share of their room that other work leaves free; as of certifiedAt_.
+  std::map<std::string, std::set<Index>> certified_;
+  std::map<Index, double> reserved_;
+  Tick certifiedAt_ = -1;
   /// Most that wall time was ahead of the tick.
   std::optional<std::int64_t> wallAhead_;
 };
--- a/rotor/src/calls.cpp
+++ b/rotor/src/calls.cpp
@@ -45,7 +45,7 @@
   }
   std::function<bool(Index)> const serves = [&](Index pool) {
     std::vector<Index> const& all = poolViews_[pool].replicas;
-    return std::any_of(all.begin(), all.end(), [&](Index const r) { return usable(now, r); });
+    return std::any_of(all.begin(), all.end(), [&](Index const r) { return usable(now, r) && mayDraw(row.path.regime, r); });
   };
   if (row.shares.size() < 2 || serves(chosen)) return chosen;
   for (std::pair<Index, std::uint32_t> const& s : row.shares)
@@ -97,11 +97,13 @@
 
 void Plane::refreshCandidates(Commands& out, Tick now) {
   for (Index pool = 0; pool < poolViews_.size(); ++pool) avoidWorst(now, pool);
+  refreshCertified(now);
   std::vector<CreditKey> keys;
   for (std::map<CreditKey, Credit>::value_type& c : credits_) {
     std::vector<governor::Candidate> all;
+    std::string const& regime = regimeOf(c.first.second);
     for (Index const r : poolViews_[c.first.first].replicas)
-      if (usable(now, r) && !(replicas_[r].avoided && replicas_[r].reliability.resting(now)))
+      if (usable(now, r) && mayDraw(regime, r) && !(replicas_[r].avoided && replicas_[r].reliability.resting(now)))
         all.push_back(governor::Candidate{r, replicas_[r].state == blueprint::ReplicaState::cold,
                                           core::stableHash(replicaNames_.name(r))});
     c.second.scaler.candidates(all);
@@ -129,6 +131,10 @@
   call.arrived = now;
   call.phaseAt = now;
   Index const path = findPath(request);
+  if (path != core::Names::none) {
+    call.path = path;
+    call.pathStamp = blueprintStamp_;
+  }
   calls_[id] = call;
   if (draining_ && now - drainedAt_ >= tuning_.drainServe) {
     deny(out, now, id, 503, "leaving", true, tuning_.comeBack);
@@ -144,8 +150,6 @@
   }
   Row const& row = rows_[path];
   Call& mine = calls_[id];
-  mine.path = path;
-  mine.pathStamp = blueprintStamp_;
   mine.pool = choosePool(now, row, id);
   mine.until = now + (request.deadline > 0 ? std::min(request.deadline, row.path.deadline) : row.path.deadline);
   mine.prefix = request.prefix.empty() ? 0 : core::stableHash(request.instance + "|" + request.prefix);
@@ -216,6 +220,11 @@
 
 void Plane::admit(Commands& out, Tick now, CallId id) {
   Call& call = calls_.at(id);
+  std::string const shut = closed(now, regimeOf(call));
+  if (!shut.empty()) {
+    deny(out, now, id, 503, shut, true, tuning_.comeBack);
+    return;
+  }
   Row const& row = rows_[call.path];
   CreditKey const key{call.pool, row.instance};
   bool const fresh = credits_.count(key) == 0;
@@ -277,10 +286,12 @@
 bool Plane::mayTry(Tick, Credit& c, CreditKey key, Call const& call) const {
   bool const bulk = rows_[call.path].path.cls == blueprint::Class::bulk;
   if (!c.scaler.makeRoom(bulk)) return false;
-  double const poolCap = tuning_.nodeLimitPerReplica * static_cast<double>(std::max<std::size_t>(poolViews_[key.first].replicas.size(), 1));
+  std::string const& regime = regimeOf(key.second);
+  std::size_t const replicas = regime.empty() ? poolViews_[key.first].replicas.size() : c.scaler.candidates();
+  double const poolCap = tuning_.nodeLimitPerReplica * static_cast<double>(std::max<std::size_t>(replicas, 1));
   std::vector<std::pair<CreditKey, int>> active;
   for (std::map<CreditKey, Credit>::value_type const& o : credits_)
-    if (o.first.first == key.first && (o.first == key || o.second.scaler.inFlight() > 0 || o.second.heldCount() > 0))
+    if (o.first.first == key.first && regimeOf(o.first.second) == regime && (o.first == key || o.second.scaler.inFlight() > 0 || o.second.heldCount() > 0))
       active.emplace_back(o.first, o.second.scaler.inFlight());
   double const floor = std::max(1.0, poolCap / (2.0 * static_cast<double>(active.size())));
   if (c.scaler.inFlight() < floor) return true;
@@ -314,7 +325,7 @@
   call.counted = true;
   credits_.at({call.pool, row.instance}).scaler.sent(replica, row.path.cls == blueprint::Class::bulk);
   ++replicas_[replica].inFlight;
-  out.calls.push_back(Connect{id, addressOf(replica), row.path.path, false, !row.path.repeatable});
+  out.calls.push_back(Connect{id, addressOf(replica), row.path.path, false, !row.path.repeatable, regimeOf(call).empty() ? "" : replicas_[replica].id, ownEvents(row.path)});
 }
 
 Index Plane::home(Call const& call) const {
@@ -352,7 +363,7 @@
   governor::Scaler const& scaler = credits_.at({call.pool, rows_[call.path].instance}).scaler;
   std::vector<governor::Candidate> choices;
   for (governor::Candidate const& c : all)
-    if (std::find(call.handedTo.begin(), call.handedTo.end(), c.replica) == call.handedTo.end()) choices.push_back(c);
+    if (std::find(call.handedTo.begin(), call.handedTo.end(), c.replica) == call.handedTo.end() && fits(now, call, c.replica)) choices.push_back(c);
   std::function<bool(governor::Candidate const&)> const avoid = [&](governor::Candidate const& c) {
     Replica const& r = replicas_[c.replica];
     return r.avoided && (r.reliability.resting(now) || r.inFlight > 0);
@@ -444,6 +455,7 @@
   CORKWARD_INVARIANT(!notRun || call.phase != Phase::handed);
   unhold(id);
   count(now, "denied_" + std::to_string(status), reason);
+  if (!regimeOf(call).empty()) record(out, now, call, Happened::denied, reason);
   out.calls.push_back(Deny{id, status, std::move(reason), notRun, retryAfter, call.reached || call.dispatched});
   drop(out, now, id);
 }
@@ -452,10 +464,12 @@
   Commands out;
   std::unordered_map<CallId, Call>::iterator const it = calls_.find(id);
   if (it != calls_.end() && it->second.phase == Phase::handed && it->second.resumes > 0) {
-    if (standing(now) && usable(now, it->second.replica))
+    if (standing(now) && usable(now, it->second.replica) && lawful(now, it->second)) {
+      record(out, now, it->second, Happened::resumed);
       out.calls.push_back(handOver(now, id));
-    else if (!rows_[it->second.path].path.stream || !resumeElsewhere(out, now, id))
+    } else if (!rows_[it->second.path].path.stream || !resumeElsewhere(out, now, id)) {
       breakOff(out, now, id);
+    }
     return out;
   }
   if (it == calls_.end() || it->second.phase != Phase::connecting) return out;
@@ -472,7 +486,8 @@
     return out;
   }
   std::vector<std::pair<Index, std::uint32_t>> const& shares = rows_[path].shares;
-  if (std::none_of(shares.begin(), shares.end(), [&](std::pair<Index, std::uint32_t> const& s) { return s.first == call.pool; })) {
+  bool const rebound = rows_[path].path.regime != rows_[call.path].path.regime;
+  if (rebound || std::none_of(shares.begin(), shares.end(), [&](std::pair<Index, std::uint32_t> const& s) { return s.first == call.pool; })) {
     out.calls.push_back(Abandon{id});
     call.phase = Phase::held;
     uncount(out, now, call);
@@ -482,7 +497,13 @@
     admit(out, now, id);
     return out;
   }
-  if (!usable(now, call.replica)) {
+  std::string const shut = closed(now, regimeOf(call));
+  if (!shut.empty()) {
+    out.calls.push_back(Abandon{id});
+    deny(out, now, id, 503, shut, true, tuning_.comeBack);
+    return out;
+  }
+  if (!usable(now, call.replica) || !lawful(now, call)) {
     out.calls.push_back(Abandon{id});
     retry(out, now, id, "replica left before sending");
     return out;
@@ -507,6 +528,7 @@
     prefixes_.served(call.prefix, call.replica);
   }
   count(now, "handed_over");
+  record(out, now, call, Happened::handedOver);
   out.calls.push_back(handOver(now, id));
   return out;
 }
@@ -528,7 +550,7 @@
     for (Part const& p : parts) tokens += p.tokens;
     rank = tokens < tuning_.shortTokens ? 1 : tokens < tuning_.longTokens ? 3 : 5;
   }
-  return HandOver{id, replicas_[call.replica].id, std::max<Tick>(call.until - now, 1), rank};
+  return HandOver{id, replicas_[call.replica].id, std::max<Tick>(call.until - now, 1), rank, regimeOf(call)};
 }
 
 bool Plane::mayGoOn(Tick now, Call const& call) const {
@@ -536,12 +558,21 @@
   return static_cast<int>(call.handedTo.size()) < std::max(path.tries, 1) && now < call.until;
 }
 
+std::vector<governor::Candidate> Plane::beyondPart(Tick now, Index pool) const {
+  std::vector<governor::Candidate> out;
+  for (Index const r : poolViews_[pool].replicas)
+    if (usable(now, r) && replicas_[r].state == blueprint::ReplicaState::serving)
+      out.push_back(governor::Candidate{r, false, core::stableHash(replicaNames_.name(r))});
+  return out;
+}
+
 bool Plane::resumeElsewhere(Commands& out, Tick now, CallId id) {
   Call& call = calls_.at(id);
   uncount(out, now, call);
   Row const& row = rows_[call.path];
   Credit& c = credits_.at({call.pool, row.instance});
-  std::int64_t const chosen = choose(now, call, usableOf(now, c, true));
+  std::int64_t chosen = choose(now, call, usableOf(now, c, true));
+  if (chosen < 0 && !regimeOf(call).empty()) chosen = choose(now, call, beyondPart(now, call.pool));
   if (chosen < 0 || !standing(now)) return false;
   call.replica = static_cast<Index>(chosen);
   if (replicas_[call.replica].state == blueprint::ReplicaState::cold && !warm_.at(call.replica).bucket.take(now, coldRate(call.pool))) return false;
@@ -550,7 +581,7 @@
   call.counted = true;
   call.phase = Phase::handed;
   call.phaseAt = now;
-  out.calls.push_back(Connect{id, addressOf(call.replica), row.path.path, true, false});
+  out.calls.push_back(Connect{id, addressOf(call.replica), row.path.path, true, false, regimeOf(call).empty() ? "" : replicas_[call.replica].id, ownEvents(row.path)});
   return true;
 }
 
@@ -625,11 +656,7 @@
   if (call.resumes > 0 || !row.path.repeatable || !mayGoOn(now, call) || !standing(now)) return out;
   std::int64_t chosen = choose(now, call, usableOf(now, credits_.at({call.pool, row.instance}), true));
   if (chosen < 0) {
-    std::vector<governor::Candidate> beyond;
-    for (Index const r : poolViews_[call.pool].replicas)
-      if (usable(now, r) && replicas_[r].state == blueprint::ReplicaState::serving)
-        beyond.push_back(governor::Candidate{r, false, core::stableHash(replicaNames_.name(r))});
-    chosen = choose(now, call, beyond);
+    chosen = choose(now, call, beyondPart(now, call.pool));
   }
   if (chosen < 0) return out;
   Index const replica = static_cast<Index>(chosen);
@@ -662,14 +689,18 @@
   }
   if (end == End::whole) {
     count(now, "served");
+    record(out, now, call, Happened::served);
     drop(out, now, id);
     return out;
   }
   Replica const& r = replicas_[call.replica];
   Row const& row = rows_[call.path];
+  bool const spent = call.resumes > 0 && !regimeOf(call).empty();
+  if (end == End::notRun) record(out, now, call, Happened::notRun);
   if (row.path.stream || !row.path.host.empty()) {
     bool const fromStart = !streaming && call.resumes == 0;
-    bool const again = (end == End::notRun || (end == End::broken && row.path.repeatable)) && mayGoOn(now, call) && standing(now) &&
+    bool const once = !fromStart && !regimeOf(call).empty() && now < call.until;
+    bool const again = (end == End::notRun || (end == End::broken && row.path.repeatable)) && !spent && (once || mayGoOn(now, call)) && standing(now) &&
                        budget_.retry(now, rosterSize(), tuning_.retryAllowance);
     if (end == End::notRun) {
       count(now, "replica_not_run");
@@ -704,14 +735,14 @@
     retry(out, now, id, "replica said not run");
     return out;
   }
-  bool const mayResume = end == End::broken && call.runKnown && row.path.resumable && call.resumes < tuning_.resumes &&
+  bool const mayResume = end == End::broken && call.runKnown && row.path.resumable && call.resumes < tuning_.resumes && !spent && lawful(now, call) &&
                          r.listed && standing(now) && budget_.retry(now, rosterSize(), tuning_.retryAllowance);
   if (mayResume) {
     ++call.resumes;
     call.phase = Phase::handed;
     call.phaseAt = now;
     count(now, "resumed");
-    out.calls.push_back(Connect{id, addressOf(call.replica), row.path.path, true});
+    out.calls.push_back(Connect{id, addressOf(call.replica), row.path.path, true, true, regimeOf(call).empty() ? "" : r.id, ownEvents(row.path)});
     return out;
   }
   if (streaming || call.resumes > 0) {
@@ -723,8 +754,9 @@
   return out;
 }
 
-void Plane::breakOff(Commands& out, Tick now, CallId id) {
+void Plane::breakOff(Commands& out, Tick now, CallId id, std::string const& why) {
   count(now, "broken");
+  record(out, now, calls_.at(id), Happened::broken, why);
   out.calls.push_back(Abandon{id});
   out.calls.push_back(Abort{id});
   drop(out, now, id);
@@ -736,6 +768,7 @@
   if (it == calls_.end()) return out;
   count(now, "caller_gone");
   if (it->second.counted) out.calls.push_back(Abandon{id});
+  if (it->second.phase == Phase::handed || it->second.phase == Phase::streaming) record(out, now, it->second, Happened::broken, "the caller went away");
   unhold(id);
   drop(out, now, id);
   return out;
--- a/rotor/src/internal.h
+++ b/rotor/src/internal.h
@@ -17,6 +17,9 @@
 
 inline std::size_t majorityOf(std::size_t n) { return n / 2 + 1; }
 
+/// The path's rows of events are asked for on the product's own surface, not as a whole blueprint's path.
+inline bool ownEvents(blueprint::Path const& path) { return path.stream && path.host.empty(); }
+
 inline std::size_t lane(blueprint::Class cls) { return static_cast<std::size_t>(cls); }
 
 }  // namespace corkward::rotor
--- a/rotor/src/news.cpp
+++ b/rotor/src/news.cpp
@@ -252,7 +252,9 @@
   had_.push_back(digest_);
   if (had_.size() > digestsKept) had_.pop_front();
   refreshStanding();
+  certifiedAt_ = -1;
   refreshCandidates(out, now);
+  watchRegimes(out, now);
 }
 
 Index Plane::poolIndex(std::string const& name) {
@@ -272,6 +274,8 @@
   for (blueprint::Share const& s : path.shares)
     if (s.weight > 0) row.shares.emplace_back(poolIndex(s.pool), s.weight);
   if (row.shares.empty()) row.shares.emplace_back(row.pool, 1);
+  bound_ = bound_ || !path.regime.empty();
+  if (bound_) instanceRegimes_[row.instance] = path.regime;
   routes_[route] = static_cast<Index>(rows_.size());
   ownedRoutes_[owner].push_back(route);
   rows_.push_back(std::move(row));
@@ -295,6 +299,8 @@
       std::vector<blueprint::Path> const paths = blueprint::render(name, item.value);
       forgetRoutes(item.key);
       for (blueprint::Path const& p : paths) addRow(item.key, p.instance + "/" + p.path, p, p.instance);
+    } else if (item.key == blueprint::regimesKey) {
+      regimes_ = blueprint::keptRegimes(item.value);
     } else if (item.key == blueprint::wholeKey) {
       applyWhole(item.value);
     } else if (kind == "pool") {
@@ -375,6 +381,7 @@
   refreshHint(view);
   note(out, now, "leaving-hint", {{"pool", hint.pool}, {"generation", std::to_string(hint.generation)}});
   refreshCandidates(out, now);
+  watchRegimes(out, now);
   return true;
 }
 
--- a/rotor/src/plane.cpp
+++ b/rotor/src/plane.cpp
@@ -145,6 +145,7 @@
     }
     for (CreditKey const& k : keys) look(out, now, k);
   }
+  watchRegimes(out, now);
   return out;
 }
 
@@ -173,7 +174,10 @@
   });
   for (std::map<CreditKey, Credit>::value_type const& c : credits_) instancesUsed.insert(c.first.second);
   for (Index ix = 0; ix < instances_.size(); ++ix)
-    if (!instances_.name(ix).empty() && instancesUsed.count(ix) == 0) instances_.release(ix);
+    if (!instances_.name(ix).empty() && instancesUsed.count(ix) == 0) {
+      instanceRegimes_.erase(ix);
+      instances_.release(ix);
+    }
   for (Index ix = 0; ix < replicas_.size(); ++ix) {
     if (replicaNames_.name(ix).empty() || replicas_[ix].listed || replicasUsed.count(ix) > 0) continue;
     for (std::map<CreditKey, Credit>::value_type& c : credits_) c.second.scaler.forget(ix);
@@ -190,7 +194,10 @@
   lookout_.setSeeds(std::move(seeds));
 }
 
-void Plane::wallTime(Tick now, std::int64_t wall) { wallAhead_ = std::max(wallAhead_.value_or(wall - now), wall - now); }
+void Plane::wallTime(Tick now, std::int64_t wall) {
+  if (!wallAhead_ || wall - now > *wallAhead_ + 1000) certifiedAt_ = -1;
+  wallAhead_ = std::max(wallAhead_.value_or(wall - now), wall - now);
+}
 
 blueprint::Wall Plane::wallAt(Tick now) const { return wallAhead_ ? blueprint::Wall(now + *wallAhead_) : std::nullopt; }
 
--- /dev/null
+++ b/rotor/src/regimes.cpp
@@ -0,0 +1,180 @@
+#include <algorithm>
+
+#include "internal.h"
+
+namespace corkward::rotor {
+
+namespace {
+
+std::string const unbound;
+constexpr Tick certifiedFor = 1000;
+
+}  // namespace
+
+std::string const& Plane::regimeOf(Call const& call) const {
+  if (!bound_ || call.pathStamp == 0) return unbound;
+  Index const path = call.pathStamp == blueprintStamp_ ? call.path : findPath(call.request);
+  return rows_[path == core::Names::none ? call.path : path].path.regime;
+}
+
+std::string const& Plane::regimeOf(Index instance) const {
+  std::map<Index, std::string>::const_iterator const it = instanceRegimes_.find(instance);
+  return it == instanceRegimes_.end() ? unbound : it->second;
+}
+
+std::string Plane::unsure(Tick now, std::string const& regime) const {
+  if (!tuning_.fenced || !standing(now)) return "no standing";
+  blueprint::Wall const wall = wallAt(now);
+  if (!wall) return "no wall time, so no certificate counts";
+  if (regimes_.regimes.count(regime) == 0) return "no regime " + regime + " is declared";
+  if (!blueprint::nacelleMay(regimes_, regime, lookout_.self().link, lookout_.self().zone, wall)) return "this node is not certified for regime " + regime;
+  return "";
+}
+
+std::string Plane::closed(Tick now, std::string const& regime) const {
+  if (regime.empty()) return "";
+  std::string why = unsure(now, regime);
+  if (why.empty() && !tuning_.records) why = "no records of regimes can be kept";
+  return why;
+}
+
+blueprint::Certificate const* Plane::certificate(Tick now, std::string const& regime, Index replica) const {
+  Replica const& r = replicas_[replica];
+  if (!r.listed) return nullptr;
+  return blueprint::certifies(regimes_, regime, pools_.name(r.pool), blueprint::Replica{r.id, r.address, r.zone, r.state}, wallAt(now));
+}
+
+bool Plane::lawful(Tick now, Call const& call) const {
+  std::string const& regime = regimeOf(call);
+  return regime.empty() || (closed(now, regime).empty() && certificate(now, regime, call.replica) != nullptr);
+}
+
+void Plane::refreshCertified(Tick now) {
+  if (certifiedAt_ >= 0 && now - certifiedAt_ < certifiedFor) return;
+  certifiedAt_ = now;
+  certified_.clear();
+  reserved_.clear();
+  for (std::map<std::string, blueprint::Regime>::value_type const& regime : regimes_.regimes)
+    for (PoolView const& view : poolViews_)
+      for (Index const r : view.replicas) {
+        if (certificate(now, regime.first, r) == nullptr) continue;
+        certified_[regime.first].insert(r);
+        double& share = reserved_.try_emplace(r, 0.0).first->second;
+        share = std::max(share, regime.second.reserve);
+      }
+}
+
+bool Plane::mayDraw(std::string const& regime, Index replica) const {
+  if (regime.empty()) {
+    std::map<Index, double>::const_iterator const share = reserved_.find(replica);
+    return share == reserved_.end() || share->second < 1;
+  }
+  std::map<std::string, std::set<Index>>::const_iterator const it = certified_.find(regime);
+  return it != certified_.end() && it->second.count(replica) > 0;
+}
+
+bool Plane::fits(Tick now, Call const& call, Index replica) const {
+  std::string const& regime = regimeOf(call);
+  if (!mayDraw(regime, replica)) return false;
+  if (!regime.empty()) return closed(now, regime).empty();
+  std::map<Index, double>::const_iterator const share = reserved_.find(replica);
+  if (share == reserved_.end()) return true;
+  int others = replicas_[replica].inFlight;
+  for (std::map<CreditKey, Credit>::value_type const& c : credits_)
+    if (!regimeOf(c.first.second).empty()) others -= c.second.scaler.inFlightAt(replica);
+  double const limit = credits_.at({call.pool, rows_[call.path].instance}).scaler.limit();
+  return others + 1 <= std::max(1.0, (1.0 - share->second) * limit);
+}
+
+void Plane::record(Commands& out, Tick now, Call const& call, Happened happened, std::string reason) {
+  std::string const& regime = regimeOf(call);
+  if (regime.empty()) return;
+  Record r;
+  r.call = call.request.call;
+  r.happened = happened;
+  r.regime = regime;
+  r.instance = call.request.instance;
+  r.reason = std::move(reason);
+  if (happened != Happened::denied) {
+    Replica const& at = replicas_[call.replica];
+    r.pool = pools_.name(at.pool);
+    r.address = at.address;
+    r.life = at.id;
+    r.zone = at.zone;
+    blueprint::Certificate const* const under = certificate(now, regime, call.replica);
+    if (under != nullptr) r.certificate = under->name;
+  }
+  out.calls.push_back(std::move(r));
+}
+
+void Plane::watchRegimes(Commands& out, Tick now) {
+  if (!bound_) return;
+  refreshCertified(now);
+  std::vector<CallId> ours;
+  for (std::unordered_map<CallId, Call>::value_type const& c : calls_)
+    if (c.second.phase != Phase::asking && !regimeOf(c.second).empty()) ours.push_back(c.first);
+  std::sort(ours.begin(), ours.end());
+  std::map<std::string, std::pair<std::string, std::string>> known;
+  for (CallId const id : ours) {
+    std::unordered_map<CallId, Call>::iterator const it = calls_.find(id);
+    if (it == calls_.end()) continue;
+    Call& call = it->second;
+    std::string const regime = regimeOf(call);
+    std::map<std::string, std::pair<std::string, std::string>>::iterator why = known.find(regime);
+    if (why == known.end()) why = known.emplace(regime, std::pair(unsure(now, regime), closed(now, regime))).first;
+    std::string const& shut = why->second.second;
+    bool const mayStay = mayDraw(regime, call.replica);
+    if (call.phase == Phase::held) {
+      std::vector<Index> const& all = poolViews_[call.pool].replicas;
+      bool const any = std::any_of(all.begin(), all.end(), [&](Index const r) { return mayDraw(regime, r); });
+      if (!shut.empty() || !any) deny(out, now, id, 503, any ? shut : "no certified replica", true, tuning_.comeBack);
+    } else if (call.phase == Phase::connecting) {
+      if (shut.empty() && mayStay) continue;
+      out.calls.push_back(Abandon{id});
+      if (shut.empty())
+        retry(out, now, id, "the certificate ended before sending");
+      else
+        deny(out, now, id, 503, shut, true, tuning_.comeBack);
+    } else if (!why->second.first.empty() || !mayStay) {
+      leave(out, now, id, why->second.first.empty() ? "no certificate any more" : why->second.first);
+    } else if (call.phase == Phase::handed && call.resumes > 0 && call.handedTo.back() != call.replica && now - call.phaseAt > tuning_.connectLimit) {
+      out.calls.push_back(Abandon{id});
+      Commands const more = connectDenied(now, id);
+      out.calls.insert(out.calls.end(), more.calls.begin(), more.calls.end());
+      out.notes.insert(out.notes.end(), more.notes.begin(), more.notes.end());
+    }
+  }
+}
+
+void Plane::leave(Commands& out, Tick now, CallId id, std::string const& why) {
+  Call& call = calls_.at(id);
+  Row const& row = rows_[call.path];
+  count(now, "regime_left", why);
+  bool const open = closed(now, regimeOf(call)).empty() && row.path.repeatable && now < call.until;
+  if (call.phase == Phase::handed && call.resumes > 0 && call.handedTo.back() != call.replica) {
+    out.calls.push_back(Abandon{id});
+    if (!open || !row.path.stream || !resumeElsewhere(out, now, id)) breakOff(out, now, id, why);
+    return;
+  }
+  if (call.phase == Phase::streaming || call.resumes > 0) {
+    bool const again = open && row.path.stream && call.runKnown && call.resumes == 0 && budget_.retry(now, rosterSize(), tuning_.retryAllowance);
+    if (again) {
+      ++call.resumes;
+      count(now, "resumed");
+      out.calls.push_back(Abandon{id});
+    }
+    if (!again || !resumeElsewhere(out, now, id)) breakOff(out, now, id, why);
+    return;
+  }
+  out.calls.push_back(Abandon{id});
+  if (!open || !mayGoOn(now, call) || !budget_.retry(now, rosterSize(), tuning_.retryAllowance)) {
+    deny(out, now, id, 502, "unknown, may have run; " + why, false, 0);
+    return;
+  }
+  count(now, "retried_dispatched");
+  call.phase = Phase::held;
+  uncount(out, now, call);
+  if (!tryConnect(out, now, id)) credits_.at({call.pool, row.instance}).held[lane(row.path.cls)].push_front(id);
+}
+
+}  // namespace corkward::rotor
