--- a/audit/include/corkward/audit/trail.h
+++ b/audit/include/corkward/audit/trail.h
@@ -52,6 +52,8 @@
   void count(Kind const& kind, std::int64_t wall);
   /// Writes the counts of a span that has ended.
   void clockEvent(std::int64_t wall);
+  /// Writes a record that says no more than that it could be written.
+  void probe(std::int64_t wall);
   /// Writes all counts; nothing is missing from this life.
   void close(std::int64_t wall);
   Head const& head() const { return head_; }
@@ -90,6 +92,8 @@
   std::string node;
   std::vector<QJsonObject> records;
   std::vector<Fault> faults;
+  /// The newest line is not whole: the node was writing, or lost its power.
+  bool tornEnd = false;
   /// Number of the first record that is kept; those before were dropped by the bound.
   std::uint64_t first = 0;
   Head head;
--- a/programs/nacelle/nacelle.h
+++ b/programs/nacelle/nacelle.h
@@ -16,6 +16,7 @@
 #include <corkward/signal/link.h>
 
 #include "process.h"
+#include "records.h"
 #include "settings.h"
 
 namespace corkward::programs {
@@ -70,6 +71,8 @@
     bool connected = false;
     core::Tick movedAt = 0;
     core::Tick pausedSince = 0;
+    /// What it is about to do could not be written down.
+    bool unrecorded = false;
   };
 
   door::Server::Events events();
@@ -98,6 +101,7 @@
   NacelleSurface surface_;
   Drain drain_;
   rotor::Plane plane_;
+  Records records_;
   std::unordered_map<std::uint64_t, Call> calls_;
   signal::Link link_;
   door::Relays relays_;
