--- a/blueprint/src/regimes.cpp
+++ b/blueprint/src/regimes.cpp
@@ -84,7 +84,8 @@
     onlyFields(row, {"regime", "carrier", "zone", "link", "from", "until", "note"}, at);
   noteAt(row, at);
   out.regime = nameAt(row, "regime", at);
-  out.zone = nameAt(row, "zone", at);
+  out.zone = str(row.value("zone").toString());
+  if (!validLabel(out.zone)) throw Error(at + "/zone", row.contains("zone") ? "not a valid name" : "missing");
   if (replicas) {
     out.pool = textAt(row, "pool", at);
     if (out.pool.empty()) throw Error(at + "/pool", "missing");
--- a/governor/include/corkward/governor/governor.h
+++ b/governor/include/corkward/governor/governor.h
@@ -2,7 +2,10 @@
 
 #include <array>
 #include <deque>
+#include <initializer_list>
+#include <limits>
 #include <map>
+#include <memory>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -44,6 +47,12 @@
   /// own request has waited longer counts as work that its replica is held up by.
   double readPerMs = 100.0;
   Tick wordSlack = 60;
+  /// A prompt of more own tokens for each millisecond of its aim cannot be read within it. This share of a pool's
+  /// replicas, rounded down and the same on all nodes, reads those, so that they hold up nothing else.
+  double withinAim = 50.0;
+  double apart = 0.09;
+  /// What it weighs, in tokens, to send a prompt to a replica of the other kind.
+  double wrongKind = 40000.0;
   /// Parts of prompts that a node remembers to have sent.
   std::size_t parts = 40000;
   /// Share of the cap that long requests may fill.
@@ -79,6 +88,7 @@
   bool trusted() const { return trusted_; }
   /// Not trusted, and not to be probed yet.
   bool resting(Tick now) const { return !trusted_ && now < restUntil_; }
+  Tick restUntil() const { return restUntil_; }
   /// Share of failures of late, newer outcomes weighing more.
   double rate(Tick now, Figures const& f = figures) const;
 
@@ -98,6 +108,39 @@
   bool cold = false;
   /// Hash of its address, equal on every node.
   std::uint64_t hash = 0;
+  bool operator==(Candidate const&) const = default;
+};
+
+/// The replicas that parts of one pool may draw from, in the order of their index. Copies share them.
+class Candidates {
+ public:
+  Candidates() = default;
+  Candidates(std::vector<Candidate> all);
+  Candidates(std::initializer_list<Candidate> all) : Candidates(std::vector<Candidate>(all)) {}
+  /// Null when it is none of them.
+  Candidate const* find(Index replica) const;
+  std::vector<Candidate> const& all() const;
+  std::size_t size() const { return all().size(); }
+  bool operator==(Candidates const& other) const { return all_ == other.all_ || all() == other.all(); }
+
+ private:
+  std::shared_ptr<std::vector<Candidate> const> all_;
+};
+
+/// How many requests end in a second: a running mean over windows of a second, closed by looks.
+class Rate {
+ public:
+  static constexpr Tick window = 1000;
+  void ended() { ++ended_; }
+  void look(Tick now);
+  /// Makes up for the looks that were left out, as if there had been one at the end of each window before now.
+  void catchUp(Tick now);
+  double perSecond() const { return perSecond_; }
+
+ private:
+  double perSecond_ = 0;
+  Tick from_ = 0;
+  int ended_ = 0;
 };
 
 /// Decides which replicas one (node, pool, instance) sends to: width trigger, one-replica steps, calm give-back.
@@ -107,9 +150,12 @@
   explicit Scaler(std::uint64_t seed, Figures const& f = figures);
 
   /// New candidates. Those of the part that are gone leave at once and are replaced one for one; neither counts as a step.
-  void candidates(std::vector<Candidate> const& all);
-  /// One look at the demand; held counts no echoes. Takes at most one step and returns +1, -1 or 0.
-  int look(Tick now, std::size_t held);
+  void candidates(Candidates all);
+  /// One look at the demand; held counts no echoes. Takes at most one step and returns +1, -1 or 0. A widening takes the
+  /// wanted candidate, if that is outside the part, else the next in this node's order.
+  int look(Tick now, std::size_t held, std::int64_t wanted = -1);
+  /// True when looks with nothing held change nothing until a request is sent or candidates change.
+  bool atRest() const;
 
   double cap() const;
   /// Room under the cap for one more request of the kind.
@@ -119,6 +165,7 @@
   std::vector<Candidate> const& part() const { return part_; }
   /// How many it may draw from.
   std::size_t candidates() const { return all_.size(); }
+  bool has(Index replica) const;
   int inFlight() const { return inFlight_; }
   int inFlightAt(Index replica) const;
   double limit() const { return limit_; }
@@ -138,7 +185,8 @@
 
  private:
   double z(std::size_t held) const;
-  void add(Candidate const& c);
+  /// Takes the first candidates of this node's order until the part has so many.
+  void fill(std::size_t size);
   std::uint64_t order(Candidate const& c) const;
 
   struct Times {
@@ -148,7 +196,7 @@
   };
   std::uint64_t seed_;
   Figures f_;
-  std::vector<Candidate> all_;
+  Candidates all_;
   std::vector<Candidate> part_;
   std::unordered_map<Index, int> inFlightAt_;
   std::unordered_map<Index, Times> times_;
--- a/mooring/include/corkward/mooring/mooring.h
+++ b/mooring/include/corkward/mooring/mooring.h
@@ -100,7 +100,8 @@
  public:
   /// The member's id is a name that was never used before; a disk that has one keeps it, and a member that was struck off
   /// makes its next one from it. Founders are link addresses, this member's own among them when it may found; they count
-  /// at the first start of an empty disk, which keeps them until the cohort is founded.
+  /// at the first start of an empty disk, which keeps them until the cohort is founded. A founder that says it has no disk
+  /// does not count.
   Mooring(Member self, std::vector<std::string> founders, Judge judge, std::uint64_t seed, Tuning tuning = {});
 
   /// Takes what the ledger gave back. Damaged: nothing of it counts, and this machine joins anew under a fresh id.
@@ -187,9 +188,14 @@
     std::string link;
     std::uint64_t cohort = 0;
     signal::Stamps owned;
+    /// Its beats in this life have said in full which keys it owns.
+    bool saidOwned = false;
   };
 
   Reg& reg(std::string const& key);
+  bool allSaidOwned() const;
+  /// No other voting member that was heard of late comes before this one in the key's order.
+  bool firstFor(std::string const& key, Tick now) const;
   void send(Commands& out, Tick now, std::string const& to, signal::Message message);
   void persist(Commands& out, Tick now, std::string const& key, Reg& r);
   void sendWhenSynced(Commands& out, Tick now, Reg const& r, std::string const& to, signal::Message message);
@@ -228,6 +234,7 @@
   void on(Commands& out, Tick now, std::string const& from, signal::Commit const& m);
   void on(Commands& out, Tick now, std::string const& from, signal::Handover const& m);
   void on(Commands& out, Tick now, std::string const& from, signal::Beat const& m);
+  void on(Commands& out, Tick now, std::string const& from, signal::NoDisk const& m);
   void on(Commands& out, Tick now, std::string const& from, signal::BeatEcho const& m);
   void on(Commands& out, Tick now, std::string const& from, signal::Fetch const& m);
   void on(Commands& out, Tick now, std::string const& from, signal::Copy const& m);
@@ -236,6 +243,8 @@
   std::string freshId_;
   std::uint64_t freshIds_ = 0;
   std::vector<std::string> founders_;
+  /// Founders that said they have no disk.
+  std::set<std::string> noDisk_;
   std::vector<std::string> neighbours_;
   Judge judge_;
   Tuning tuning_;
--- a/programs/cli/declare.cpp
+++ b/programs/cli/declare.cpp
@@ -241,7 +241,7 @@
   OperatorOutcome const inForce = read(ask, certificatesPath);
   Known known{[&](std::string const& pool) {
                 std::map<std::string, bool>::const_iterator const it = pools.find(pool);
-                return it != pools.end() ? it->second : (pools[pool] = read(ask, "/v1/platform/pools/" + pool).status == 200);
+                return it != pools.end() ? it->second : (pools[pool] = read(ask, "/v1/platform/pools/" + blueprint::addressPart(pool)).status == 200);
               },
               blueprint::keptRegimes(inForce.body), QDateTime::currentMSecsSinceEpoch()};
   for (std::map<std::string, Family>::value_type& f : families) {
--- a/programs/nacelle/nacelle.cpp
+++ b/programs/nacelle/nacelle.cpp
@@ -3,6 +3,7 @@
 #include <QDateTime>
 #include <algorithm>
 
+#include <corkward/blueprint/blueprint.h>
 #include <corkward/core/json.h>
 #include <corkward/core/log.h>
 
@@ -23,7 +24,7 @@
     : settings_(s),
       mapping_(mapping),
       surface_(std::move(surface)),
-      drain_(s.drainLimit),
+      drain_(s.drainLimit, tuning.drainServe),
       plane_(contactOf(s, "nacelle"), s.seeds, freshSeed(), tuning),
       records_(this, s, [this](bool works) { plane_.recording(works); }),
       link_(this, s.link, [this](signal::Envelope e) { run(plane_.arrived(now(), e.from, e.message)); }, s.listen),
@@ -65,7 +66,7 @@
     if (std::optional<QJsonObject> const head = records_.head()) state.insert("audit", *head);
     server_.answer(request.id, 200, {{"content-type", "application/json"}}, core::jsonText(state) + "\n");
   } else if (path.rfind(listPath, 0) == 0 && request.method == "PUT") {
-    run(plane_.platformList(now(), request.id, path.substr(std::string(listPath).size()), request.body));
+    run(plane_.platformList(now(), request.id, blueprint::labelOf(path.substr(std::string(listPath).size())), request.body));
   } else {
     return false;
   }
@@ -251,7 +252,7 @@
   plane_.wallTime(now(), QDateTime::currentMSecsSinceEpoch());
   run(plane_.clockEvent(now()));
   records_.clockEvent();
-  drain_.look(plane_.inHand() + server_.inHand());
+  drain_.look(server_, plane_.inHand());
 }
 
 void Nacelle::drain() {
--- a/rotor/include/corkward/rotor/plane.h
+++ b/rotor/include/corkward/rotor/plane.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <deque>
+#include <list>
 #include <map>
 #include <optional>
 #include <set>
@@ -26,6 +27,8 @@
   /// How long a confirmation of standing holds, counted from when it was asked for.
   Tick confirmFor = 1500;
   Tick askEvery = 300;
+  /// How often control is asked while there is no whole image yet, from the start on.
+  Tick askWhole = 50;
   /// How often neighbours are contacted while control confirms, and while it does not.
   Tick touchAtRest = 1000;
   Tick touchEvery = 200;
@@ -221,6 +224,8 @@
   std::size_t replicas = 0;
   std::size_t instances = 0;
   std::size_t credits = 0;
+  /// Credits that are looked at.
+  std::size_t creditsAwake = 0;
   std::size_t contacts = 0;
   std::size_t ids = 0;
   std::size_t prefixes = 0;
@@ -338,6 +343,8 @@
     std::uint64_t hash = 0;
     blueprint::ReplicaState state = blueprint::ReplicaState::leaving;
     bool listed = false;
+    /// It is among those that read the pool's too long prompts.
+    bool apart = false;
     /// Tokens that this node has sent and that are not read yet, as far as it knows.
     std::int64_t reading = 0;
     /// Taken away by a list that is newer than the one in force.
@@ -356,14 +363,19 @@
     signal::Hint hint;
     /// What the whole blueprint says of the pool, if it names it.
     std::optional<blueprint::PoolTerms> terms;
+    /// Those that may be drawn from, what they are made of has changed since, and when it next changes with time alone.
+    /// By regime; empty: work of none.
+    std::map<std::string, governor::Candidates> candidates;
+    /// What binds the instances may have changed.
+    bool rebound = false;
+    bool changed = true;
+    Tick changesAt = 0;
   };
   struct Credit {
     governor::Scaler scaler;
-    std::array<std::deque<CallId>, 3> held;
+    std::array<std::list<CallId>, 3> held;
     unsigned turn = 0;
-    double perSecond = 0;
-    Tick rateAt = 0;
-    int endedSince = 0;
+    governor::Rate rate;
     std::size_t heldCount() const { return held[0].size() + held[1].size() + held[2].size(); }
   };
   struct Warm {
@@ -415,6 +427,9 @@
   void apply(Commands& out, Tick now, std::vector<signal::Item> const& items);
   void applyOne(Commands& out, Tick now, signal::Item const& item);
   void refreshCandidates(Commands& out, Tick now);
+  void refreshPool(Tick now, Index pool);
+  void wake(Tick now, CreditKey const& key);
+  void cool(Index replica, Tick until);
   void refreshHint(PoolView& view);
   bool takeHint(Commands& out, Tick now, signal::Hint const& hint);
   std::vector<signal::Hint> hints() const;
@@ -439,6 +454,10 @@
   bool resumeElsewhere(Commands& out, Tick now, CallId id);
   std::int64_t choose(Tick now, Call const& call, std::vector<governor::Candidate> const& choices) const;
   Index home(Call const& call) const;
+  bool mayBeHome(Index replica) const;
+  /// The prompt cannot be read within its aim, and the pool has replicas that read such ones.
+  bool readsApart(Call const& call) const;
+  void setApart(PoolView const& view);
   bool evacuated(std::string const& zone) const;
   bool knowsAll(signal::Stamps const& stamps) const;
   bool knows(signal::Digest const& digest, signal::Stamps const& stamps) const;
@@ -463,13 +482,13 @@
   void decideClaim(Commands& out, Tick now, CallId id, bool over);
   std::vector<std::string> substations(Tick now) const;
   signal::Stamps stamps() const;
-  Credit& credit(Index pool, Index instance);
+  Credit& credit(Commands& out, Tick now, CreditKey const& key);
   bool mayTry(Tick now, Credit& c, CreditKey key, Call const& call) const;
   std::vector<governor::Candidate> usableOf(Tick now, Credit const& c, bool warmRoom) const;
   void admit(Commands& out, Tick now, CallId id);
   bool tryConnect(Commands& out, Tick now, CallId id);
   void pump(Commands& out, Tick now, CreditKey key);
-  void look(Commands& out, Tick now, CreditKey key);
+  void look(Commands& out, Tick now, CreditKey key, CallId unplaced = 0);
   void uncount(Commands& out, Tick now, Call& call);
   void deny(Commands& out, Tick now, CallId id, int status, std::string reason, bool notRun, double retryAfter);
   void forget(Tick now, CallId id);
@@ -490,6 +509,9 @@
   bool lawful(Tick now, Call const& call) const;
   bool fits(Tick now, Call const& call, Index replica) const;
   void refreshCertified(Tick now);
+  /// What work of each regime, and of none, may draw from of these.
+  std::map<std::string, governor::Candidates> byRegime(std::vector<governor::Candidate> const& all) const;
+  static governor::Candidates candidatesOf(PoolView const& view, std::string const& regime);
   bool mayDraw(std::string const& regime, Index replica) const;
   void record(Commands& out, Tick now, Call const& call, Happened happened, std::string reason = {});
   void watchRegimes(Commands& out, Tick now);
@@ -553,6 +575,8 @@
   bool vouched_ = false;
   core::Rng rng_;
   std::map<CreditKey, Credit> credits_;
+  /// Credits that looks may change: all others are at rest.
+  std::set<CreditKey> awake_;
   std::map<Index, Warm> warm_;
   governor::Prefixes prefixes_;
   governor::Kept kept_;
--- a/rotor/src/regimes.cpp
+++ b/rotor/src/regimes.cpp
@@ -1,4 +1,6 @@
 #include <algorithm>
+#include <functional>
+#include <iterator>
 
 #include "internal.h"
 
@@ -52,16 +54,37 @@
 void Plane::refreshCertified(Tick now) {
   if (certifiedAt_ >= 0 && now - certifiedAt_ < certifiedFor) return;
   certifiedAt_ = now;
-  certified_.clear();
-  reserved_.clear();
+  std::map<std::string, std::set<Index>> certified;
+  std::map<Index, double> reserved;
   for (std::map<std::string, blueprint::Regime>::value_type const& regime : regimes_.regimes)
     for (PoolView const& view : poolViews_)
       for (Index const r : view.replicas) {
         if (certificate(now, regime.first, r) == nullptr) continue;
-        certified_[regime.first].insert(r);
-        double& share = reserved_.try_emplace(r, 0.0).first->second;
+        certified[regime.first].insert(r);
+        double& share = reserved.try_emplace(r, 0.0).first->second;
         share = std::max(share, regime.second.reserve);
       }
+  if (certified == certified_ && reserved == reserved_) return;
+  certified_ = std::move(certified);
+  reserved_ = std::move(reserved);
+  for (PoolView& view : poolViews_) view.changed = true;
+}
+
+std::map<std::string, governor::Candidates> Plane::byRegime(std::vector<governor::Candidate> const& all) const {
+  std::map<std::string, governor::Candidates> out;
+  std::function<void(std::string const&)> const draw = [&](std::string const& regime) {
+    std::vector<governor::Candidate> some;
+    std::copy_if(all.begin(), all.end(), std::back_inserter(some), [&](governor::Candidate const& c) { return mayDraw(regime, c.replica); });
+    out[regime] = governor::Candidates(std::move(some));
+  };
+  draw(unbound);
+  for (std::map<std::string, std::set<Index>>::value_type const& regime : certified_) draw(regime.first);
+  return out;
+}
+
+governor::Candidates Plane::candidatesOf(PoolView const& view, std::string const& regime) {
+  std::map<std::string, governor::Candidates>::const_iterator const it = view.candidates.find(regime);
+  return it == view.candidates.end() ? governor::Candidates() : it->second;
 }
 
 bool Plane::mayDraw(std::string const& regime, Index replica) const {
