--- a/governor/include/corkward/governor/governor.h
+++ b/governor/include/corkward/governor/governor.h
@@ -151,6 +151,8 @@
 
   /// New candidates. Those of the part that are gone leave at once and are replaced one for one; neither counts as a step.
   void candidates(Candidates all);
+  /// Before anything was sent: the part begins with this replica, if it is a candidate.
+  void begin(Index wanted);
   /// One look at the demand; held counts no echoes. Takes at most one step and returns +1, -1 or 0. A widening takes the
   /// wanted candidate, if that is outside the part, else the next in this node's order.
   int look(Tick now, std::size_t held, std::int64_t wanted = -1);
--- a/rotor/src/calls.cpp
+++ b/rotor/src/calls.cpp
@@ -260,7 +260,9 @@
   }
   Row const& row = rows_[call.path];
   CreditKey const key{call.pool, row.instance};
+  bool const fresh = credits_.count(key) == 0;
   Credit& c = credit(out, now, key);
+  if (fresh && call.request.parts.size() > 1) c.scaler.begin(home(call));
   call.phase = Phase::held;
   if (call.reached && !budget_.retry(now, rosterSize(), tuning_.retryAllowance)) {
     deny(out, now, id, 503, "no retry left for what may have reached a replica before", true, tuning_.comeBack);
