--- a/programs/nacelle/nacelle.cpp
+++ b/programs/nacelle/nacelle.cpp
@@ -1,5 +1,6 @@
 #include "nacelle.h"
 
+#include <QDateTime>
 #include <algorithm>
 
 #include <corkward/blueprint/blueprint.h>
@@ -25,6 +26,7 @@
       surface_(std::move(surface)),
       drain_(s.drainLimit, tuning.drainServe),
       plane_(contactOf(s, "nacelle"), s.seeds, freshSeed(), tuning),
+      records_(this, s, [this](bool works) { plane_.recording(works); }),
       link_(this, s.link, [this](signal::Envelope e) { run(plane_.arrived(now(), e.from, e.message)); }, s.listen),
       relays_(surface_.kept, [] { return now(); }),
       server_(surface_.http.empty() ? std::vector<std::string>{s.http} : surface_.http, surface_.limits, events()) {
@@ -60,7 +62,9 @@
   if (plainPage(server_, request, [this] { return ready(); }, [this] { return metrics(); })) return true;
   std::string const path = pathOf(request);
   if (path == "/v1/state" && request.method == "GET") {
-    server_.answer(request.id, 200, {{"content-type", "application/json"}}, core::jsonText(plane_.state(now())) + "\n");
+    QJsonObject state = plane_.state(now());
+    if (std::optional<QJsonObject> const head = records_.head()) state.insert("audit", *head);
+    server_.answer(request.id, 200, {{"content-type", "application/json"}}, core::jsonText(state) + "\n");
   } else if (path.rfind(listPath, 0) == 0 && request.method == "PUT") {
     run(plane_.platformList(now(), request.id, blueprint::labelOf(path.substr(std::string(listPath).size())), request.body));
   } else {
@@ -80,14 +84,21 @@
   }
   std::uint64_t const id = request.id;
   Call& call = calls_[id];
-  if (caller.events) call.stream.asEvents(std::move(caller.lastEvent));
+  if (caller.events)
+    call.stream.asEvents(std::move(caller.lastEvent));
+  else
+    call.lastEvent = std::move(caller.lastEvent);
   call.request = std::move(request);
   call.caller = std::move(*caller.request);
   rotor::Request const asked = call.caller;
   run(plane_.request(now(), asked));
 }
 
-void Nacelle::retune(rotor::Tuning const& tuning, std::vector<std::string> const& seeds) { plane_.retune(tuning, seeds); }
+void Nacelle::retune(rotor::Tuning const& tuning, std::vector<std::string> const& seeds) {
+  bool const records = plane_.recording();
+  plane_.retune(tuning, seeds);
+  plane_.recording(records);
+}
 
 void Nacelle::platformList(std::string const& pool, std::string const& body) { run(plane_.platformList(now(), 0, pool, body)); }
 
@@ -109,6 +120,8 @@
   std::uint64_t const id = m.call;
   it->second.path = m.path;
   it->second.pausedSince = 0;
+  if (m.events && !it->second.connected) it->second.stream.asEvents(std::move(it->second.lastEvent));
+  it->second.connected = true;
   it->second.stream.connecting(m.resume);
   door::Relay::Events e;
   e.connected = [this, id] { run(plane_.connected(now(), id)); };
@@ -116,19 +129,30 @@
   e.head = [this, id](door::ReplicaHead const& head) { replicaHead(id, head); };
   e.piece = [this, id](std::string bytes) { replicaPiece(id, std::move(bytes)); };
   e.ended = [this, id](bool whole) { replicaEnded(id, whole); };
-  it->second.relay = relays_.lend(m.address, m.fresh, std::move(e), this);
+  it->second.relay = m.life.empty() ? relays_.lend(m.address, m.fresh, std::move(e), this) : new door::Relay(m.address, m.life, std::move(e), this);
 }
 
 void Nacelle::act(rotor::HandOver const& m) {
   std::unordered_map<std::uint64_t, Call>::iterator const it = calls_.find(m.call);
   if (it == calls_.end() || it->second.relay == nullptr) return;
   Call& call = it->second;
+  if (!m.regime.empty() && call.unrecorded) {
+    abandon(m.call);
+    run(plane_.ended(now(), m.call, rotor::End::notRun));
+    return;
+  }
   rotor::Resume const resume = call.stream.resume();
   call.relay->send(mapping_.replicaRequest(door::Dispatch{call.request, call.caller, call.path, m, resume}), call.request.body);
 }
 
 void Nacelle::act(rotor::Abandon const& m) { abandon(m.call); }
 
+void Nacelle::act(rotor::Record const& m) {
+  bool const written = records_.write(m);
+  std::unordered_map<std::uint64_t, Call>::iterator const it = calls_.find(m.call);
+  if (it != calls_.end()) it->second.unrecorded = !written;
+}
+
 void Nacelle::act(rotor::Deny const& m) {
   abandon(m.call);
   calls_.erase(m.call);
@@ -225,7 +249,9 @@
 
 void Nacelle::clockEvent() {
   watchPaused();
+  plane_.wallTime(now(), QDateTime::currentMSecsSinceEpoch());
   run(plane_.clockEvent(now()));
+  records_.clockEvent();
   drain_.look(server_, plane_.inHand());
 }
 
--- a/programs/nacelle/nacelle.h
+++ b/programs/nacelle/nacelle.h
@@ -16,6 +16,7 @@
 #include <corkward/signal/link.h>
 
 #include "process.h"
+#include "records.h"
 #include "settings.h"
 
 namespace corkward::programs {
@@ -65,8 +66,13 @@
     rotor::Request caller;
     std::string path;
     rotor::Stream stream;
+    /// Id of the last event that the caller says it has, for a path whose answer is a row of events.
+    std::string lastEvent;
+    bool connected = false;
     core::Tick movedAt = 0;
     core::Tick pausedSince = 0;
+    /// What it is about to do could not be written down.
+    bool unrecorded = false;
   };
 
   door::Server::Events events();
@@ -76,6 +82,7 @@
   void act(rotor::Connect const& m);
   void act(rotor::HandOver const& m);
   void act(rotor::Abandon const& m);
+  void act(rotor::Record const& m);
   void act(rotor::Deny const& m);
   void act(rotor::Answer const& m);
   void act(rotor::Abort const& m);
@@ -94,6 +101,7 @@
   NacelleSurface surface_;
   Drain drain_;
   rotor::Plane plane_;
+  Records records_;
   std::unordered_map<std::uint64_t, Call> calls_;
   signal::Link link_;
   door::Relays relays_;
--- a/yard/sim/faults.cpp
+++ b/yard/sim/faults.cpp
@@ -369,6 +369,7 @@
     }
     case Fault::wallClockJump:
       wallJump_ = static_cast<Tick>(rng_.below(2000000)) - 1000000;
+      if (plan_.regimes) wallJump_ = std::max(wallJump_, -mostBack);
       break;
     case Fault::growCore:
       if (grown_ < 3) {
@@ -463,6 +464,25 @@
         demandNow_ = plan_.demand;
       });
       break;
+    case Fault::reuseAddress: {
+      std::string const last = "z" + std::to_string(plan_.zones);
+      std::vector<Replica*> mine;
+      for (Replica* const r : models)
+        if (r->zone != last) mine.push_back(r);
+      if (mine.size() < 2 || zoneShown_.count(last) > 0) break;
+      Replica& r = *mine[rng_.below(mine.size())];
+      std::string const zone = r.zone;
+      crash(r);
+      r.zone = last;
+      after(shortly + 2000, [this, a = r.address, zone] {
+        Replica& k = replicas_.at(a);
+        crash(k);
+        k.zone = zone;
+        k.up = true;
+      });
+      r.up = true;
+      break;
+    }
     case Fault::lossyNetwork:
       loss_ = 0.05 + 0.1 * static_cast<double>(rng_.below(3));
       duplication_ = 0.1;
--- a/yard/sim/world.cpp
+++ b/yard/sim/world.cpp
@@ -31,7 +31,18 @@
     if (rng.chance(0.35)) p.faults.push_back(f);
   if (rng.chance(0.5)) p.replaceDarkAfter = 3000;
   for (FaultRow const& f : faultTable)
-    if (grown && f.fault > Fault::longAbsence && rng.chance(0.35)) p.faults.push_back(f.fault);
+    if (grown && f.fault > Fault::longAbsence && f.fault != Fault::reuseAddress && rng.chance(0.35)) p.faults.push_back(f.fault);
+  return p;
+}
+
+Plan regimes(std::uint64_t seed) {
+  Plan p = chaos(seed, false);
+  core::Rng rng(seed ^ 0x4E);
+  p.regimes = true;
+  p.certifiedNacelles = rng.chance(0.5);
+  p.demand = 60;
+  if (rng.chance(0.7)) p.faults.push_back(Fault::reuseAddress);
+  if (rng.chance(0.5)) p.faults.push_back(Fault::breakStreams);
   return p;
 }
 
@@ -161,6 +172,7 @@
     if (plan_.mutation == Mutation::warmForever) t.warmLease = 1000000000;
     t.figures = plan_.figures;
     if (plan_.mutation == Mutation::blindTrust) t.figures.errorLeast = 1e9;
+    t.records = plan_.regimes;
     if (plan_.plain) {
       t.figures.firstPart = 1000;
       t.figures.calmFor = 1000000000;
@@ -190,10 +202,13 @@
 }
 
 void World::tick(Node& n) {
-  if (n.control)
+  if (n.control) {
+    n.control->wallTime(wall());
     run(n, n.control->clockEvent(local(n)));
-  else
+  } else {
+    n.data->wallTime(local(n), plan_.mutation == Mutation::ignoreExpiry ? wall() - 86400000 : wall());
     run(n, n.data->clockEvent(local(n)));
+  }
 }
 
 void World::kill(Node& n, bool power) {
@@ -371,6 +386,11 @@
       connect(n, *m);
     } else if (rotor::HandOver const* const h = std::get_if<rotor::HandOver>(&v)) {
       handOver(n, h->call);
+    } else if (rotor::Record const* const w = std::get_if<rotor::Record>(&v)) {
+      ++result_.counts["records"];
+      std::map<std::pair<std::string, std::uint64_t>, Relayed>::iterator const it = relays_.find({n.link, w->call});
+      bool const before = w->happened == rotor::Happened::handedOver || w->happened == rotor::Happened::resumed;
+      if (it != relays_.end() && before && plan_.mutation != Mutation::unrecorded) it->second.recorded = w->life;
     } else if (rotor::Abandon const* const a = std::get_if<rotor::Abandon>(&v)) {
       abandon(n, a->call);
     } else if (rotor::Deny const* const d = std::get_if<rotor::Deny>(&v)) {
@@ -390,7 +410,7 @@
       after(1, [this, id, call = b->call] {
         std::map<std::string, Caller>::iterator const it = callers_.find(id);
         if (it == callers_.end() || !it->second.open || it->second.call != call) return;
-        if (it->second.status < 500 && !it->second.got.empty() && !checkBody(it->second.got).oneRun) violation("a stream has a gap, a repeat or a join, and broke: " + id);
+        if (it->second.status < 500 && !it->second.got.empty() && !oneBody(it->second)) violation("a stream has a gap, a repeat or a join, and broke: " + id);
         if (again(it->second)) return;
         callerEnds(id, "broken");
       });
@@ -401,10 +421,15 @@
 Result World::run() {
   for (std::map<std::string, Node>::value_type& n : nodes_) boot(n.second);
   at(3500, [this] { platform(); });
+  if (plan_.regimes) at(4000, [this] {
+    watchLives();
+    declareRegime();
+  });
   at(5000, [this] {
     putTemplate("0", 0, [this](int, QJsonObject const&) {
+      if (plan_.regimes) declareRegulated();
       for (char const* name : {"nord", "sued"})
-        change("family:desk/" + std::string(name), "", "PUT", std::string(templatePath) + "/instances/" + name, R"({"parameters":{"site":"s"}})", "0", "");
+        if (!plan_.regimes || std::string(name) == "sued") change("family:desk/" + std::string(name), "", "PUT", std::string(templatePath) + "/instances/" + name, R"({"parameters":{"site":"s"}})", "0", "");
     });
   });
   Tick const begin = trafficFrom - 10000;
--- a/yard/sim/world.h
+++ b/yard/sim/world.h
@@ -71,7 +71,8 @@
   slowSubstation,
   scaleOut,
   zoneLoss,
-  shiftLengths
+  shiftLengths,
+  reuseAddress
 };
 
 struct FaultRow {
@@ -127,7 +128,8 @@
                                           {Fault::slowSubstation, "slow-substation"},
                                           {Fault::scaleOut, "scale-out"},
                                           {Fault::zoneLoss, "zone-loss"},
-                                          {Fault::shiftLengths, "shift-lengths"}};
+                                          {Fault::shiftLengths, "shift-lengths"},
+                                          {Fault::reuseAddress, "reuse-address"}};
 
 /// Switches that break a rule on purpose, to show that its oracle can fail.
 enum class Mutation {
@@ -152,7 +154,13 @@
   cutLooksWhole,
   foreignBody,
   neverGrow,
-  blindTrust
+  blindTrust,
+  skipLife,
+  ignoreExpiry,
+  resumeAnywhere,
+  resumeTwice,
+  eventGap,
+  unrecorded
 };
 
 /// Sizes and failures of one run; everything else follows from the seed.
@@ -183,6 +191,13 @@
   double clockSpread = 0.002;
   /// First words count only for callers that began so long after the first one.
   Tick skip = 0;
+  /// The tenant nord is of a regime; operators declare, revoke and exchange certificates all the time. The last zone has
+  /// none, ever.
+  bool regimes = false;
+  /// False: all of that but the tenant's regime, for comparisons.
+  bool bound = true;
+  /// Nacelles need certificates, too; those in the last zone have none, ever.
+  bool certifiedNacelles = false;
   /// Messages are packed and counted, by kind and by the role of the sender; costs time.
   bool traffic = false;
 };
@@ -257,6 +272,9 @@
     std::uint64_t turn = 0;
     /// What the replica has made so far.
     std::string made;
+    /// A row of events that goes on after so many of them.
+    bool events = false;
+    int from = 0;
   };
   struct Replica {
     std::string address;
@@ -305,6 +323,24 @@
     int status = 0;
     std::string got;
   };
+  using Fed = std::function<rotor::StreamSteps(rotor::Stream&)>;
+  struct Relayed {
+    std::string address;
+    std::string run;
+    std::string caller;
+    rotor::Connect connect;
+    std::uint64_t turn = 0;
+    /// On a kept connection, which the replica has forgotten, and which was idle for long.
+    bool kept = false;
+    bool dead = false;
+    bool rested = false;
+    /// Life of the process at the other end, where it was asked for.
+    std::uint64_t process = 0;
+    /// Life that was written down for the next hand-over.
+    std::string recorded;
+    /// What the replica sent and the node has not had yet, in order.
+    std::deque<Fed> underWay;
+  };
   struct Event {
     Tick at;
     std::uint64_t order;
@@ -325,7 +361,6 @@
     Tick answeredAt = -1;
   };
 
-  using Fed = std::function<rotor::StreamSteps(rotor::Stream&)>;
   void at(Tick when, std::function<void()> act);
   void after(Tick delay, std::function<void()> act) { at(now_ + delay, std::move(act)); }
   Tick local(Node const& n) const;
@@ -347,7 +382,7 @@
   void run(Node& n, substation::Commands&& c);
   void run(Node& n, rotor::Commands&& c);
   void disk(Node& n);
-  void connect(Node& n, rotor::Connect const& m);
+  void connect(Node& n, rotor::Connect m);
   void handOver(Node& n, std::uint64_t call);
   void abandon(Node& n, std::uint64_t call);
   void reach(Node& n, std::uint64_t life, std::uint64_t call, Replica& r, rotor::Connect const& m);
@@ -379,6 +414,24 @@
   void callerCut(std::string const& id);
   void callerEnds(std::string const& id, std::string const& outcome);
   void operatorTurn();
+  /// Name of a replica's life on the platform's list.
+  std::string lifeOf(Replica const& r) const;
+  /// Wall time as machines are told it.
+  std::int64_t wall() const;
+  std::vector<std::string> certificateNames() const;
+  QJsonObject certificateFor(std::string const& name, Tick lasts) const;
+  void declareRegime();
+  void declareRegulated();
+  void patchCertificates(std::vector<std::string> const& names, Tick lasts);
+  void revoke(std::string const& name);
+  void certificateTurn();
+  void watchLives();
+  /// A request of that instance has reached the replica: may it?
+  void judgeRegime(Caller const& caller, Node const& from, Replica const& r, Relayed const& relayed);
+  /// Opens a connection that stands once the replica has named its life.
+  void nameLife(Node& n, rotor::Connect const& m);
+  /// Whether what the caller has so far is one run's, or one row of events, from the first on without gap or repeat.
+  bool oneBody(Caller const& caller) const;
   void change(std::string const& key, std::string const& what, std::string const& method, std::string const& path, std::string const& body,
               std::string const& ifMatch, std::string const& mark, std::function<void(int, QJsonObject const&)> then = {});
   void putTemplate(std::string const& ifMatch, int extraPaths, std::function<void(int, QJsonObject const&)> then = {});
@@ -418,19 +471,6 @@
   double loss_ = 0;
   double duplication_ = 0;
   Tick wallJump_ = 0;
-  struct Relayed {
-    std::string address;
-    std::string run;
-    std::string caller;
-    rotor::Connect connect;
-    std::uint64_t turn = 0;
-    /// On a kept connection, which the replica has forgotten, and which was idle for long.
-    bool kept = false;
-    bool dead = false;
-    bool rested = false;
-    /// What the replica sent and the node has not had yet, in order.
-    std::deque<Fed> underWay;
-  };
   std::map<std::pair<std::string, std::uint64_t>, Relayed> relays_;
   std::map<std::pair<std::string, std::uint64_t>, rotor::Stream> streams_;
   std::map<std::string, Caller> callers_;
@@ -465,6 +505,14 @@
   int grown_ = 0;
   bool totalOutage_ = false;
   std::map<std::string, int> seenKinds_;
+  std::string certificateStamp_ = "0";
+  /// Changes of each certificate, as they were sent.
+  std::map<std::string, std::uint64_t> certificateTurns_;
+  /// Certificates that are out of force for certain, since when.
+  std::map<std::string, Tick> outSince_;
+  std::map<std::string, std::string> shownLives_;
+  std::set<std::string> everListed_;
+  std::map<std::pair<std::string, std::uint64_t>, int> resumesOf_;
   Result result_;
 };
 
@@ -472,6 +520,9 @@
 /// @param grown with those that came later; without them a seed stays the plan that it was
 Plan chaos(std::uint64_t seed, bool grown = true);
 
+/// The same with a tenant of a regime, certificates that change all the time and addresses that are used again.
+Plan regimes(std::uint64_t seed);
+
 /// A plan that causes the named failures alone.
 Plan only(std::uint64_t seed, std::vector<Fault> faults);
 
