Count no answer that its node has broken off as dropped by the restart

The simulator tells a caller that its answer was broken off 1 ms after the node did so; when the node had nothing left in hand in that millisecond its end was taken for the cause. Ruled out: the node (its plane held nothing, and had sent the abort before). The caller is marked when the abort is given, and the oracle counts those that were not; a node that ends without it is reported as before (mutation dropOnRestart fires).

--- a/yard/sim/callers.cpp
+++ b/yard/sim/callers.cpp
@@ -61,6 +61,7 @@
   c.life = n.life;
   c.call = nextCall_++;
   c.open = true;
+  c.brokenOff = false;
   c.attemptAt = now_;
   callerOf_[{n.link, c.call}] = id;
   rotor::Request r;
--- a/yard/sim/faults.cpp
+++ b/yard/sim/faults.cpp
@@ -314,7 +314,7 @@
           }
           std::size_t hurt = 0;
           for (std::map<std::string, Caller>::value_type const& c : callers_)
-            hurt += c.second.open && c.second.node == link && c.second.life == life && c.second.worded ? 1 : 0;
+            hurt += c.second.open && c.second.node == link && c.second.life == life && c.second.worded && !c.second.brokenOff ? 1 : 0;
           if (hurt > 0) violation("a planned restart dropped " + std::to_string(hurt) + " requests in hand at " + link + ", which still held " +
                                     std::to_string(k.data->inHand()) + ", " + std::to_string(until - now_) + " ms before its limit");
           ++result_.counts["planned-restarts"];
--- a/yard/sim/world.cpp
+++ b/yard/sim/world.cpp
@@ -407,6 +407,8 @@
       std::string const id = callerOf_[{n.link, b->call}];
       abandon(n, b->call);
       streams_.erase({n.link, b->call});
+      std::map<std::string, Caller>::iterator const caller = callers_.find(id);
+      if (caller != callers_.end() && caller->second.call == b->call) caller->second.brokenOff = true;
       after(1, [this, id, call = b->call] {
         std::map<std::string, Caller>::iterator const it = callers_.find(id);
         if (it == callers_.end() || !it->second.open || it->second.call != call) return;
--- a/yard/sim/world.h
+++ b/yard/sim/world.h
@@ -318,6 +318,8 @@
     Tick attemptAt = 0;
     Tick deadline = 0;
     bool worded = false;
+    /// Its node has broken its answer off; that is under way.
+    bool brokenOff = false;
     bool counted = false;
     Shape shape = Shape::usual;
     int status = 0;
