Trial: start over from the ledger when a disk that failed takes writes again

Half: hosted_nodes fails with it, twice of two (the settings file is read again: waited in vain for the wrong files to be told), and passes without; the cause is not found yet. Test of the disk: seen failing without the change, passes 8 of 8.

--- a/programs/substation/substation_program.cpp
+++ b/programs/substation/substation_program.cpp
@@ -15,19 +15,23 @@
 namespace {
 
 constexpr int probeLimitMs = 300;
+/// How often a disk that failed is tried again.
+constexpr int diskAgainMs = 1000;
+constexpr char const* triedRecord = "tried";
 
 }  // namespace
 
 Substation::Substation(Settings const& s, substation::Tuning const& tuning, door::OperatorMapping const& mapping, SubstationSurface surface)
     : settings_(s),
+      tuning_(tuning),
       mapping_(mapping),
       surface_(std::move(surface)),
       drain_(s.drainLimit),
       seed_(freshSeed()),
       folder_(ledger::openFolder(s.data)),
       log_(std::make_unique<ledger::Ledger>(*folder_)),
-      plane_(contactOf(s, "substation"), freshName(), s.seeds, s.founders, seed_, tuning),
-      link_(this, s.link, [this](signal::Envelope e) { run(plane_.arrived(now(), e.from, e.message)); }, s.listen),
+      plane_(std::in_place, contactOf(s, "substation"), freshName(), s.seeds, s.founders, seed_, tuning),
+      link_(this, s.link, [this](signal::Envelope e) { run(plane_->arrived(now(), e.from, e.message)); }, s.listen),
       server_(surface_.http.empty() ? std::vector<std::string>{s.http} : surface_.http, surface_.limits, events()),
       disk_(1) {
   lockFolder();
@@ -37,9 +41,10 @@
     core::writeLog(core::Note{"ledger-damaged", {{"place", got.damage}}});
     setAside();
   }
-  run(plane_.restore(got.slots, got.damaged, now()));
+  run(plane_->restore(got.slots, got.damaged, now()));
   QObject::connect(&clock_, &QTimer::timeout, this, [this] { clockEvent(); });
   clock_.start(surface_.clockEveryMs);
+  QObject::connect(&diskAgain_, &QTimer::timeout, this, [this] { tryDisk(); });
   onTermination(this, [this] { drain(); });
   core::writeLog(core::Note{"started", {{"link", link_.address()}, {"http", server_.address()}, {"zone", s.zone}}});
 }
@@ -51,11 +56,14 @@
   return e;
 }
 
-void Substation::platformLists(std::map<std::string, blueprint::Pool> const& lists) { run(plane_.platformLists(now(), lists)); }
+void Substation::platformLists(std::map<std::string, blueprint::Pool> const& lists) { run(plane_->platformLists(now(), lists)); }
 
-bool Substation::readsLists() const { return plane_.readsLists(now()); }
+bool Substation::readsLists() const { return plane_->readsLists(now()); }
 
-void Substation::retune(std::vector<std::string> const& seeds) { plane_.setSeeds(seeds); }
+void Substation::retune(std::vector<std::string> const& seeds) {
+  settings_.seeds = seeds;
+  plane_->setSeeds(seeds);
+}
 
 void Substation::lockFolder() {
   int const fd = ::open(settings_.data.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
@@ -87,13 +95,13 @@
   kept.ifMatch = call.ifMatch;
   kept.changeId = call.changeId;
   kept.dryRun = call.dryRun;
-  run(plane_.operatorCall(now(), call));
+  run(plane_->operatorCall(now(), call));
 }
 
-bool Substation::ready() const { return plane_.ready(now()); }
+bool Substation::ready() const { return plane_->ready(now()); }
 
 std::string Substation::metrics() const {
-  return plane_.metrics(now()) + "# TYPE corkward_garbage_frames_total counter\ncorkward_garbage_frames_total " + std::to_string(link_.garbage()) +
+  return plane_->metrics(now()) + "# TYPE corkward_garbage_frames_total counter\ncorkward_garbage_frames_total " + std::to_string(link_.garbage()) +
          "\n";
 }
 
@@ -113,20 +121,24 @@
       records.push_back(ledger::Record{p.key, p.payload});
       tickets.push_back(p.ticket);
     }
-    disk_.run([this, records = std::move(records), tickets = std::move(tickets)] {
-      bool ok = true;
+    disk_.run([this, life = life_, records = std::move(records), tickets = std::move(tickets)] {
+      bool ok = life == diskLife_;
       std::string why;
       try {
-        log_->write(records);
+        if (ok) log_->write(records);
       } catch (ledger::Error const& e) {
         ok = false;
         why = e.what();
       }
       QMetaObject::invokeMethod(
           this,
-          [this, tickets, ok, why] {
-            if (!ok) core::writeLog(core::Note{"write-failed", {{"error", why}}});
-            for (std::uint64_t const t : tickets) run(plane_.written(now(), t, ok));
+          [this, life, tickets, ok, why] {
+            if (life != life_) return;
+            if (!ok) {
+              core::writeLog(core::Note{"write-failed", {{"error", why}}});
+              if (!diskAgain_.isActive()) diskAgain_.start(diskAgainMs);
+            }
+            for (std::uint64_t const t : tickets) run(plane_->written(now(), t, ok));
           },
           Qt::QueuedConnection);
     });
@@ -137,11 +149,44 @@
   for (core::Note const& n : commands.notes) core::writeLog(n);
 }
 
+void Substation::tryDisk() {
+  disk_.run([this, life = life_] {
+    if (life != diskLife_) return;
+    ledger::Recovered got;
+    try {
+      log_ = std::make_unique<ledger::Ledger>(*folder_);
+      got = log_->recover();
+      if (got.damaged) setAside();
+      std::vector<ledger::Record> records{ledger::Record{triedRecord, ""}};
+      if (!got.damaged)
+        for (std::map<std::string, std::string>::value_type const& s : got.slots) records.push_back(ledger::Record{s.first, s.second});
+      log_->write(records);
+    } catch (ledger::Error const&) {
+      return;
+    }
+    ++diskLife_;
+    QMetaObject::invokeMethod(this, [this, got] { startOver(got); }, Qt::QueuedConnection);
+  });
+}
+
+void Substation::startOver(ledger::Recovered const& got) {
+  diskAgain_.stop();
+  ++life_;
+  core::writeLog(core::Note{"disk-again", {}});
+  std::vector<std::uint64_t> open;
+  for (std::unordered_map<std::uint64_t, signal::Call>::value_type const& c : calls_) open.push_back(c.first);
+  for (std::uint64_t const token : open)
+    answer(substation::Answer{token, 504, {{"error", "unknown"}, {"reason", "this machine's disk had failed; ask again"}}});
+  plane_.emplace(contactOf(settings_, "substation"), freshName(), settings_.seeds, settings_.founders, freshSeed(), tuning_);
+  run(plane_->restore(got.slots, got.damaged, now()));
+  if (draining_) run(plane_->drain(now()));
+}
+
 void Substation::probe(std::string const& link) {
   std::pair<std::string, std::uint16_t> const at = door::splitAddress(link);
   QTcpSocket* const socket = new QTcpSocket(this);
   QObject::connect(socket, &QTcpSocket::errorOccurred, this, [this, socket, link](QAbstractSocket::SocketError e) {
-    if (e == QAbstractSocket::ConnectionRefusedError) run(plane_.probed(now(), link, true));
+    if (e == QAbstractSocket::ConnectionRefusedError) run(plane_->probed(now(), link, true));
     socket->deleteLater();
   });
   QObject::connect(socket, &QTcpSocket::connected, this, [socket] {
@@ -156,15 +201,16 @@
 }
 
 void Substation::clockEvent() {
-  run(plane_.clockEvent(now()));
-  drain_.look(server_, plane_.inHand());
+  run(plane_->clockEvent(now()));
+  drain_.look(server_, plane_->inHand());
 }
 
 void Substation::drain() {
   if (!drain_.begin()) return;
+  draining_ = true;
   server_.leave();
-  core::writeLog(core::Note{"draining", {{"in-hand", std::to_string(plane_.inHand())}}});
-  run(plane_.drain(now()));
+  core::writeLog(core::Note{"draining", {{"in-hand", std::to_string(plane_->inHand())}}});
+  run(plane_->drain(now()));
 }
 
 }  // namespace corkward::programs
--- a/programs/substation/substation_program.h
+++ b/programs/substation/substation_program.h
@@ -4,6 +4,7 @@
 #include <QTimer>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -43,7 +44,7 @@
   Substation(Settings const& settings, substation::Tuning const& tuning, door::OperatorMapping const& mapping, SubstationSurface surface = {});
 
   door::Server& server() { return server_; }
-  substation::Plane const& plane() const { return plane_; }
+  substation::Plane const& plane() const { return *plane_; }
   bool ready() const;
   /// Counters in Prometheus' text form.
   std::string metrics() const;
@@ -63,20 +64,30 @@
   void answer(substation::Answer const& a);
   void run(substation::Commands&& commands);
   void probe(std::string const& link);
+  /// Reads the ledger again and writes what it says anew, on the worker; when that goes well the plane starts over from it, as
+  /// after a restart of the process.
+  void tryDisk();
+  void startOver(ledger::Recovered const& got);
   void clockEvent();
 
   Settings settings_;
+  substation::Tuning tuning_;
   door::OperatorMapping const& mapping_;
   SubstationSurface surface_;
   Drain drain_;
   std::uint64_t seed_;
   std::unique_ptr<ledger::Folder> folder_;
   std::unique_ptr<ledger::Ledger> log_;
-  substation::Plane plane_;
+  /// Lives of the plane: one more after each failure of the disk; the second is the worker's own count.
+  std::uint64_t life_ = 0;
+  std::uint64_t diskLife_ = 0;
+  bool draining_ = false;
+  std::optional<substation::Plane> plane_;
   std::unordered_map<std::uint64_t, signal::Call> calls_;
   signal::Link link_;
   door::Server server_;
   QTimer clock_;
+  QTimer diskAgain_;
   core::Workers disk_;
 };
 
