--- a/programs/substation/substation_program.h
+++ b/programs/substation/substation_program.h
@@ -58,7 +58,6 @@
 
  private:
   door::Server::Events events();
-  void lockFolder();
   void setAside();
   void serve(door::Request request);
   void answer(substation::Answer const& a);
@@ -77,6 +76,7 @@
   Drain drain_;
   std::uint64_t seed_;
   std::unique_ptr<ledger::Folder> folder_;
+  FolderLock lock_;
   std::unique_ptr<ledger::Ledger> log_;
   /// Lives of the plane: one more after each failure of the disk; the second is the worker's own count.
   std::uint64_t life_ = 0;
--- a/rotor/include/corkward/rotor/plane.h
+++ b/rotor/include/corkward/rotor/plane.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include <corkward/blueprint/blueprint.h>
+#include <corkward/blueprint/regimes.h>
 #include <corkward/core/journal.h>
 #include <corkward/governor/governor.h>
 #include <corkward/lookout/lookout.h>
@@ -86,6 +87,8 @@
   /// False: whoever has a whole image serves, without confirmations, roster or joining wait, and takes the image from
   /// anyone who offers it; for callers whose own rules bound how old a blueprint may be.
   bool fenced = true;
+  /// Records of regimes' work can be kept here; without them nothing of a regime is handed on.
+  bool records = false;
   governor::Figures figures = governor::figures;
 };
 
@@ -142,6 +145,11 @@
   bool resume = false;
   /// The request may run once only: no connection may be used that the replica could be about to close.
   bool fresh = true;
+  /// Not empty: a request of a regime. A connection of its own is opened, and it stands only once the replica has named this
+  /// life on it; another life, another answer or none counts as a denied connection.
+  std::string life = {};
+  /// The path's answer is a row of events with ids.
+  bool events = false;
 };
 /// Command: hand the request over on the connection that was opened.
 struct HandOver {
@@ -151,6 +159,9 @@
   /// Milliseconds that the caller still waits.
   Tick left = 0;
   int urgency = 5;
+  /// Not empty: a request of a regime. The Record of it stands before this, and it goes out at once when that is written; else
+  /// it ended as End::notRun.
+  std::string regime = {};
 };
 /// Command: close the replica's connection, if there is one.
 struct Abandon {
@@ -180,7 +191,26 @@
   QJsonObject body;
 };
 
-using CallCommand = std::variant<Connect, HandOver, Abandon, Deny, Abort, Answer>;
+/// What becomes of a regime's request.
+enum class Happened { handedOver, resumed, served, notRun, broken, denied };
+
+/// Command: write down for the audit report, before the commands after it, what becomes of a regime's request.
+struct Record {
+  CallId call = 0;
+  Happened happened = Happened::handedOver;
+  std::string regime;
+  std::string instance;
+  /// Where it runs or ran, and the certificate's name; empty for a denial.
+  std::string pool = {};
+  std::string address = {};
+  std::string life = {};
+  std::string zone = {};
+  std::string certificate = {};
+  /// Why it was denied, resumed or broken off.
+  std::string reason = {};
+};
+
+using CallCommand = std::variant<Connect, HandOver, Abandon, Deny, Abort, Answer, Record>;
 
 /// Commands of one event, in order.
 struct Commands {
@@ -230,6 +260,13 @@
   void retune(Tuning const& tuning, std::vector<std::string> seeds);
   /// No new work from here on; ids and duties go to the others.
   Commands drain(Tick now);
+  /// Wall time at that tick, in milliseconds since 1970; told with each clock event. Within one life it never goes back.
+  void wallTime(Tick now, std::int64_t wall);
+  /// Wall time at a tick; nothing before it was told.
+  blueprint::Wall wallAt(Tick now) const;
+  /// Whether records can be written from here on.
+  void recording(bool works) { tuning_.records = works; }
+  bool recording() const { return tuning_.records; }
 
   /// Whether clients should be sent here.
   bool ready(Tick now) const;
@@ -274,6 +311,8 @@
     bool dispatched = false;
     /// Some attempt of this id may have reached a replica before.
     bool reached = false;
+    /// Some replica may have run it and is not asked any more, so that no denial may say "not run"; on the product's own surface.
+    bool mayHaveRun = false;
     int resumes = 0;
     std::uint64_t prefix = 0;
     std::set<std::string> waiting;
@@ -325,7 +364,10 @@
     /// What the whole blueprint says of the pool, if it names it.
     std::optional<blueprint::PoolTerms> terms;
     /// Those that may be drawn from, what they are made of has changed since, and when it next changes with time alone.
-    governor::Candidates candidates;
+    /// By regime; empty: work of none.
+    std::map<std::string, governor::Candidates> candidates;
+    /// What binds the instances may have changed.
+    bool rebound = false;
     bool changed = true;
     Tick changesAt = 0;
   };
@@ -407,6 +449,8 @@
   void avoidWorst(Tick now, Index pool);
   bool overdue(Call const& call, Tick took) const;
   void connectTo(Commands& out, Tick now, CallId id, Index replica);
+  /// All serving replicas of the pool, whatever the part is.
+  std::vector<governor::Candidate> beyondPart(Tick now, Index pool) const;
   bool resumeElsewhere(Commands& out, Tick now, CallId id);
   std::int64_t choose(Tick now, Call const& call, std::vector<governor::Candidate> const& choices) const;
   Index home(Call const& call) const;
@@ -451,12 +495,27 @@
   void drop(Commands& out, Tick now, CallId id);
   Seen& remember(Tick now, std::string const& key);
   std::string const& addressOf(Index replica) const;
-  void breakOff(Commands& out, Tick now, CallId id);
+  void breakOff(Commands& out, Tick now, CallId id, std::string const& why = "the connection broke");
   void unhold(CallId id);
   void retry(Commands& out, Tick now, CallId id, char const* why);
   double comeBack(Credit const& c, blueprint::Class cls) const;
   Tick expectedWait(Credit const& c, blueprint::Class cls) const;
   void warmDuties(Commands& out, Tick now);
+  std::string const& regimeOf(Call const& call) const;
+  std::string const& regimeOf(Index instance) const;
+  std::string unsure(Tick now, std::string const& regime) const;
+  std::string closed(Tick now, std::string const& regime) const;
+  blueprint::Certificate const* certificate(Tick now, std::string const& regime, Index replica) const;
+  bool lawful(Tick now, Call const& call) const;
+  bool fits(Tick now, Call const& call, Index replica) const;
+  void refreshCertified(Tick now);
+  /// What work of each regime, and of none, may draw from of these.
+  std::map<std::string, governor::Candidates> byRegime(std::vector<governor::Candidate> const& all) const;
+  static governor::Candidates candidatesOf(PoolView const& view, std::string const& regime);
+  bool mayDraw(std::string const& regime, Index replica) const;
+  void record(Commands& out, Tick now, Call const& call, Happened happened, std::string reason = {});
+  void watchRegimes(Commands& out, Tick now);
+  void leave(Commands& out, Tick now, CallId id, std::string const& why);
   bool warmHeld(Tick now, Index replica) const;
   void expireSeen(Tick now);
   void freeGone(Tick now);
@@ -540,6 +599,17 @@
   Tick lookAt_ = 0;
   Tick freeAt_ = 0;
   bool pumping_ = false;
+  blueprint::Regimes regimes_;
+  /// Some path has been bound to a regime in this life.
+  bool bound_ = false;
+  /// What binds an instance, by the newest of its paths.
+  std::map<Index, std::string> instanceRegimes_;
+  /// Replicas that have a certificate for a regime, and the share of their room that other work leaves free; as of certifiedAt_.
+  std::map<std::string, std::set<Index>> certified_;
+  std::map<Index, double> reserved_;
+  Tick certifiedAt_ = -1;
+  /// Most that wall time was ahead of the tick.
+  std::optional<std::int64_t> wallAhead_;
 };
 
 }  // namespace corkward::rotor
--- a/rotor/src/news.cpp
+++ b/rotor/src/news.cpp
@@ -193,7 +193,7 @@
 }
 
 void Plane::touchNeighbours(Commands& out, Tick now) {
-  bool const lacking = tuning_.fenced ? !confirmedWithin(now, tuning_.askEvery + tuning_.askEvery / 2) : !whole_;
+  bool const lacking = tuning_.fenced ? !confirmedWithin(now, 2 * tuning_.askEvery) : !whole_;
   Tick const every = lacking ? tuning_.touchEvery : tuning_.touchAtRest;
   if (now - touchedAt_ < every) return;
   touchedAt_ = now;
@@ -256,8 +256,13 @@
   had_.push_back(digest_);
   if (had_.size() > digestsKept) had_.pop_front();
   refreshStanding();
-  for (PoolView& view : poolViews_) view.changed = true;
+  certifiedAt_ = -1;
+  for (PoolView& view : poolViews_) {
+    view.changed = true;
+    view.rebound = bound_;
+  }
   refreshCandidates(out, now);
+  watchRegimes(out, now);
 }
 
 Index Plane::poolIndex(std::string const& name) {
@@ -277,6 +282,8 @@
   for (blueprint::Share const& s : path.shares)
     if (s.weight > 0) row.shares.emplace_back(poolIndex(s.pool), s.weight);
   if (row.shares.empty()) row.shares.emplace_back(row.pool, 1);
+  bound_ = bound_ || !path.regime.empty();
+  if (bound_) instanceRegimes_[row.instance] = path.regime;
   routes_[route] = static_cast<Index>(rows_.size());
   ownedRoutes_[owner].push_back(route);
   rows_.push_back(std::move(row));
@@ -300,6 +307,8 @@
       std::vector<blueprint::Path> const paths = blueprint::render(name, item.value);
       forgetRoutes(item.key);
       for (blueprint::Path const& p : paths) addRow(item.key, p.instance + "/" + p.path, p, p.instance);
+    } else if (item.key == blueprint::regimesKey) {
+      regimes_ = blueprint::keptRegimes(item.value);
     } else if (item.key == blueprint::wholeKey) {
       applyWhole(item.value);
     } else if (kind == "pool") {
@@ -381,6 +390,7 @@
   view.changed = true;
   note(out, now, "leaving-hint", {{"pool", hint.pool}, {"generation", std::to_string(hint.generation)}});
   refreshCandidates(out, now);
+  watchRegimes(out, now);
   return true;
 }
 
--- a/yard/fleet/fleet.cpp
+++ b/yard/fleet/fleet.cpp
@@ -69,6 +69,7 @@
       std::string text = "link = " + n.link + "\nhttp = " + n.http + "\nzone = " + n.zone + "\n";
       if (!n.listen.empty()) text += "listen = " + n.listen + "\n";
       for (std::size_t i = 0; i < 3; ++i) text += "seed = " + substations_[i % substations_.size()].link + "\n";
+      if (!disk && regimes_) text += "audit = " + auditFolder(n) + "\n";
       if (disk) text += "data = " + n.data + "\n";
       for (std::size_t i = 0; disk && i < std::min<std::size_t>(3, substations_.size()); ++i) text += "founder = " + substations_[i].link + "\n";
       text += "log-file = " + folder() + "/" + n.name + ".log\n";
@@ -86,6 +87,11 @@
   writeSettings();
 }
 
+void Fleet::withRegimes() {
+  regimes_ = true;
+  writeSettings();
+}
+
 Fleet::~Fleet() {
   closing_ = true;
   for (std::vector<Node>* const group : {&nacelles_, &substations_, &replicas_})
@@ -109,7 +115,12 @@
       rlimit const limit{fileLimit, fileLimit};
       ::setrlimit(RLIMIT_FSIZE, &limit);
     });
-  node.process->start(node.program, node.flags);
+  QStringList flags = node.flags;
+  if (regimes_ && !node.record.empty()) {
+    node.life = node.name + "-" + std::to_string(++lives_);
+    flags += {"--life", core::qstr(node.life)};
+  }
+  node.process->start(node.program, flags);
   if (!node.process->waitForStarted(10000)) throw FleetError("cannot start " + node.name);
 }
 
@@ -178,6 +189,17 @@
   return out;
 }
 
+Reply Fleet::change(std::string const& method, std::string const& path, std::string const& body, std::string const& ifMatch,
+                    std::string const& changeId) {
+  std::string const id = changeId.empty() ? "fleet-" + std::to_string(nextChange_++) : changeId;
+  Reply out;
+  until("an answer for good to " + method + " " + path, [&] {
+    out = call(firstSubstation(), method, path, body, ifMatch, id);
+    return out.status != 0 && out.status != 503 && out.status != 504;
+  });
+  return out;
+}
+
 void Fleet::callAsync(std::string const& http, std::string const& method, std::string const& path, std::string const& body,
                       std::string const& ifMatch, std::string const& changeId, int limitMs, std::function<void(Reply)> done) {
   QNetworkReply* const reply = manager_.sendCustomRequest(requestOf(http, path, ifMatch, changeId, limitMs), QByteArray::fromStdString(method),
@@ -236,13 +258,15 @@
       if (r.pool != pool) continue;
       std::map<std::string, std::string>::const_iterator const it = states.find(r.name);
       if (it != states.end() && it->second == "gone") continue;
-      list.append(QJsonObject{{"address", core::qstr(r.shown.empty() ? r.http : r.shown)},
+      QJsonObject row{{"address", core::qstr(r.shown.empty() ? r.http : r.shown)},
                               {"zone", core::qstr(r.zone)},
-                              {"state", core::qstr(it == states.end() ? "serving" : it->second)}});
+                              {"state", core::qstr(it == states.end() ? "serving" : it->second)}};
+      if (!r.life.empty()) row.insert("id", core::qstr(r.life));
+      list.append(row);
     }
     std::string const body =
         core::jsonText(QJsonObject{{"generation", static_cast<qint64>(generation_)}, {"coldRate", 2}, {"replicas", list}});
-    Reply const r = call(firstSubstation(), "PUT", "/v1/platform/pools/" + pool, body);
+    Reply const r = change("PUT", "/v1/platform/pools/" + pool, body);
     if (r.status != 200) throw FleetError("pool " + pool + ": status " + std::to_string(r.status) + " " + core::jsonText(r.body));
   }
 }
@@ -256,11 +280,10 @@
   std::string const family = deployment_.family;
   QFile file(core::qstr(std::string(CORKWARD_SOURCE "/examples/") + family + ".json"));
   if (!file.open(QIODevice::ReadOnly)) throw FleetError("no example for " + family);
-  Reply const t = call(firstSubstation(), "PUT", "/v1/templates/" + family, file.readAll().toStdString(), "0");
+  Reply const t = change("PUT", "/v1/templates/" + family, file.readAll().toStdString(), "0");
   if (t.status != 201) throw FleetError("template: status " + std::to_string(t.status) + " " + core::jsonText(t.body));
   for (std::string const& name : {std::string("nord"), std::string("sued")}) {
-    Reply const i = call(firstSubstation(), "PUT", "/v1/templates/" + family + "/instances/" + name,
-                         R"({"parameters":{"site":")" + name + "\"}}", "0");
+    Reply const i = change("PUT", "/v1/templates/" + family + "/instances/" + name, R"({"parameters":{"site":")" + name + "\"}}", "0");
     if (i.status != 201) throw FleetError("instance: status " + std::to_string(i.status) + " " + core::jsonText(i.body));
   }
 }
