Check twelve promises in the code, and say of each failed request why it failed

Cause: a request that ended with 503 or a cut left only a count by status in metrics that the users' platform could not ask for; nothing named the request, its replica or its reason. Promises were judged by tests from outside, never by the processes themselves.

A first form of current-when-served asked for contact about all keys and fired in control_test, where reads are confirmed for their key alone: wrong check, replaced by one on the stamp served.

--- a/control/include/corkward/control/controller.h
+++ b/control/include/corkward/control/controller.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <QJsonObject>
+#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -111,6 +112,8 @@
     Tick since = 0;
     Tick sentAt = 0;
     bool forwarded = false;
+    /// Stamp of the key's value that was committed here when the call came; 0: none.
+    std::uint64_t knownWhenAsked = 0;
   };
   /// A question that this controller answers from what it knows, once that is confirmed.
   struct Question {
@@ -174,6 +177,8 @@
   Around around() const;
   void take(Commands& out, Tick now, consensus::Commands&& from);
   void decided(Commands& out, Tick now, consensus::Decided const& d);
+  /// What the log says of an operator's call that changed something or failed.
+  core::LogEvent callLine(Tick now, CallState const& state, int status, QJsonObject const& body) const;
   void finish(Commands& out, Tick now, std::uint64_t call, int status, QJsonObject body);
   void route(Commands& out, Tick now, std::uint64_t call);
   void push(Commands& out, Tick now, std::string const& link, Router& n);
@@ -182,6 +187,10 @@
   void learnedAll(std::string const& link, Router& n);
   bool hasAll(std::string const& link, Router& n, transport::Digest const& digest);
   void committed(Tick now, consensus::Committed const& c);
+  /// The checks of core::Promise that this reducer can make; see promise_checks.cpp.
+  void checkCommitted(consensus::Committed const& c) const;
+  void checkConfirmed(consensus::Decided const& d, transport::Call const& call);
+  void checkServed(CallState const& state, int status, QJsonObject const& body) const;
   void foldRoster(QJsonObject const& value);
   transport::Holding holding(Tick now) const;
   void tellHolding(Commands& out, Tick now);
@@ -194,6 +203,7 @@
   void considerRoster(Commands& out, Tick now);
   bool rosterSettled(Tick now) const;
   std::uint64_t committedRevision(std::string const& key) const;
+  std::uint64_t committedStamp(std::string const& key) const;
   std::uint64_t generationOf(std::string const& pool) const;
   void on(Commands& out, Tick now, std::string const& from, transport::Hint const& m);
   void hint(Commands& out, Tick now, std::string const& pool, config::Pool const& list);
@@ -224,6 +234,8 @@
   std::vector<Force> forces_;
   std::vector<Question> questions_;
   std::map<std::string, Settling> settling_;
+  /// Newest changes that were confirmed here, by key: the revision named as their base, and the one that they became.
+  std::map<std::string, std::deque<std::pair<std::string, std::uint64_t>>> confirmed_;
   /// Keys whose newest change is not known to be in force.
   std::set<std::string> unsettled_;
   transport::Digest digest_;
--- a/control/src/controller.cpp
+++ b/control/src/controller.cpp
@@ -130,6 +130,7 @@
 void Controller::decided(Commands& out, Tick now, consensus::Decided const& d) {
   std::map<std::uint64_t, CallState>::const_iterator const it = calls_.find(d.token);
   if (it == calls_.end()) return;
+  checkConfirmed(d, it->second.call);
   bool const replayed = d.body.value("replayed").toBool() && d.status < 300;
   if (!tuning_.awaitInForce || (d.revision == 0 && !replayed)) {
     finish(out, now, d.token, d.status, d.body);
@@ -146,18 +147,31 @@
   checkForces(out, now);
 }
 
+core::LogEvent Controller::callLine(Tick now, CallState const& state, int status, QJsonObject const& body) const {
+  core::LogEvent line{isChange(state.call.method) ? "change" : "read-failed",
+                      {{"path", state.call.path},
+                       {"status", std::to_string(status)},
+                       {"took-ms", std::to_string(now - state.since)},
+                       {"stamp", std::to_string(committedRevision(state.key))},
+                       {"owner", registers_.ownerLink(state.key, now)}}};
+  if (!state.call.ifMatch.empty()) line.fields["based-on"] = state.call.ifMatch;
+  if (!state.call.changeId.empty()) line.fields["change-id"] = state.call.changeId;
+  if (!state.from.empty()) line.fields["relayed-by"] = state.from;
+  if (body.contains("reason")) line.fields["reason"] = core::str(body.value("reason").toString());
+  return line;
+}
+
 void Controller::finish(Commands& out, Tick now, std::uint64_t call, int status, QJsonObject body) {
   std::map<std::uint64_t, CallState>::iterator const it = calls_.find(call);
   if (it == calls_.end()) return;
   CallState const state = std::move(it->second);
   calls_.erase(it);
+  checkServed(state, status, body);
   if (state.call.method == rosterMethod) rosterCalling_ = false;
   if (!body.contains("changeId") && isChange(state.call.method))
     body.insert("changeId", core::qstr(state.call.changeId));
   journal_.append(now, "answered_" + std::to_string(status), state.call.path);
-  if (isChange(state.call.method))
-    out.logEvents.push_back(core::LogEvent{
-        "change", {{"path", state.call.path}, {"status", std::to_string(status)}, {"change-id", state.call.changeId}}});
+  if (isChange(state.call.method) || status >= 400) out.logEvents.push_back(callLine(now, state, status, body));
   if (!state.from.empty())
     out.sends.push_back(transport::Send{state.from, transport::CallResponse{state.token, status, body}});
   else if (state.token != 0)
@@ -213,6 +227,7 @@
     state.call.token = id;
     if (target->key.rfind(zonePrefix, 0) == 0) state.call.ifMatch = std::to_string(committedRevision(target->key));
     state.since = now;
+    state.knownWhenAsked = committedStamp(target->key);
     calls_[id] = state;
     if (call.method == "PUT" && pool && !call.dryRun) {
       try {
@@ -353,6 +368,7 @@
   state.call = m;
   state.call.token = id;
   state.since = now;
+  state.knownWhenAsked = committedStamp(target->key);
   calls_[id] = state;
   route(out, now, id);
 }
@@ -368,6 +384,7 @@
 }
 
 void Controller::committed(Tick now, consensus::Committed const& c) {
+  checkCommitted(c);
   if (c.key == rosterKey) {
     rosterCommittedAt_ = now;
     foldRoster(c.value);
--- a/core/src/log.cpp
+++ b/core/src/log.cpp
@@ -34,6 +34,13 @@
   return out + "\"";
 }
 
+std::string lineOf(LogEvent const& logEvent) {
+  std::string line = "event=" + quoted(logEvent.event);
+  for (std::map<std::string, std::string>::value_type const& f : logEvent.fields)
+    line += " " + f.first + "=" + quoted(f.second);
+  return line;
+}
+
 }  // namespace
 
 void startLog(std::string const& node, std::string const& file, std::string const& level) {
@@ -54,10 +61,15 @@
 }
 
 void writeLog(LogEvent const& logEvent) {
-  std::string line = "event=" + quoted(logEvent.event);
-  for (std::map<std::string, std::string>::value_type const& f : logEvent.fields)
-    line += " " + f.first + "=" + quoted(f.second);
-  LOG4CXX_INFO(logger(), line);
+  LOG4CXX_INFO(logger(), lineOf(logEvent));
+}
+
+void writeWarning(LogEvent const& logEvent) {
+  LOG4CXX_WARN(logger(), lineOf(logEvent));
+}
+
+void writeError(LogEvent const& logEvent) {
+  LOG4CXX_ERROR(logger(), lineOf(logEvent));
 }
 
 }  // namespace corkward::core
--- a/core/test/core_test.cpp
+++ b/core/test/core_test.cpp
@@ -1,10 +1,12 @@
 #include <catch2/catch.hpp>
 
 #include <QJsonArray>
+#include <functional>
 
 #include <corkward/core/error.h>
 #include <corkward/core/journal.h>
 #include <corkward/core/json.h>
+#include <corkward/core/promises.h>
 #include <corkward/core/types.h>
 
 namespace core = corkward::core;
@@ -67,3 +69,24 @@
   CHECK(j.fold(std::uint64_t{0}, [](std::uint64_t, core::Entry const& e) { return e.number; }) == 100);
   CHECK(j.counts().at("x") == 100);
 }
+
+TEST_CASE("a broken promise is counted and told, and the process goes on") {
+  core::PromiseCounts& counts = core::PromiseCounts::ofThread();
+  std::uint64_t const before = counts.of(core::Promise::runsOnce);
+  int made = 0;
+  std::function<std::string()> const detail = [&] {
+    ++made;
+    return "request r" + std::to_string(made);
+  };
+  CORKWARD_PROMISE(core::Promise::runsOnce, true, detail());
+  CHECK(made == 0);
+  CORKWARD_PROMISE(core::Promise::runsOnce, false, detail());
+  CORKWARD_PROMISE(core::Promise::runsOnce, false, detail());
+  CHECK(counts.of(core::Promise::runsOnce) == before + 2);
+  CHECK(core::promiseMetrics().find("{promise=\"runs-once\"} " + std::to_string(before + 2)) != std::string::npos);
+  CHECK(core::promiseMetrics().find("{promise=\"events-in-order\"}") != std::string::npos);
+  std::vector<std::string> const told = counts.take();
+  REQUIRE(told.size() == 1);
+  CHECK(told[0] == "promise runs-once broken 2 times, first: request r1");
+  CHECK(counts.take().empty());
+}
--- a/dataplane/include/corkward/dataplane/request_router.h
+++ b/dataplane/include/corkward/dataplane/request_router.h
@@ -12,6 +12,7 @@
 #include <corkward/config/config.h>
 #include <corkward/config/regimes.h>
 #include <corkward/core/journal.h>
+#include <corkward/dataplane/failure_log.h>
 #include <corkward/scaling/scaling.h>
 #include <corkward/gossip/partial_view.h>
 #include <corkward/transport/message.h>
@@ -115,6 +116,8 @@
   std::vector<Part> parts;
   std::int64_t tokensOut = 0;
   std::string id;
+  /// Name of this attempt in logs, as the caller gave it; it decides nothing.
+  std::string trace;
   /// Which attempt this is; 0: the caller does not number its attempts, so this may be any of them.
   std::uint64_t attempt = 1;
   /// The caller says that every earlier attempt was answered "not run".
@@ -224,6 +227,8 @@
   std::vector<transport::Send> sends;
   std::vector<CallCommand> calls;
   std::vector<core::LogEvent> logEvents;
+  /// Requests that were failed, as many as the limit of the log lets through.
+  std::vector<core::LogEvent> failures;
 };
 
 /// How much a plane holds, to show that what is gone is freed.
@@ -296,6 +301,7 @@
 
  private:
   enum class Phase { asking, held, connecting, handed, streaming };
+  static char const* nameOf(Phase phase);
   struct Call {
     Request request;
     Index path = 0;
@@ -323,6 +329,8 @@
     /// Some replica may have run it and is not asked any more, so that no rejection may say "not run"; on the product's
     /// own surface.
     bool mayHaveRun = false;
+    /// It was handed over, and that was neither taken back nor answered "not run".
+    bool outstanding = false;
     int resumes = 0;
     std::uint64_t prefix = 0;
     std::set<std::string> waiting;
@@ -453,6 +461,9 @@
   void addRow(std::string const& owner, std::string const& route, config::Path const& path,
               std::string const& instance);
   HandOver handOver(Tick now, CallId id);
+  void checkHandOver(Tick now, Call const& call, Tick left) const;
+  /// Notes a request that ends without its whole answer, for the log and the counters.
+  void noteFailure(Commands& out, Tick now, Call const& call, int status, std::string const& reason);
   std::int64_t unread(Call const& call, Index replica, Index home) const;
   void haveRead(Call& call);
   bool mayGoOn(Tick now, Call const& call) const;
@@ -553,6 +564,7 @@
   std::string who_;
   gossip::PartialView partialView_;
   core::Journal journal_;
+  FailureLog failures_;
   Tick started_ = 0;
   bool draining_ = false;
   Tick drainedAt_ = 0;
--- a/dataplane/src/calls.cpp
+++ b/dataplane/src/calls.cpp
@@ -2,10 +2,21 @@
 #include <functional>
 #include <limits>
 
+#include <corkward/core/promises.h>
+
 #include "internal.h"
 
 namespace corkward::dataplane {
 
+namespace {
+
+/// The answers with this status promise the caller that nothing ran.
+bool saysNotRun(int status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+}  // namespace
+
 std::vector<std::pair<std::size_t, std::size_t>> RequestRouter::parts(std::string const& pool) const {
   std::vector<std::pair<std::size_t, std::size_t>> out;
   for (std::map<CreditKey, Credit>::value_type const& c : credits_)
@@ -542,6 +553,37 @@
   pump(out, now, key);
 }
 
+char const* RequestRouter::nameOf(Phase phase) {
+  switch (phase) {
+    case Phase::asking:
+      return "asking";
+    case Phase::held:
+      return "held";
+    case Phase::connecting:
+      return "connecting";
+    case Phase::handed:
+      return "handed";
+    case Phase::streaming:
+      return "streaming";
+  }
+  return "unknown";
+}
+
+void RequestRouter::noteFailure(Commands& out, Tick now, Call const& call, int status, std::string const& reason) {
+  bool const placed = call.phase != Phase::asking && call.phase != Phase::held;
+  Failure failure;
+  failure.trace = call.request.trace;
+  if (call.path < rows_.size() && call.pathRevision > 0) failure.path = rows_[call.path].path.instance;
+  if (placed && call.replica < replicas_.size()) failure.replica = replicas_[call.replica].address;
+  failure.status = status;
+  failure.reason = reason;
+  failure.phase = nameOf(call.phase);
+  failure.took = now - call.arrived;
+  failure.handOvers = call.handedTo.size();
+  failure.configuration = revisionOf(config::wholeKey);
+  if (std::optional<core::LogEvent> line = failures_.note(now, failure)) out.failures.push_back(std::move(*line));
+}
+
 void RequestRouter::drop(Commands& out, Tick now, CallId id) {
   Call gone = calls_.at(id);
   forget(now, id);
@@ -554,7 +596,11 @@
   CORKWARD_INVARIANT(call.phase != Phase::streaming);
   CORKWARD_INVARIANT(!notRun || call.phase != Phase::handed);
   notRun = notRun && !call.mayHaveRun;
+  bool const once = call.outstanding && !rows_[call.path].path.repeatable && !rows_[call.path].path.resumable;
+  CORKWARD_PROMISE(core::Promise::notRunIsTrue, !once || (!notRun && !saysNotRun(status)),
+                   call.request.trace + " got " + std::to_string(status) + ": " + reason);
   unhold(id);
+  noteFailure(out, now, call, status, reason);
   count(now, "denied_" + std::to_string(status), reason);
   if (!regimeOf(call).empty()) record(out, now, call, Happened::rejected, reason);
   out.calls.push_back(Reject{id, status, std::move(reason), notRun, retryAfter, call.reached || call.dispatched});
@@ -635,8 +681,30 @@
   return out;
 }
 
+void RequestRouter::checkHandOver(Tick now, Call const& call, Tick left) const {
+  Row const& row = rows_[call.path];
+  std::string const& trace = call.request.trace;
+  bool const mayRepeat = row.path.repeatable || row.path.resumable || call.resumes > 0;
+  CORKWARD_PROMISE(core::Promise::runsOnce, mayRepeat || !call.outstanding, trace + " is handed over once more");
+  bool const bounded = !row.path.host.empty() && regimeOf(call).empty();
+  bool const samePath = call.pathRevision == configurationRevision_;
+  CORKWARD_PROMISE(core::Promise::withinTries,
+                   !bounded || !samePath || static_cast<int>(call.handedTo.size()) < std::max(row.path.tries, 1),
+                   trace + " is handed to replica " + std::to_string(call.handedTo.size() + 1));
+  CORKWARD_PROMISE(core::Promise::allowedReplica,
+                   usable(now, call.replica) && replicas_[call.replica].pool == call.pool,
+                   trace + " goes to " + replicaNames_.name(call.replica));
+  Tick const waited = now - call.arrived + call.request.readFor;
+  CORKWARD_PROMISE(core::Promise::timeLeft,
+                   call.request.deadline <= 0 || left <= std::max<Tick>(call.request.deadline - waited, 1),
+                   trace + " goes on with " + std::to_string(left) + " ms");
+}
+
 HandOver RequestRouter::handOver(Tick now, CallId id) {
   Call& call = calls_.at(id);
+  Tick const left = std::max<Tick>(call.until - now, 1);
+  checkHandOver(now, call, left);
+  call.outstanding = true;
   call.handedTo.push_back(call.replica);
   call.judged = false;
   std::vector<Part> const& parts = call.request.parts;
@@ -653,7 +721,7 @@
     for (Part const& p : parts) tokens += p.tokens;
     rank = tokens < tuning_.shortTokens ? 1 : tokens < tuning_.longTokens ? 3 : 5;
   }
-  return HandOver{id, replicas_[call.replica].id, std::max<Tick>(call.until - now, 1), rank, regimeOf(call)};
+  return HandOver{id, replicas_[call.replica].id, left, rank, regimeOf(call)};
 }
 
 bool RequestRouter::mayGoOn(Tick now, Call const& call) const {
@@ -714,6 +782,7 @@
 void RequestRouter::takeBack(Commands& out, Tick now, CallId id) {
   Call& call = calls_.at(id);
   call.handedTo.pop_back();
+  call.outstanding = false;
   call.phase = Phase::connecting;
   call.dispatched = !call.handedTo.empty();
   if (!call.dispatched && !call.request.id.empty())
@@ -808,6 +877,7 @@
     count(now, "connection_forgotten");
     end = End::broken;
   }
+  if (end == End::notRun) call.outstanding = false;
   if (end == End::whole) {
     count(now, "served");
     record(out, now, call, Happened::served);
@@ -881,6 +951,7 @@
 
 void RequestRouter::breakOff(Commands& out, Tick now, CallId id, std::string const& why) {
   count(now, "broken");
+  noteFailure(out, now, calls_.at(id), 0, why);
   record(out, now, calls_.at(id), Happened::broken, why);
   out.calls.push_back(Abandon{id});
   out.calls.push_back(Abort{id});
@@ -892,6 +963,7 @@
   std::unordered_map<CallId, Call>::iterator const it = calls_.find(id);
   if (it == calls_.end()) return out;
   count(now, "caller_gone");
+  noteFailure(out, now, it->second, 0, "the caller left");
   if (it->second.counted) out.calls.push_back(Abandon{id});
   if (it->second.phase == Phase::handed || it->second.phase == Phase::streaming)
     record(out, now, it->second, Happened::broken, "the caller went away");
--- /dev/null
+++ b/dataplane/src/failure_log.cpp
@@ -0,0 +1,53 @@
+#include <corkward/dataplane/failure_log.h>
+
+namespace corkward::dataplane {
+
+namespace {
+
+constexpr std::uint64_t loggedInOneSecond = 3;
+constexpr core::Tick secondMs = 1000;
+
+core::LogEvent lineOf(Failure const& failure, std::uint64_t unlogged) {
+  core::LogEvent line{"request-failed",
+                      {{"reason", failure.reason},
+                       {"phase", failure.phase},
+                       {"status", std::to_string(failure.status)},
+                       {"took-ms", std::to_string(failure.took)},
+                       {"hand-overs", std::to_string(failure.handOvers)},
+                       {"configuration", std::to_string(failure.configuration)}}};
+  if (!failure.trace.empty()) line.fields["request"] = failure.trace;
+  if (!failure.path.empty()) line.fields["path"] = failure.path;
+  if (!failure.replica.empty()) line.fields["replica"] = failure.replica;
+  if (unlogged > 0) line.fields["unlogged-before"] = std::to_string(unlogged);
+  return line;
+}
+
+}  // namespace
+
+std::optional<core::LogEvent> FailureLog::note(core::Tick now, Failure const& failure) {
+  Reason& reason = reasons_[{failure.status, failure.reason}];
+  ++reason.count;
+  core::Tick const second = now / secondMs;
+  if (reason.second != second) {
+    reason.second = second;
+    reason.logged = 0;
+  }
+  if (reason.logged >= loggedInOneSecond) {
+    ++reason.unlogged;
+    return std::nullopt;
+  }
+  ++reason.logged;
+  core::LogEvent line = lineOf(failure, reason.unlogged);
+  reason.unlogged = 0;
+  return line;
+}
+
+std::string FailureLog::metrics() const {
+  std::string out = "# TYPE corkward_requests_failed_total counter\n";
+  for (std::map<std::pair<int, std::string>, Reason>::value_type const& r : reasons_)
+    out += "corkward_requests_failed_total{status=\"" + std::to_string(r.first.first) + "\",reason=\"" +
+           r.first.second + "\"} " + std::to_string(r.second.count) + "\n";
+  return out;
+}
+
+}  // namespace corkward::dataplane
--- a/dataplane/src/news.cpp
+++ b/dataplane/src/news.cpp
@@ -5,6 +5,8 @@
 
 #include <corkward/core/json.h>
 
+#include <corkward/core/promises.h>
+
 #include "internal.h"
 
 namespace corkward::dataplane {
@@ -364,6 +366,8 @@
     logEvent(out, now, "news-not-applied", {{"key", item.key}, {"error", e.what()}});
     return;
   }
+  CORKWARD_PROMISE(core::Promise::revisionsRise, item.revision > revisionOf(item.key),
+                   item.key + " falls to revision " + std::to_string(item.revision));
   keys_[item.key] = Key{item.revision, item.value};
   logEvent(out, now, "in-force", {{"key", item.key}, {"stamp", std::to_string(item.revision)}});
   if (rows_.size() < 1024 || rows_.size() < 4 * routes_.size()) return;
--- a/dataplane/src/request_router.cpp
+++ b/dataplane/src/request_router.cpp
@@ -12,6 +12,7 @@
 void append(Commands& out, Commands const& more) {
   out.calls.insert(out.calls.end(), more.calls.begin(), more.calls.end());
   out.logEvents.insert(out.logEvents.end(), more.logEvents.begin(), more.logEvents.end());
+  out.failures.insert(out.failures.end(), more.failures.begin(), more.failures.end());
 }
 
 }  // namespace
@@ -266,6 +267,7 @@
   std::string out = "# TYPE corkward_nacelle_events_total counter\n";
   for (std::map<std::string, std::uint64_t>::value_type const& c : journal_.counts())
     out += "corkward_nacelle_events_total{event=\"" + c.first + "\"} " + std::to_string(c.second) + "\n";
+  out += failures_.metrics();
   out += "# TYPE corkward_nacelle_standing gauge\ncorkward_nacelle_standing " +
          std::string(servingLease(now) ? "1" : "0") + "\n";
   out += "# TYPE corkward_nacelle_in_hand gauge\ncorkward_nacelle_in_hand " + std::to_string(calls_.size()) + "\n";
--- a/dataplane/src/stream.cpp
+++ b/dataplane/src/stream.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <corkward/core/promises.h>
+
 namespace corkward::dataplane {
 
 namespace {
@@ -157,6 +159,8 @@
     return false;
   }
   if (numbered) {
+    CORKWARD_PROMISE(core::Promise::eventsInOrder, !idPassed_ || above(event.id, lastId_),
+                     event.id + " after " + lastId_);
     lastId_ = event.id;
     idPassed_ = true;
   } else if (told) {
--- a/http/src/mapping.cpp
+++ b/http/src/mapping.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr std::size_t maxName = 256;
+/// Bytes of a caller's name for its request that the log repeats.
+constexpr std::size_t longestTrace = 64;
 constexpr char const* lastEventId = "last-event-id";
 
 bool number(std::string const& text, std::uint64_t most, std::uint64_t& out) {
@@ -41,6 +43,7 @@
   r.instance = rest.substr(0, slash);
   r.path = rest.substr(slash + 1);
   r.id = field(request.fields, "corkward-request-id");
+  r.trace = r.id.substr(0, longestTrace);
   r.prefix = field(request.fields, "corkward-prefix");
   if (r.id.size() > maxName) return fault(400, "corkward-request-id: longer than 256");
   if (r.prefix.size() > maxName) return fault(400, "corkward-prefix: longer than 256");
--- a/http/src/server.cpp
+++ b/http/src/server.cpp
@@ -9,6 +9,8 @@
 #include <cerrno>
 #include <sys/socket.h>
 
+#include <corkward/core/promises.h>
+
 #include "wire.h"
 
 namespace corkward::http {
@@ -60,7 +62,8 @@
   bool continued = false;
   bool dropped = false;
   bool faulted = false;
-  /// Runs from the first byte of the request that is read.
+  /// Bytes of the body that the answer's head has told of and that were not passed on yet; below zero: not told.
+  std::int64_t untold = -1;
 };
 
 Server::Server(std::string const& address, Limits limits, Events events, QObject* parent)
@@ -251,6 +254,11 @@
 void Server::answer(std::uint64_t id, int status, FieldList const& fields, std::string const& body) {
   Conn* const conn = find(id);
   if (conn == nullptr) return;
+  CORKWARD_PROMISE(core::Promise::oneAnswer, !conn->begun, "an answer after a head, status " + std::to_string(status));
+  if (conn->begun) {
+    abort(id);
+    return;
+  }
   std::int64_t const length = status == 304 && body.empty() ? -1 : static_cast<std::int64_t>(body.size());
   put(*conn->socket, headOf(*conn, status, fields, length, {}));
   if (!conn->bodiless && !body.empty()) put(*conn->socket, body);
@@ -261,14 +269,21 @@
                    std::string const& reason) {
   Conn* const conn = find(id);
   if (conn == nullptr) return;
+  CORKWARD_PROMISE(core::Promise::oneAnswer, !conn->begun, "a second head, status " + std::to_string(status));
+  if (conn->begun) {
+    abort(id);
+    return;
+  }
   conn->begun = true;
   put(*conn->socket, headOf(*conn, status, fields, length, reason));
+  conn->untold = conn->bodiless ? -1 : length;
 }
 
 void Server::piece(std::uint64_t id, std::string const& bytes) {
   Conn* const conn = find(id);
   if (conn == nullptr || bytes.empty() || conn->bodiless) return;
   if (!conn->chunked) {
+    conn->untold -= conn->untold < 0 ? 0 : static_cast<std::int64_t>(bytes.size());
     put(*conn->socket, bytes);
     return;
   }
@@ -281,6 +296,12 @@
 void Server::finish(std::uint64_t id) {
   Conn* const conn = find(id);
   if (conn == nullptr) return;
+  bool const whole = conn->untold <= 0;
+  CORKWARD_PROMISE(core::Promise::wholeAnswers, whole, std::to_string(conn->untold) + " bytes are missing");
+  if (!whole) {
+    abort(id);
+    return;
+  }
   if (conn->chunked) {
     std::string text;
     append(text, beastHttp::make_chunk_last());
--- a/programs/control/control_daemon.cpp
+++ b/programs/control/control_daemon.cpp
@@ -5,6 +5,7 @@
 #include <QTcpSocket>
 
 #include <corkward/core/log.h>
+#include <corkward/core/promises.h>
 
 #include "clock.h"
 
@@ -116,7 +117,7 @@
 
 std::string ControlDaemon::metrics() const {
   return reducer_->metrics(now()) + "# TYPE corkward_garbage_frames_total counter\ncorkward_garbage_frames_total " +
-         std::to_string(link_.garbage()) + "\n";
+         std::to_string(link_.garbage()) + "\n" + core::promiseMetrics();
 }
 
 void ControlDaemon::answer(control::Answer const& a) {
--- a/programs/router/router_daemon.cpp
+++ b/programs/router/router_daemon.cpp
@@ -6,6 +6,7 @@
 #include <corkward/config/config.h>
 #include <corkward/core/json.h>
 #include <corkward/core/log.h>
+#include <corkward/core/promises.h>
 
 #include "clock.h"
 
@@ -64,7 +65,7 @@
          "\n# TYPE corkward_replica_connections_total counter\ncorkward_replica_connections_total " +
          std::to_string(upstreams_.opened()) +
          "\n# TYPE corkward_replica_connections_reused_total counter\ncorkward_replica_connections_reused_total " +
-         std::to_string(upstreams_.reused()) + "\n";
+         std::to_string(upstreams_.reused()) + "\n" + core::promiseMetrics();
 }
 
 bool RouterDaemon::ownPage(http::Request const& request) {
@@ -123,6 +124,7 @@
   }
   for (transport::Send const& s : commands.sends) link_.send(s.to, s.message);
   for (core::LogEvent const& n : commands.logEvents) core::writeLog(n);
+  for (core::LogEvent const& n : commands.failures) core::writeWarning(n);
   for (dataplane::CallCommand const& c : commands.calls) std::visit([this](auto const& m) { this->act(m); }, c);
 }
 
--- a/testing/sim/oracles.cpp
+++ b/testing/sim/oracles.cpp
@@ -2,6 +2,7 @@
 
 #include <corkward/config/regimes.h>
 #include <corkward/core/json.h>
+#include <corkward/core/promises.h>
 
 #include "internal.h"
 
@@ -23,6 +24,7 @@
 
 void World::watch() {
   after(200, [this] { watch(); });
+  for (std::string const& broken : core::PromiseCounts::ofThread().take()) violation(broken);
   while (!firsts_.empty() && firsts_.front() <= now_ - 10000) firsts_.pop_front();
   while (!repeats_.empty() && repeats_.front() <= now_ - 10000) repeats_.pop_front();
   if (static_cast<double>(repeats_.size()) > 0.2 * static_cast<double>(firsts_.size()) + 20.0)
--- a/testing/sim/world.cpp
+++ b/testing/sim/world.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include <corkward/config/config.h>
+#include <corkward/core/promises.h>
 #include <corkward/core/json.h>
 
 #include "internal.h"
@@ -381,6 +382,7 @@
 }
 
 Result World::run() {
+  core::PromiseCounts::ofThread().take();
   for (std::map<std::string, Node>::value_type& n : nodes_) boot(n.second);
   at(3500, [this] { platform(); });
   if (plan_.regimes)
