Go on accepting after an accept has failed; blame no replica for a lack of descriptors

Cause: QTcpServer stops for good at an accept that fails with EMFILE, ENFILE, ENOBUFS or ENOMEM (it pauses and tells acceptError, which nothing heard). The node's readiness socket went on, so clients were sent to a node that never took them, until its restart. Reached by 4,096 callers' connections, the bound of the HTTP edge, against 4,100 descriptors on the users' machines.

Looked for the same cause elsewhere: nng's listener retries by itself; the list reader and the log try again; the redirecting edge uses the same server. Ruled out: the readiness check noticing it, it has its own socket.

--- a/dataplane/include/corkward/dataplane/request_router.h
+++ b/dataplane/include/corkward/dataplane/request_router.h
@@ -258,6 +258,8 @@
   Commands connected(Tick now, CallId call);
   /// No connection could be had, so nothing was handed over.
   Commands connectRejected(Tick now, CallId call);
+  /// This node could open no connection at all, for want of descriptors; the replica has no part in it.
+  Commands connectImpossible(Tick now, CallId call);
   Commands firstWord(Tick now, CallId call, bool runKnown);
   /// The replica answers with a failure of its own, of which nothing was passed on yet. When the commands say Connect,
   /// another replica is tried and the answer is forgotten; else it is passed on as it comes.
--- a/dataplane/src/calls.cpp
+++ b/dataplane/src/calls.cpp
@@ -812,6 +812,21 @@
   return out;
 }
 
+Commands RequestRouter::connectImpossible(Tick now, CallId id) {
+  Commands out;
+  std::unordered_map<CallId, Call>::iterator const it = calls_.find(id);
+  if (it == calls_.end()) return out;
+  Call const& call = it->second;
+  char const* const why = "this node is out of descriptors";
+  if (call.phase == Phase::handed && call.resumes > 0) {
+    breakOff(out, now, id, why);
+  } else if (call.phase == Phase::connecting) {
+    out.calls.push_back(Abandon{id});
+    reject(out, now, id, 503, why, true, tuning_.comeBack);
+  }
+  return out;
+}
+
 Commands RequestRouter::firstWord(Tick now, CallId id, bool runKnown) {
   Commands out;
   std::unordered_map<CallId, Call>::iterator const it = calls_.find(id);
--- a/dataplane/test/request_router_test.cpp
+++ b/dataplane/test/request_router_test.cpp
@@ -94,6 +94,30 @@
 
 }  // namespace
 
+TEST_CASE("a node without descriptors turns the caller away at once and holds nothing against the replica") {
+  Rig rig;
+  dataplane::Commands const asked = rig.ask("r1");
+  dataplane::CallId const call = rig.next - 1;
+  std::function<std::string(dataplane::Commands const&)> const address = [](dataplane::Commands const& commands) {
+    for (dataplane::CallCommand const& c : commands.calls)
+      if (dataplane::Connect const* const connect = std::get_if<dataplane::Connect>(&c)) return connect->address;
+    return std::string();
+  };
+  REQUIRE_FALSE(address(asked).empty());
+  dataplane::Commands const out = rig.reducer.connectImpossible(rig.now, call);
+  dataplane::Reject const* reject = nullptr;
+  for (dataplane::CallCommand const& c : out.calls)
+    if (std::get_if<dataplane::Reject>(&c) != nullptr) reject = std::get_if<dataplane::Reject>(&c);
+  REQUIRE(reject != nullptr);
+  CHECK(reject->status == 503);
+  CHECK(reject->notRun);
+  CHECK(reject->retryAfter > 0);
+  CHECK(rig.reducer.inHand() == 0);
+  REQUIRE(out.failures.size() == 1);
+  CHECK(out.failures[0].fields.at("reason") == "this node is out of descriptors");
+  CHECK(rig.reducer.metrics(rig.now).find("replica-cooled") == std::string::npos);
+}
+
 TEST_CASE("a router whose confirmation has grown old hands nothing over, even on an open connection") {
   Rig rig;
   dataplane::Commands const c = rig.ask("x");
--- a/http/include/corkward/http/server.h
+++ b/http/include/corkward/http/server.h
@@ -95,10 +95,14 @@
   std::size_t inHand() const;
   std::size_t connections() const { return conns_.size(); }
   std::uint64_t malformed() const { return malformed_; }
+  /// Connections that could not be accepted at once, for want of descriptors or memory.
+  std::uint64_t acceptsFailed() const { return acceptsFailed_; }
 
  private:
   struct Conn;
   void accept(std::size_t at);
+  /// A listening socket whose accept failed stands still until it is told to go on.
+  void acceptAgain(QTcpServer* server);
   void welcome(QTcpSocket* socket, std::size_t at);
   void readable(std::shared_ptr<Conn> const& conn);
   void fault(std::shared_ptr<Conn> const& conn, int status, std::string const& reason);
@@ -114,6 +118,7 @@
   Events events_;
   std::uint64_t next_ = 1;
   std::uint64_t malformed_ = 0;
+  std::uint64_t acceptsFailed_ = 0;
   bool leaving_ = false;
   std::unordered_map<Conn const*, std::shared_ptr<Conn>> conns_;
   std::unordered_map<std::uint64_t, std::shared_ptr<Conn>> byId_;
--- a/http/include/corkward/http/upstream_connection.h
+++ b/http/include/corkward/http/upstream_connection.h
@@ -60,6 +60,8 @@
   /// As stop, but a connection that may be kept reads the rest of a short answer, and then goes back and the relay is
   /// gone. The owner forgets the relay.
   void release();
+  /// The connection was rejected because this process could open no socket.
+  bool outOfDescriptors() const;
   /// The connection was kept and long idle, and nothing came on it: the replica may have forgotten it.
   bool forgotten() const;
   /// Stops or goes on reading, for backpressure.
--- a/http/src/server.cpp
+++ b/http/src/server.cpp
@@ -23,6 +23,8 @@
 constexpr int lingerMs = 1000;
 
 constexpr int acceptAtOnce = 16;
+/// Wait after an accept that failed, for want of descriptors or memory, until the next one.
+constexpr int acceptAgainMs = 100;
 
 bool bodilessStatus(int status) {
   return status < 200 || status == 204 || status == 304;
@@ -83,6 +85,7 @@
     addresses_.push_back(at.first + ":" + std::to_string(server->serverPort()));
     QObject::connect(
         server, &QTcpServer::newConnection, this, [this, index] { accept(index); }, Qt::QueuedConnection);
+    QObject::connect(server, &QTcpServer::acceptError, this, [this, server] { acceptAgain(server); });
   }
 }
 
@@ -95,6 +98,13 @@
   }
 }
 
+void Server::acceptAgain(QTcpServer* server) {
+  ++acceptsFailed_;
+  QTimer::singleShot(acceptAgainMs, server, [server] {
+    if (server->isListening()) server->resumeAccepting();
+  });
+}
+
 void Server::accept(std::size_t at) {
   for (int i = 0; i < acceptAtOnce; ++i) {
     QTcpSocket* const socket = servers_[at]->nextPendingConnection();
--- a/http/src/upstream_connection.cpp
+++ b/http/src/upstream_connection.cpp
@@ -68,6 +68,8 @@
   /// The life that the replica must name first; empty: none.
   std::string life;
   bool asking = false;
+  /// This process could open no socket, which says nothing of the replica.
+  bool outOfDescriptors = false;
   bool kept = false;
   bool rested = false;
   bool connected = false;
@@ -163,7 +165,8 @@
     }
     if (!state_->paused) closed();
   });
-  QObject::connect(socket_, &QTcpSocket::errorOccurred, this, [this](QAbstractSocket::SocketError) {
+  QObject::connect(socket_, &QTcpSocket::errorOccurred, this, [this](QAbstractSocket::SocketError error) {
+    state_->outOfDescriptors = error == QAbstractSocket::SocketResourceError;
     if (!state_->kept && !state_->connected && !state_->asking) rejected();
   });
 }
@@ -277,6 +280,10 @@
       Qt::QueuedConnection);
 }
 
+bool UpstreamConnection::outOfDescriptors() const {
+  return state_->outOfDescriptors;
+}
+
 bool UpstreamConnection::forgotten() const {
   return state_->kept && state_->rested && !state_->headSeen;
 }
--- a/programs/common/process.cpp
+++ b/programs/common/process.cpp
@@ -63,7 +63,7 @@
 
 bool Drain::begin() {
   if (until_ != 0) return false;
-  until_ = now() + limitSeconds_ * 1000;
+  until_ = now() + limitTicks_;
   least_ = now() + std::max(leastDrain, leastTicks_);
   return true;
 }
--- a/programs/common/process.h
+++ b/programs/common/process.h
@@ -41,14 +41,14 @@
 class Drain {
  public:
   /// @param least for how long callers may still come, though nothing is in hand
-  explicit Drain(int limitSeconds, core::Tick least = 0) : limitSeconds_(limitSeconds), leastTicks_(least) {}
+  explicit Drain(core::Tick limit, core::Tick least = 0) : limitTicks_(limit), leastTicks_(least) {}
   /// True at the first call only.
   bool begin();
   /// Ends the event loop when it is time.
   void look(http::Server& http, std::size_t inHand);
 
  private:
-  int limitSeconds_;
+  core::Tick limitTicks_;
   core::Tick leastTicks_;
   core::Tick until_ = 0;
   core::Tick least_ = 0;
--- a/programs/common/settings.cpp
+++ b/programs/common/settings.cpp
@@ -43,6 +43,12 @@
 
 constexpr std::size_t maxSeeds = 8;
 constexpr std::size_t maxFounders = 9;
+constexpr int mostDrainSeconds = 3600;
+
+core::Tick drainLimitOf(int seconds) {
+  if (seconds < 1 || seconds > mostDrainSeconds) throw SettingsError("drain-limit: must be 1 to 3600");
+  return core::Tick{1000} * seconds;
+}
 
 /// The options that a settings file may hold as well; values go to the settings.
 po::options_description sharedOptions(Settings& s, bool disk) {
@@ -57,7 +63,8 @@
       "link address of another process to enter by; up to 8 times")("log-file", po::value<std::string>(&s.logFile),
                                                                     "file for the log; standard error when empty")(
       "log-level", po::value<std::string>(&s.logLevel)->default_value("info"), "trace, debug, info, warn or error")(
-      "drain-limit", po::value<int>(&s.drainLimit)->default_value(60),
+      "drain-limit",
+      po::value<int>()->default_value(60)->notifier([&s](int seconds) { s.drainLimitMs = drainLimitOf(seconds); }),
       "seconds that work in hand may take after SIGTERM, 1 to 3600");
   if (disk)
     shared.add_options()("data", po::value<std::string>(&s.data), "folder for this machine's write-ahead log")(
@@ -109,7 +116,6 @@
 /// Throws SettingsError at the first value that is missing or out of its range.
 void checkSettings(Settings const& s, bool disk) {
   checkAddresses(s, disk);
-  if (s.drainLimit < 1 || s.drainLimit > 3600) throw SettingsError("drain-limit: must be 1 to 3600");
   checkLogLevel(s.logLevel);
   if (disk) checkDisk(s);
   if (!s.audit.empty()) checkFolder("audit", s.audit);
--- a/programs/common/settings.h
+++ b/programs/common/settings.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include <corkward/core/error.h>
+#include <corkward/core/types.h>
 
 namespace corkward::programs {
 
@@ -23,7 +24,7 @@
   int auditMegabytes = 64;
   std::string logFile;
   std::string logLevel = "info";
-  int drainLimit = 60;
+  core::Tick drainLimitMs = 60000;
 };
 
 /// A setting that is unknown, missing or out of its range; the message begins with its name.
--- a/programs/control/control_daemon.cpp
+++ b/programs/control/control_daemon.cpp
@@ -26,7 +26,7 @@
       tuning_(tuning),
       mapping_(mapping),
       surface_(std::move(surface)),
-      drain_(s.drainLimit),
+      drain_(s.drainLimitMs),
       seed_(freshSeed()),
       folder_(storage::openFolder(s.data)),
       lock_("data", s.data),
--- a/programs/router/router_daemon.cpp
+++ b/programs/router/router_daemon.cpp
@@ -26,7 +26,7 @@
     : settings_(s),
       mapping_(mapping),
       surface_(std::move(surface)),
-      drain_(s.drainLimit, tuning.drainServe),
+      drain_(s.drainLimitMs, tuning.drainServe),
       reducer_(contactOf(s, transport::routerRole), s.seeds, surface_.seed == 0 ? freshSeed() : surface_.seed, tuning),
       records_(this, s, [this](bool works) { reducer_.recording(works); }),
       link_(
@@ -65,7 +65,11 @@
          "\n# TYPE corkward_replica_connections_total counter\ncorkward_replica_connections_total " +
          std::to_string(upstreams_.opened()) +
          "\n# TYPE corkward_replica_connections_reused_total counter\ncorkward_replica_connections_reused_total " +
-         std::to_string(upstreams_.reused()) + "\n" + core::promiseMetrics();
+         std::to_string(upstreams_.reused()) +
+         "\n# TYPE corkward_caller_connections gauge\ncorkward_caller_connections " +
+         std::to_string(server_.connections()) +
+         "\n# TYPE corkward_caller_accepts_failed_total counter\ncorkward_caller_accepts_failed_total " +
+         std::to_string(server_.acceptsFailed()) + "\n" + core::promiseMetrics();
 }
 
 bool RouterDaemon::ownPage(http::Request const& request) {
@@ -140,7 +144,7 @@
   it->second.stream.connecting(m.resume);
   http::UpstreamConnection::Events e;
   e.connected = [this, id] { run(reducer_.connected(now(), id)); };
-  e.rejected = [this, id] { run(reducer_.connectRejected(now(), id)); };
+  e.rejected = [this, id] { rejected(id); };
   e.head = [this, id](http::ReplicaHead const& head) { replicaHead(id, head); };
   e.piece = [this, id](std::string bytes) { replicaPiece(id, std::move(bytes)); };
   e.ended = [this, id](bool whole) { replicaEnded(id, whole); };
@@ -148,6 +152,12 @@
                                        : new http::UpstreamConnection(m.address, m.life, std::move(e), this);
 }
 
+void RouterDaemon::rejected(std::uint64_t id) {
+  std::unordered_map<std::uint64_t, Call>::const_iterator const it = calls_.find(id);
+  bool const own = it != calls_.end() && it->second.upstream != nullptr && it->second.upstream->outOfDescriptors();
+  run(own ? reducer_.connectImpossible(now(), id) : reducer_.connectRejected(now(), id));
+}
+
 void RouterDaemon::act(dataplane::HandOver const& m) {
   std::unordered_map<std::uint64_t, Call>::iterator const it = calls_.find(m.call);
   if (it == calls_.end() || it->second.upstream == nullptr) return;
--- a/programs/router/router_daemon.h
+++ b/programs/router/router_daemon.h
@@ -90,6 +90,8 @@
   void act(dataplane::Reject const& m);
   void act(dataplane::Answer const& m);
   void act(dataplane::Abort const& m);
+  /// The replica's connection cannot be had.
+  void rejected(std::uint64_t id);
   void abandon(std::uint64_t id, bool readRest = false);
   void replicaHead(std::uint64_t id, http::ReplicaHead const& head);
   void steps(std::uint64_t id, dataplane::StreamSteps&& out);
