--- a/programs/common/clock.cpp
+++ b/programs/common/clock.cpp
@@ -21,12 +21,18 @@
   static_cast<void>(n);
 }
 
-void onSignals(QObject* owner, int (&ends)[2], std::initializer_list<int> numbers,
-               std::function<void()> const& function) {
-  if (::pipe(ends) != 0) return;
+/// Notes the signals in the pipe from here on; a pipe that is there already stays, with what waits in it.
+bool catchSignals(int (&ends)[2], std::initializer_list<int> numbers) {
+  if (ends[0] < 0 && ::pipe(ends) != 0) return false;
   struct sigaction action {};
   action.sa_handler = caught;
   for (int const number : numbers) ::sigaction(number, &action, nullptr);
+  return true;
+}
+
+void onSignals(QObject* owner, int (&ends)[2], std::initializer_list<int> numbers,
+               std::function<void()> const& function) {
+  if (!catchSignals(ends, numbers)) return;
   QSocketNotifier* const notifier = new QSocketNotifier(ends[0], QSocketNotifier::Read, owner);
   int const readEnd = ends[0];
   QObject::connect(notifier, &QSocketNotifier::activated, owner, [function, readEnd] {
@@ -61,6 +67,10 @@
   return QUuid::createUuid().toString(QUuid::Id128).toStdString();
 }
 
+void holdReloads() {
+  catchSignals(reloadPipe, {SIGHUP});
+}
+
 void onReload(QObject* owner, std::function<void()> const& function) {
   onSignals(owner, reloadPipe, {SIGHUP}, function);
 }
