Show that a cut-off controller's list of replicas comes back over a newer one

Cause: a reader in a cut raises the generation of its lists at each reading, by its own hints, and its relayed call is sent again for 9 s; what a list replaces is never said, so the highest generation wins over the newest reading. Known red until it is mended.

--- a/control/test/cut_test.cpp
+++ b/control/test/cut_test.cpp
@@ -3,10 +3,14 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
+#include <corkward/core/json.h>
+
 #include "rig.h"
 
+namespace config = corkward::config;
 namespace core = corkward::core;
 namespace transport = corkward::transport;
 namespace control = corkward::control;
@@ -34,6 +38,8 @@
   std::string cutOff;
   /// First snapshots sent to each router.
   std::map<std::string, int> snapshots;
+  /// Called with the news that any controller sends to a router.
+  std::function<void(transport::News const&)> heard;
   std::uint64_t token = 1;
 
   ThreeControllers() {
@@ -62,6 +68,7 @@
   }
   void deliver(std::string const& from, transport::Send const& s) {
     transport::News const* const news = std::get_if<transport::News>(&s.message);
+    if (news != nullptr && heard) heard(*news);
     if (news != nullptr && news->whole) ++snapshots[s.to];
     if (members.count(s.to) == 0) return;
     if (from != s.to && (from == cutOff || s.to == cutOff)) return;
@@ -193,3 +200,71 @@
   fleet.run(callerWaits);
   CHECK(fleet.snapshots["router"] == 1);
 }
+
+namespace {
+
+constexpr int poolCount = 12;
+constexpr core::Tick readEvery = 500;
+
+/// The platform's lists: of each pool the replica that is always there, one that comes, and one that leaves.
+std::map<std::string, config::Pool> listsOf(bool come, bool leaves) {
+  std::map<std::string, config::Pool> out;
+  for (int i = 0; i < poolCount; ++i) {
+    std::function<config::Replica(std::string const&, config::ReplicaState)> const replica =
+        [](std::string const& address, config::ReplicaState state) {
+          config::Replica r;
+          r.address = address;
+          r.zone = "z1";
+          r.state = state;
+          return r;
+        };
+    config::Pool& pool = out["p" + std::to_string(i)];
+    pool.replicas = {replica("10.0.0.1:80", config::ReplicaState::serving),
+                     replica("10.0.0.2:80", leaves ? config::ReplicaState::leaving : config::ReplicaState::serving)};
+    if (come) pool.replicas.push_back(replica("10.0.0.3:80", config::ReplicaState::serving));
+  }
+  return out;
+}
+
+/// Each controller whose duty it is takes the platform's lists, as often as the platform is read.
+void readLists(ThreeControllers& fleet, core::Tick span, std::map<std::string, config::Pool> const& lists) {
+  for (core::Tick const until = fleet.now + span; fleet.now < until;) {
+    for (std::map<std::string, ThreeControllers::Member>::value_type& m : fleet.members)
+      if (m.second.reducer->readsLists(fleet.now))
+        fleet.take(m.first, m.second.reducer->platformLists(fleet.now, lists));
+    fleet.run(readEvery);
+  }
+}
+
+}  // namespace
+
+TEST_CASE("after a cut no list of the controller that was cut off comes back over a newer one") {
+  for (char const* const cutOff : {"s1", "s2", "s3"}) {
+    INFO("cut off: " << cutOff);
+    ThreeControllers fleet;
+    fleet.ask("s1", 1);
+    readLists(fleet, 4 * readEvery, listsOf(false, false));
+    fleet.cutOff = cutOff;
+    readLists(fleet, 11000, listsOf(true, false));
+    readLists(fleet, 6 * readEvery, listsOf(true, true));
+    std::set<std::string> left;
+    std::vector<std::string> back;
+    fleet.heard = [&](transport::News const& news) {
+      for (transport::Item const& item : news.items) {
+        if (item.key.rfind("pool:", 0) != 0) continue;
+        bool const leaving = core::jsonText(item.value).find("leaving") != std::string::npos;
+        if (leaving)
+          left.insert(item.key);
+        else if (left.count(item.key) > 0)
+          back.push_back(item.key + " at " + std::to_string(fleet.now));
+      }
+    };
+    fleet.ask("s1", 2);
+    fleet.ask("s2", 2);
+    fleet.ask("s3", 2);
+    fleet.cutOff.clear();
+    readLists(fleet, 8 * readEvery, listsOf(true, true));
+    CHECK(left.size() == poolCount);
+    CHECK(back.empty());
+  }
+}
