Let a list of replicas replace only the one that its reader knew

Cause: a controller in a cut goes on reading the platform's list and raises its generation at each reading; a call that waits there, or is sent again for 9 s, comes through at the heal with content of up to 4 s ago and the highest generation. Lists that a platform gives by hand name none, as before. Looked for the same elsewhere: the whole configuration, templates, regimes and zones name their base; the roster's call names it too.

--- a/control/src/controller.cpp
+++ b/control/src/controller.cpp
@@ -280,6 +280,7 @@
     state.call.token = id;
     state.call.method = "PUT";
     state.call.path = "/v1/platform/pools/" + config::addressPart(p.first);
+    state.call.ifMatch = std::to_string(committedRevision(key));
     state.call.body = core::jsonText(config::poolJson(p.second));
     state.since = now;
     calls_[id] = state;
--- a/control/src/validator.cpp
+++ b/control/src/validator.cpp
@@ -266,6 +266,8 @@
   }
 }
 
+/// A list that a controller has read itself names the revision that it knew when it read: one that was under way
+/// through a cut or a pause is not written over what was read meanwhile. Lists that the platform gives name none.
 Verdict validatePool(std::uint64_t revision, QJsonObject const& current, transport::Call const& call) {
   if (call.method == "GET") {
     if (revision == 0) return reject(404, "not found", "no such pool");
@@ -279,6 +281,8 @@
     config::Pool const list = config::readPool(next);
     std::uint64_t const have = static_cast<std::uint64_t>(current.value("generation").toInteger());
     if (list.generation == have && next == current) return replay(200, revision, call.changeId);
+    if (!call.ifMatch.empty() && call.ifMatch != std::to_string(revision))
+      return reject(412, "another list is in place", "the list held has revision " + std::to_string(revision));
     if (list.generation <= have)
       return reject(409, "older generation", "the list held has generation " + std::to_string(have));
     Verdict v;
