--- a/dataplane/include/corkward/dataplane/request_router.h
+++ b/dataplane/include/corkward/dataplane/request_router.h
@@ -469,7 +469,8 @@
   std::int64_t unread(Call const& call, Index replica, Index home) const;
   void haveRead(Call& call);
   bool mayGoOn(Tick now, Call const& call) const;
-  void validator(Commands& out, Tick now, Call& call, bool bad);
+  /// Counts the outcome of the newest dispatch for or against its replica, once.
+  void recordOutcome(Commands& out, Tick now, Call& call, bool bad);
   void avoidWorst(Tick now, Index pool);
   bool overdue(Call const& call, Tick took) const;
   /// Undoes the last hand-over of a call whose connection could not be written to.
--- /dev/null
+++ b/dataplane/src/answers.cpp
@@ -0,0 +1,168 @@
+// How a request that was handed over goes on: its first word, its failure, its end, its caller leaving.
+#include <algorithm>
+
+#include "internal.h"
+
+namespace corkward::dataplane {
+
+Commands RequestRouter::firstWord(Tick now, CallId id, bool runKnown) {
+  Commands out;
+  std::unordered_map<CallId, Call>::iterator const it = calls_.find(id);
+  if (it == calls_.end() || it->second.phase != Phase::handed) return out;
+  Call& call = it->second;
+  Row const& row = rows_[call.path];
+  bool const first = !call.runKnown && call.resumes == 0;
+  haveRead(call);
+  call.phase = Phase::streaming;
+  call.phaseAt = now;
+  call.runKnown = runKnown;
+  if (!first) return out;
+  if (overdue(call, now - call.handedAt)) recordOutcome(out, now, call, true);
+  CreditKey const key{call.pool, row.instance};
+  credits_.at(key).scaler.firstWord(now, call.replica, now - call.handedAt, row.path.aim);
+  count(now, "first_words");
+  pump(out, now, key);
+  return out;
+}
+
+Commands RequestRouter::failed(Tick now, CallId id) {
+  Commands out;
+  std::unordered_map<CallId, Call>::iterator const it = calls_.find(id);
+  if (it == calls_.end() || it->second.phase != Phase::handed) return out;
+  Call& call = it->second;
+  count(now, "replica_failed");
+  recordOutcome(out, now, call, true);
+  Row const& row = rows_[call.path];
+  if (call.resumes > 0 || !row.path.repeatable || !mayGoOn(now, call) || !servingLease(now)) return out;
+  std::int64_t chosen = choose(now, call, usableOf(now, credits_.at({call.pool, row.instance}), true));
+  if (chosen < 0) {
+    chosen = choose(now, call, beyondPart(now, call.pool));
+  }
+  if (chosen < 0) return out;
+  Index const replica = static_cast<Index>(chosen);
+  bool const cold = replicas_[replica].state == config::ReplicaState::cold;
+  if ((cold && !warm_.at(replica).bucket.take(now, coldRate(call.pool))) ||
+      !budget_.retry(now, call.pool, rosterSize(), tuning_.retryAllowance))
+    return out;
+  count(now, "retried_dispatched");
+  call.mayHaveRun = row.path.host.empty();
+  out.calls.push_back(Abandon{id});
+  uncount(out, now, call);
+  connectTo(out, now, id, replica);
+  return out;
+}
+
+Commands RequestRouter::moving(Tick now, CallId id) {
+  std::unordered_map<CallId, Call>::iterator const it = calls_.find(id);
+  if (it != calls_.end() && it->second.phase == Phase::streaming) it->second.phaseAt = now;
+  return {};
+}
+
+Commands RequestRouter::ended(Tick now, CallId id, End end) {
+  Commands out;
+  std::unordered_map<CallId, Call>::iterator const it = calls_.find(id);
+  if (it == calls_.end()) return out;
+  Call& call = it->second;
+  bool const streaming = call.phase == Phase::streaming;
+  CORKWARD_INVARIANT(call.phase == Phase::handed || streaming);
+  if (end == End::whole || end == End::broken) recordOutcome(out, now, call, end == End::broken);
+  if (end == End::forgotten) {
+    count(now, "connection_forgotten");
+    end = End::broken;
+  }
+  if (end == End::notRun) call.outstanding = false;
+  if (end == End::whole) {
+    count(now, "served");
+    record(out, now, call, Happened::served);
+    drop(out, now, id);
+    return out;
+  }
+  Replica const& r = replicas_[call.replica];
+  Row const& row = rows_[call.path];
+  bool const spent = call.resumes > 0 && !regimeOf(call).empty();
+  if (end == End::notRun) record(out, now, call, Happened::notRun);
+  if (row.path.stream || !row.path.host.empty()) {
+    bool const fromStart = !streaming && call.resumes == 0;
+    bool const once = !fromStart && !regimeOf(call).empty() && now < call.until;
+    bool const again = (end == End::notRun || (end == End::broken && row.path.repeatable)) && !spent &&
+                       (once || mayGoOn(now, call)) && servingLease(now) &&
+                       budget_.retry(now, call.pool, rosterSize(), tuning_.retryAllowance);
+    if (end == End::notRun) {
+      count(now, "replica_not_run");
+      cool(call.replica, std::max(replicas_[call.replica].coolUntil, now + tuning_.busyFor));
+    }
+    refreshCandidates(out, now);
+    if (again && !fromStart) {
+      ++call.resumes;
+      count(now, "resumed");
+      if (!resumeElsewhere(out, now, id)) breakOff(out, now, id);
+    } else if (again) {
+      count(now, "retried_dispatched");
+      call.mayHaveRun = call.mayHaveRun || (end == End::broken && row.path.host.empty());
+      out.calls.push_back(Abandon{id});
+      call.phase = Phase::held;
+      uncount(out, now, call);
+      if (!tryConnect(out, now, id)) credits_.at({call.pool, row.instance}).held[lane(row.path.cls)].push_front(id);
+    } else if (fromStart && end == End::notRun) {
+      call.phase = Phase::connecting;
+      reject(out, now, id, 503, "replica said not run; no retry left", true, tuning_.comeBack);
+    } else if (fromStart) {
+      reject(out, now, id, 502, "unknown, may have run", false, 0);
+    } else {
+      breakOff(out, now, id);
+    }
+    return out;
+  }
+  if (end == End::notRun && !streaming && call.resumes == 0) {
+    if (!call.request.id.empty()) seen_[call.request.instance + "|" + call.request.id].mayHaveRun = false;
+    count(now, "replica_not_run");
+    cool(call.replica, std::max(replicas_[call.replica].coolUntil, now + tuning_.busyFor));
+    call.phase = Phase::connecting;
+    retry(out, now, id, "replica said not run");
+    return out;
+  }
+  bool const mayResume = end == End::broken && call.runKnown && row.path.resumable && call.resumes < tuning_.resumes &&
+                         !spent && lawful(now, call) && r.listed && servingLease(now) &&
+                         budget_.retry(now, call.pool, rosterSize(), tuning_.retryAllowance);
+  if (mayResume) {
+    ++call.resumes;
+    call.phase = Phase::handed;
+    call.phaseAt = now;
+    count(now, "resumed");
+    out.calls.push_back(Connect{id, addressOf(call.replica), row.path.path, true, true,
+                                regimeOf(call).empty() ? "" : r.id, ownEvents(row.path)});
+    return out;
+  }
+  if (streaming || call.resumes > 0) {
+    breakOff(out, now, id);
+  } else {
+    reject(out, now, id, 502, "unknown, may have run", false, 0);
+  }
+  refreshCandidates(out, now);
+  return out;
+}
+
+void RequestRouter::breakOff(Commands& out, Tick now, CallId id, std::string const& why) {
+  count(now, "broken");
+  noteFailure(out, now, calls_.at(id), 0, why);
+  record(out, now, calls_.at(id), Happened::broken, why);
+  out.calls.push_back(Abandon{id});
+  out.calls.push_back(Abort{id});
+  drop(out, now, id);
+}
+
+Commands RequestRouter::callerGone(Tick now, CallId id) {
+  Commands out;
+  std::unordered_map<CallId, Call>::iterator const it = calls_.find(id);
+  if (it == calls_.end()) return out;
+  count(now, "caller_gone");
+  noteFailure(out, now, it->second, 0, "the caller left");
+  if (it->second.counted) out.calls.push_back(Abandon{id});
+  if (it->second.phase == Phase::handed || it->second.phase == Phase::streaming)
+    record(out, now, it->second, Happened::broken, "the caller went away");
+  unhold(id);
+  drop(out, now, id);
+  return out;
+}
+
+}  // namespace corkward::dataplane
--- a/dataplane/src/request_router.cpp
+++ b/dataplane/src/request_router.cpp
@@ -122,7 +122,7 @@
         break;
       }
       case Phase::handed: {
-        if (overdue(it->second, now - it->second.phaseAt)) validator(out, now, it->second, true);
+        if (overdue(it->second, now - it->second.phaseAt)) recordOutcome(out, now, it->second, true);
         if (it->second.resumes > 0) {
           breakOff(out, now, id);
         } else {
--- a/testing/fleet/chaos.cpp
+++ b/testing/fleet/chaos.cpp
@@ -60,7 +60,8 @@
     for (std::unique_ptr<Tap> const& t : replicaTaps_) t->harm(0.02);
     for (std::unique_ptr<Tap> const& t : callerTaps_) t->harm(0.02);
     for (int i = 0; i < plan_.events; ++i) {
-      cause();
+      int const overlapping = 1 + static_cast<int>(rng_.below(static_cast<std::uint64_t>(plan_.overlap)));
+      for (int k = 0; k < overlapping; ++k) cause();
       operatorTurn();
       std::size_t const before = served();
       fleet_.until("traffic beside the failures", [&] { return served() >= before + 60; });
@@ -71,7 +72,7 @@
     traffic_->stopCalling();
     fleet_.until(
         "the last answers", [&] { return traffic_->open() == 0 && !putting_; }, 90000);
-    validator();
+    judge();
     return std::move(result_);
   }
 
@@ -231,7 +232,7 @@
     Node& sub = *subs[rng_.below(subs.size())];
     Node& model = fleet_.replicas()[rng_.below(static_cast<std::uint64_t>(fleet_.deployment().models))];
     int const how = 500 + static_cast<int>(rng_.below(3000));
-    switch (rng_.below(13)) {
+    switch (rng_.below(plan_.overlap > 1 ? 16 : 13)) {
       case 0:
         if (routers.size() * 2 > fleet_.routers().size() + 2) killed(router, how);
         break;
@@ -302,9 +303,69 @@
       case 12:
         evacuate();
         break;
+      case 13:
+        cutOff(sub, 2 * how);
+        break;
+      case 14:
+        split(2 * how);
+        break;
+      case 15:
+        stopTogether(router, sub);
+        break;
     }
   }
 
+  Tap& tapOf(Node const& node) {
+    for (std::unique_ptr<Tap> const& tap : linkTaps_)
+      if (tap->address() == node.link) return *tap;
+    throw FleetError("no tap of " + node.name);
+  }
+
+  /// Cuts the machine of a controller off from every other process of the fleet, both ways.
+  void cutOff(Node& node, int how) {
+    if (cutting_) return;
+    cutting_ = true;
+    logEvent("cut off " + node.name);
+    Tap* const own = &tapOf(node);
+    own->cut(true);
+    for (std::unique_ptr<Tap> const& tap : linkTaps_)
+      if (tap.get() != own) tap->cutFrom({node.link});
+    QTimer::singleShot(how, &fleet_, [this, own] {
+      own->cut(false);
+      joinAll();
+    });
+  }
+
+  /// Cuts the controllers into two halves; routers, callers and operators reach both.
+  void split(int how) {
+    if (cutting_) return;
+    cutting_ = true;
+    std::vector<Node>& all = fleet_.controllers();
+    std::size_t const begin = rng_.below(all.size());
+    std::set<std::string> halves[2];
+    for (std::size_t i = 0; i < all.size(); ++i)
+      halves[i < all.size() / 2 ? 0 : 1].insert(all[(begin + i) % all.size()].link);
+    logEvent("split the controllers");
+    for (Node const& node : all) tapOf(node).cutFrom(halves[halves[0].count(node.link) > 0 ? 1 : 0]);
+    QTimer::singleShot(how, &fleet_, [this] { joinAll(); });
+  }
+
+  void joinAll() {
+    for (std::unique_ptr<Tap> const& tap : linkTaps_) tap->cutFrom({});
+    cutting_ = false;
+  }
+
+  /// Stops a router and a controller at the same moment, and starts them again as each has ended.
+  void stopTogether(Node& router, Node& controller) {
+    if (cutting_ || !allVote()) return;
+    logEvent("stop " + router.name + " and " + controller.name);
+    router.process->terminate();
+    if (fleet_.stop(controller) != 0) violation(controller.name + " did not end cleanly");
+    if (fleet_.stop(router) != 0) violation(router.name + " did not end cleanly");
+    fleet_.start(controller);
+    fleet_.start(router);
+  }
+
   void killed(Node& n, int how) {
     logEvent("kill " + n.name);
     fleet_.kill9(n);
@@ -382,7 +443,7 @@
     logEvent("heal");
     for (std::vector<std::unique_ptr<Tap>>* const taps : {&replicaTaps_, &callerTaps_})
       for (std::unique_ptr<Tap> const& t : *taps) t->harm(0);
-    fleet_.until("what was begun to end", [&] { return frozen_.empty() && !replacing_ && !evacuating_; });
+    fleet_.until("what was begun to end", [&] { return frozen_.empty() && !replacing_ && !evacuating_ && !cutting_; });
     for (std::vector<Node>* const group : {&fleet_.controllers(), &fleet_.routers(), &fleet_.replicas()})
       for (Node& n : *group)
         if (!n.process) fleet_.start(n);
@@ -424,7 +485,7 @@
     return out;
   }
 
-  void validator() {
+  void judge() {
     result_.report = traffic_->report();
     for (std::vector<std::unique_ptr<Tap>>* const taps : {&replicaTaps_, &callerTaps_})
       for (std::unique_ptr<Tap> const& t : *taps) result_.harmed += t->harmed();
@@ -454,9 +515,22 @@
     for (Node const& n : fleet_.replicas()) checkCold(n);
     checkRepeats(all);
     checkChanges();
+    checkPromises();
     if (r.outcomes.count("served") == 0) violation("nothing was served");
   }
 
+  /// What the processes themselves say of broken promises and invariants, in their whole logs.
+  void checkPromises() {
+    for (std::vector<Node>* const group : {&fleet_.controllers(), &fleet_.routers()})
+      for (Node const& node : *group) {
+        std::ifstream log(fleet_.folder() + "/" + node.name + ".log");
+        std::string line;
+        while (std::getline(log, line))
+          for (char const* const bad : {"promise-broken", "broken invariant", "terminate called", "panic"})
+            if (line.find(bad) != std::string::npos) violation(node.name + ": " + line.substr(0, 300));
+      }
+  }
+
   void checkRuns() {
     std::map<std::string, std::vector<std::pair<Tick, std::string>>> runs;
     for (Node const& n : fleet_.replicas())
@@ -574,6 +648,7 @@
   bool putting_ = false;
   bool replacing_ = false;
   bool evacuating_ = false;
+  bool cutting_ = false;
   ChaosResult result_;
 };
 
--- a/testing/fleet/chaos.h
+++ b/testing/fleet/chaos.h
@@ -14,6 +14,9 @@
   std::string deployment = "harmattan";
   std::uint64_t seed = 1;
   int events = 12;
+  /// Failures begun at one moment, at the most. Above 1 controllers are also cut off and split, and several are
+  /// stopped.
+  int overlap = 1;
   double scale = 1.0;
   /// Also judge what depends on the machine's speed: 3 s, 5 s, 2 s, 12 s, cold bounds.
   bool timed = true;
--- a/testing/fleet/chaos_main.cpp
+++ b/testing/fleet/chaos_main.cpp
@@ -15,8 +15,9 @@
   po::options_description flags("corkward-chaos: a deployment of real processes under seeded failures");
   flags.add_options()("deployment", po::value(&plan.deployment), "harmattan, lernkarten or small")(
       "from", po::value(&plan.seed), "first seed")("count", po::value(&count), "seeds")(
-      "events", po::value(&plan.events), "failures in a run")("scale", po::value(&plan.scale),
-                                                              "times the deployment's demand")("help", "print this");
+      "events", po::value(&plan.events), "failures in a run")("overlap", po::value(&plan.overlap),
+                                                              "failures begun at one moment, at the most")(
+      "scale", po::value(&plan.scale), "times the deployment's demand")("help", "print this");
   po::variables_map vm;
   try {
     po::store(po::parse_command_line(argc, argv, flags), vm);
--- a/testing/fleet/tap.cpp
+++ b/testing/fleet/tap.cpp
@@ -1,6 +1,7 @@
 #include "tap.h"
 
 #include <QHostAddress>
+#include <QRegularExpression>
 #include <QTcpSocket>
 #include <QTimer>
 #include <vector>
@@ -17,8 +18,20 @@
   bool stalled = false;
   QByteArray slow;
   bool bClosed = false;
+  /// Link address of the sender, once its first message has named it.
+  std::string sender;
 };
 
+namespace {
+
+/// The first ip:port that the bytes hold as text; empty: none. A message begins with its sender's.
+std::string firstAddress(QByteArray const& bytes) {
+  static QRegularExpression const address(R"(\d+\.\d+\.\d+\.\d+:\d+)");
+  return address.match(QString::fromLatin1(bytes)).captured().toStdString();
+}
+
+}  // namespace
+
 Tap::Tap(std::string const& target, std::string const& ip, std::uint64_t seed) : target_(target), rng_(seed) {
   server_.setListenBacklogSize(512);
   if (!server_.listen(QHostAddress(QString::fromStdString(ip)), 0)) throw http::Error("no free port at " + ip);
@@ -88,6 +101,10 @@
   if (p->way == Way::dark || (up && p->b->state() != QAbstractSocket::ConnectedState) || (!up && p->stalled)) return;
   QByteArray bytes = from->readAll();
   if (bytes.isEmpty()) return;
+  if (up && cutSender(*p, bytes)) {
+    end(p, true);
+    return;
+  }
   bool const cuts = (up && p->way == Way::cutUp) || (!up && p->way == Way::cutDown);
   if (cuts && p->left < bytes.size()) {
     to->write(bytes.left(p->left));
@@ -160,6 +177,19 @@
   for (std::shared_ptr<Pair> const& p : all) end(p, true);
 }
 
+bool Tap::cutSender(Pair& p, QByteArray const& bytes) const {
+  if (p.sender.empty()) p.sender = firstAddress(bytes);
+  return cutSenders_.count(p.sender) > 0;
+}
+
+void Tap::cutFrom(std::set<std::string> senders) {
+  cutSenders_ = std::move(senders);
+  std::vector<std::shared_ptr<Pair>> cut;
+  for (std::map<Pair*, std::shared_ptr<Pair>>::value_type const& p : pairs_)
+    if (cutSenders_.count(p.second->sender) > 0) cut.push_back(p.second);
+  for (std::shared_ptr<Pair> const& p : cut) end(p, true);
+}
+
 void Tap::hold(bool on) {
   held_ = on;
   if (on) return;
--- a/testing/fleet/tap.h
+++ b/testing/fleet/tap.h
@@ -4,6 +4,7 @@
 #include <QTcpServer>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include <corkward/core/types.h>
@@ -24,6 +25,9 @@
   void harm(double share) { share_ = share; }
   /// Resets what is open and refuses what comes.
   void cut(bool on);
+  /// Resets what comes from these link addresses, and goes on doing so until it is called with others or none. A
+  /// sender is known by its first message, which names it.
+  void cutFrom(std::set<std::string> senders);
   /// Lets nothing pass for a while; what waited goes on after.
   void hold(bool on);
   std::size_t harmed() const { return harmed_; }
@@ -34,6 +38,8 @@
   void accept();
   void pass(std::shared_ptr<Pair> const& p, bool up);
   void end(std::shared_ptr<Pair> const& p, bool reset);
+  /// Notes who sends on the pair; true when what it sends is cut.
+  bool cutSender(Pair& p, QByteArray const& bytes) const;
   std::string target_;
   std::string address_;
   QTcpServer server_;
@@ -42,6 +48,7 @@
   bool cut_ = false;
   bool held_ = false;
   std::size_t harmed_ = 0;
+  std::set<std::string> cutSenders_;
   std::map<Pair*, std::shared_ptr<Pair>> pairs_;
 };
 
