--- a/control/src/controller.cpp
+++ b/control/src/controller.cpp
@@ -128,7 +128,7 @@
                        {"took-ms", std::to_string(now - state.since)},
                        {"stamp", std::to_string(committedRevision(state.key))},
                        {"owner", registers_.ownerLink(state.key, now)}}};
-  if (!state.call.ifMatch.empty()) line.fields["based-on"] = state.call.ifMatch;
+  if (!state.call.ifMatch.empty()) line.fields["base"] = state.call.ifMatch;
   if (!state.call.changeId.empty()) line.fields["change-id"] = state.call.changeId;
   if (!state.from.empty()) line.fields["relayed-by"] = state.from;
   if (body.contains("reason")) line.fields["reason"] = core::str(body.value("reason").toString());
--- a/control/test/controller_test.cpp
+++ b/control/test/controller_test.cpp
@@ -78,6 +78,16 @@
   CHECK(rig.statusOf(other) == 409);
 }
 
+TEST_CASE("an evacuation that never came to be is lifted at once") {
+  Rig rig;
+  rig.alive = {"n1", "n2", "n3"};
+  rig.run(3000);
+  std::uint64_t const lift = rig.call("DELETE", "/v1/evacuations/z9");
+  rig.run(3000);
+  REQUIRE(rig.answers.count(lift) == 1);
+  CHECK(rig.answers.at(lift).status == 200);
+}
+
 TEST_CASE("a node that refuses the connection does not hold a change up") {
   Rig rig;
   rig.alive = {"a", "b", "c"};
--- a/testing/fleet/chaos.cpp
+++ b/testing/fleet/chaos.cpp
@@ -70,8 +70,13 @@
     if (plan_.outage) outage();
     fleet_.untilReady(fleet_.routers().size());
     traffic_->stopCalling();
-    fleet_.until(
-        "the last answers", [&] { return traffic_->open() == 0 && !putting_; }, 90000);
+    try {
+      fleet_.until(
+          "the last answers", [&] { return traffic_->open() == 0 && !putting_; }, 90000);
+    } catch (FleetError const& e) {
+      throw FleetError(std::string(e.what()) + ": " + std::to_string(traffic_->open()) + " open" +
+                       (putting_ ? ", a change is under way" : "") + "; " + whatLasts());
+    }
     judge();
     return std::move(result_);
   }
@@ -443,7 +448,12 @@
     logEvent("heal");
     for (std::vector<std::unique_ptr<Tap>>* const taps : {&replicaTaps_, &callerTaps_})
       for (std::unique_ptr<Tap> const& t : *taps) t->harm(0);
-    fleet_.until("what was begun to end", [&] { return frozen_.empty() && !replacing_ && !evacuating_ && !cutting_; });
+    try {
+      fleet_.until("what was begun to end",
+                   [&] { return frozen_.empty() && !replacing_ && !evacuating_ && !cutting_; });
+    } catch (FleetError const& e) {
+      throw FleetError(std::string(e.what()) + ": " + whatLasts());
+    }
     for (std::vector<Node>* const group : {&fleet_.controllers(), &fleet_.routers(), &fleet_.replicas()})
       for (Node& n : *group)
         if (!n.process) fleet_.start(n);
@@ -454,6 +464,23 @@
     fleet_.until("every member to vote", [&] { return allVote(); });
   }
 
+  /// What keeps a run from its end, and what each controller says of itself.
+  std::string whatLasts() {
+    std::string out = std::to_string(frozen_.size()) + " frozen";
+    if (replacing_) out += ", a replica is replaced";
+    if (evacuating_) out += ", a zone is evacuated";
+    if (cutting_) out += ", a cut lasts";
+    for (Node const& node : fleet_.controllers()) {
+      out += "\n  " + node.name + (node.process ? "" : " is not running");
+      if (!node.process) continue;
+      Reply const reply = fleet_.get(node.http, "/v1/fleet");
+      QJsonObject body = reply.body;
+      for (char const* const unneeded : {"nacelles", "stamps"}) body.remove(QLatin1String(unneeded));
+      out += " " + std::to_string(reply.status) + " " + core::jsonText(body) + "\n" + fleet_.logTail(node);
+    }
+    return out;
+  }
+
   void outage() {
     logEvent("kill everything");
     for (std::vector<Node>* const group : {&fleet_.routers(), &fleet_.controllers(), &fleet_.replicas()})
