--- a/testing/fleet/chaos.cpp
+++ b/testing/fleet/chaos.cpp
@@ -74,8 +74,8 @@
       fleet_.until(
           "the last answers", [&] { return traffic_->open() == 0 && !putting_; }, 90000);
     } catch (FleetError const& e) {
-      throw FleetError(std::string(e.what()) + ": " + std::to_string(traffic_->open()) + " open" +
-                       (putting_ ? ", a change is under way" : "") + "; " + whatLasts());
+      throw FleetError(std::string(e.what()) + ": " + std::to_string(traffic_->open()) + " open, " +
+                       traffic_->openText() + (putting_ ? ", a change is under way" : "") + "; " + whatLasts());
     }
     judge();
     return std::move(result_);
--- a/testing/fleet/traffic.cpp
+++ b/testing/fleet/traffic.cpp
@@ -183,6 +183,16 @@
   open_.erase(it);
 }
 
+std::string Traffic::openText() const {
+  std::string out;
+  for (std::map<std::string, Open>::value_type const& o : open_)
+    out += o.first + " (" + o.second.record.cls + ") since " + std::to_string(programs::now() - o.second.record.began) +
+           " ms, attempt " + std::to_string(o.second.record.attempts) + ", status " +
+           std::to_string(o.second.head.status) + ", " + std::to_string(o.second.got.size()) + " bytes" +
+           (o.second.forwarder == nullptr ? ", between attempts" : ", connected") + "; ";
+  return out;
+}
+
 std::map<std::string, std::size_t> Traffic::outcomes() const {
   std::map<std::string, std::size_t> out;
   for (CallerRecord const& r : done_) ++out[r.outcome];
--- a/testing/fleet/traffic.h
+++ b/testing/fleet/traffic.h
@@ -50,6 +50,8 @@
   void startCalling();
   void stopCalling();
   std::size_t open() const { return open_.size(); }
+  /// The requests that are open, for people.
+  std::string openText() const;
   /// Requests whose final outcome is known, by outcome.
   std::map<std::string, std::size_t> outcomes() const;
   /// Joins the callers' records with the replicas'. Call when open() is 0.
