--- /dev/null
+++ b/http/test/answer_promises_test.cpp
@@ -0,0 +1,69 @@
+#include <catch2/catch.hpp>
+
+#include <QHostAddress>
+#include <QTcpSocket>
+
+#include <corkward/core/promises.h>
+#include <corkward/http/server.h>
+
+#include "turn.h"
+
+namespace core = corkward::core;
+namespace http = corkward::http;
+using corkward::http::test::application;
+using corkward::http::test::until;
+
+namespace {
+
+/// A server that answers as the test says, and one caller of it.
+struct Exchange {
+  explicit Exchange(std::function<void(http::Server&, std::uint64_t)> answer) {
+    application();
+    http::Server::Events events;
+    events.request = [this, answer](http::Request const& r) { answer(*server, r.id); };
+    server = std::make_unique<http::Server>("127.0.0.1:0", http::Limits{}, events);
+    std::pair<std::string, std::uint16_t> const at = http::splitAddress(server->address());
+    socket.connectToHost(QHostAddress(QString::fromStdString(at.first)), at.second);
+    socket.write("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+  }
+  /// What the caller gets until its connection ends.
+  QByteArray untilCut() {
+    QByteArray got;
+    REQUIRE(until([&] {
+      got += socket.readAll();
+      return socket.state() == QAbstractSocket::UnconnectedState;
+    }));
+    return got;
+  }
+  std::unique_ptr<http::Server> server;
+  QTcpSocket socket;
+};
+
+}  // namespace
+
+TEST_CASE("an answer that is ended before all its bytes are there is cut, and counts as a broken promise") {
+  Exchange exchange([](http::Server& server, std::uint64_t id) {
+    server.begin(id, 200, {}, 10);
+    server.piece(id, "1234");
+    server.finish(id);
+  });
+  CHECK_FALSE(exchange.untilCut().endsWith("1234567890"));
+  std::vector<std::string> const broken = core::PromiseCounts::ofThread().take();
+  REQUIRE(broken.size() == 1);
+  CHECK(broken[0] == "promise whole-answers broken 1 times, first: 6 bytes are missing");
+}
+
+TEST_CASE("a second head for one request cuts the connection, and counts as a broken promise") {
+  bool const whole = GENERATE(true, false);
+  Exchange exchange([whole](http::Server& server, std::uint64_t id) {
+    server.begin(id, 200, {}, 10);
+    if (whole)
+      server.answer(id, 503, {}, "late");
+    else
+      server.begin(id, 200, {}, 10);
+  });
+  CHECK(exchange.untilCut().count("HTTP/1.1") <= 1);
+  std::vector<std::string> const broken = core::PromiseCounts::ofThread().take();
+  REQUIRE(broken.size() == 1);
+  CHECK(broken[0].rfind("promise one-answer broken 1 times", 0) == 0);
+}
