Take corkward-chaos apart: its course, its failures, its judgement

Moved without change but for names (controller for sub), and judge() in the tests of control, left over from a renaming by machine.

--- a/control/test/operators.h
+++ b/control/test/operators.h
@@ -219,7 +219,7 @@
   std::string by(QJsonObject const& value) const {
     return core::str(value.value("extra").toObject().value("by").toString());
   }
-  void validator() {
+  void judge() {
     QJsonObject before;
     std::uint64_t revision = 0;
     std::map<std::string, std::string> takenOn;
--- a/control/test/resend_test.cpp
+++ b/control/test/resend_test.cpp
@@ -302,6 +302,6 @@
       CHECK(acknowledged(k.second.last));
     }
     CHECK(c.chain.size() == revisions);
-    c.validator();
+    c.judge();
   }
 }
--- a/control/test/whole_test.cpp
+++ b/control/test/whole_test.cpp
@@ -274,7 +274,7 @@
     for (core::Tick const until = c.now + 15000; c.now < until;) c.step();
     for (std::map<std::string, Membership::Member>::value_type const& m : c.members)
       CHECK(m.second.seen == c.chain.rbegin()->first);
-    c.validator();
+    c.judge();
     most = std::max(most, c.chain.size());
     for (std::map<std::string, Membership::Change>::value_type const& k : c.changes)
       taken += k.second.status == 200 || k.second.status == 201 ? 1 : 0;
--- /dev/null
+++ b/testing/fleet/chaos_judge.cpp
@@ -0,0 +1,158 @@
+// What the records of callers, replicas, operators and the platform must show.
+#include <algorithm>
+#include <fstream>
+#include <functional>
+#include <sstream>
+
+#include <corkward/core/json.h>
+
+#include "chaos_run.h"
+#include "clock.h"
+
+namespace corkward::testing {
+
+std::vector<Arrival> Chaos::arrivalsAt(Node const& r) const {
+  std::vector<Arrival> out;
+  std::ifstream file(r.record);
+  std::string line;
+  while (std::getline(file, line)) {
+    std::istringstream in(line);
+    Arrival a;
+    std::string more;
+    in >> a.at >> a.what >> a.run >> a.id >> more;
+    if (a.what != "run" && a.what != "resume" && a.what != "not-run") continue;
+    std::size_t const slash = more.find('/');
+    if (slash != std::string::npos) a.path = more.substr(slash + 1, more.rfind('/') - slash - 1);
+    out.push_back(a);
+  }
+  return out;
+}
+
+void Chaos::judge() {
+  result_.report = traffic_->report();
+  for (std::vector<std::unique_ptr<Tap>>* const taps : {&replicaTaps_, &callerTaps_})
+    for (std::unique_ptr<Tap> const& t : *taps) result_.harmed += t->harmed();
+  Report const& r = result_.report;
+  checkRuns();
+  if (r.badBodies > 0) violation(std::to_string(r.badBodies) + " bodies looked whole or joined and were not");
+  if (r.rejectedButRan > 0) violation(std::to_string(r.rejectedButRan) + " requests were rejected as not run and ran");
+  std::vector<std::pair<Tick, std::string>> all;
+  for (Node const& n : fleet_.replicas())
+    for (Arrival const& a : arrivalsAt(n)) {
+      if (a.id != "-") all.emplace_back(a.at, a.id);
+      if (!plan_.timed) continue;
+      for (Ban const& b : leaving_)
+        if (b.name == n.name && a.at > b.from + 3000 && (b.until < 0 || a.at < b.until))
+          violation(n.name + " was reached " + std::to_string(a.at - b.from) + " ms after it was shown leaving");
+      for (Ban const& b : zones_)
+        if (b.name == n.zone && a.at > b.from + 5000 && (b.until < 0 || a.at < b.until))
+          violation(n.name + " was reached " + std::to_string(a.at - b.from) +
+                    " ms after its zone's evacuation was acknowledged");
+      for (Put const& p : puts_)
+        if ((p.status == 200 || p.status == 201) && a.at > p.answeredAt + 2000 && revisionOf(a.path) > 0 &&
+            revisionOf(a.path) < p.revision)
+          violation(a.path + " reached a replica " + std::to_string(a.at - p.answeredAt) + " ms after " + p.mark +
+                    " was in force");
+    }
+  for (Node const& n : fleet_.replicas()) checkCold(n);
+  checkRepeats(all);
+  checkChanges();
+  checkPromises();
+  if (r.outcomes.count("served") == 0) violation("nothing was served");
+}
+
+void Chaos::checkPromises() {
+  for (std::vector<Node>* const group : {&fleet_.controllers(), &fleet_.routers()})
+    for (Node const& node : *group) {
+      std::ifstream log(fleet_.folder() + "/" + node.name + ".log");
+      std::string line;
+      while (std::getline(log, line))
+        for (char const* const bad : {"promise-broken", "broken invariant", "terminate called", "panic"})
+          if (line.find(bad) != std::string::npos) violation(node.name + ": " + line.substr(0, 300));
+    }
+}
+
+void Chaos::checkRuns() {
+  std::map<std::string, std::vector<std::pair<Tick, std::string>>> runs;
+  for (Node const& n : fleet_.replicas())
+    for (Arrival const& a : arrivalsAt(n))
+      if (a.what == "run" && a.id != "-") runs[a.id].emplace_back(a.at - began_, a.run);
+  for (std::map<std::string, std::vector<std::pair<Tick, std::string>>>::value_type const& r : runs) {
+    if (r.second.size() < 2) continue;
+    std::vector<CallerRecord> const& records = traffic_->records();
+    std::vector<CallerRecord>::const_iterator const caller =
+        std::find_if(records.begin(), records.end(), [&](CallerRecord const& c) { return c.id == r.first; });
+    bool const numbered = caller != records.end() && caller->numbered;
+    Tick const first = std::min_element(r.second.begin(), r.second.end())->first;
+    if (!numbered && outageAt_ >= 0 && first < outageAt_) continue;
+    std::string text = "request " + r.first + " ran twice:";
+    for (std::pair<Tick, std::string> const& k : r.second) text += " " + k.second + " at " + std::to_string(k.first);
+    violation(text + (numbered ? ", numbered" : ", unnumbered"));
+  }
+}
+
+qint64 Chaos::revisionOf(std::string const& mark) const {
+  for (Put const& p : puts_)
+    if (p.mark == mark && (p.pending || p.status == 200 || p.status == 201)) return p.revision;
+  return 0;
+}
+
+void Chaos::checkCold(Node const& n) {
+  if (!plan_.timed) return;
+  for (Ban const& b : cold_) {
+    if (b.name != n.name) continue;
+    std::vector<Tick> hits;
+    for (Arrival const& a : arrivalsAt(n))
+      if (a.at >= b.from && (b.until < 0 || a.at < b.until)) hits.push_back(a.at);
+    for (std::size_t i = 0; i + 7 < hits.size(); ++i)
+      if (hits[i + 7] - hits[i] < 3000)
+        violation(n.name + " was cold and had 8 requests in " + std::to_string(hits[i + 7] - hits[i]) + " ms");
+  }
+}
+
+void Chaos::checkRepeats(std::vector<std::pair<Tick, std::string>> all) {
+  std::sort(all.begin(), all.end());
+  std::set<std::string> seen;
+  std::vector<Tick> firsts;
+  std::vector<Tick> repeats;
+  for (std::pair<Tick, std::string> const& a : all)
+    (seen.insert(a.second).second ? firsts : repeats).push_back(a.first);
+  result_.repeats = repeats.size();
+  for (Tick const end : repeats) {
+    std::function<std::size_t(std::vector<Tick> const&)> const in = [end](std::vector<Tick> const& v) {
+      return static_cast<std::size_t>(std::upper_bound(v.begin(), v.end(), end) -
+                                      std::lower_bound(v.begin(), v.end(), end - 10000));
+    };
+    if (static_cast<double>(in(repeats)) > 0.2 * static_cast<double>(in(firsts)) + 20.0)
+      violation(std::to_string(in(repeats)) + " repeats over " + std::to_string(in(firsts)) +
+                " first hand-overs in 10 s");
+  }
+}
+
+void Chaos::checkChanges() {
+  std::map<std::string, int> accepted;
+  qint64 newest = 0;
+  for (Put const& p : puts_) {
+    bool const yes = p.status == 200 || p.status == 201 || p.pending;
+    if (yes && ++accepted[p.ifMatch] > 1)
+      violation("two changes built on revision " + p.ifMatch + " were both accepted");
+    if (yes) newest = std::max(newest, p.revision);
+  }
+  Reply const now =
+      fleet_.call(fleet_.firstController(), "GET", std::string("/v1/templates/") + fleet_.deployment().family);
+  qint64 const revision = now.body.value("stamp").toInteger();
+  if (now.status != 200) violation("the configuration could not be read back: " + std::to_string(now.status));
+  if (revision < newest)
+    violation("an acknowledged change is lost: revision " + std::to_string(revision) + " of " + std::to_string(newest));
+  bool told = newest == 0 || revision == 1;
+  for (Put const& p : puts_) {
+    bool const same = now.body.value("spec").toObject() == p.spec;
+    bool const rejected = p.status >= 400 && p.status < 500;
+    if (same && rejected) violation("a rejected change is what stands at the end: " + p.mark);
+    told = told ||
+           (same && !rejected && (revision > newest ? !(p.status >= 200 && p.status < 300) : p.revision == revision));
+  }
+  if (!told) violation("what stands at the end is no change that was acknowledged or left unknown");
+}
+
+}  // namespace corkward::testing
