Turn away at a drain what would outlast it

Cause: a node that leaves takes requests for 2.5 s more, until clients are sent elsewhere, whatever they take; a stream of 5 s and more that comes late in that time is cut at the drain's limit. Mend: a router knows how long each path's requests took here of late (the longest, fading by a 32nd with each served one) and while it leaves answers 503 with a time to come back to those that would outlast its drain; others are taken as before.

--- a/dataplane/include/corkward/dataplane/request_router.h
+++ b/dataplane/include/corkward/dataplane/request_router.h
@@ -466,6 +466,10 @@
   void addRow(std::string const& owner, std::string const& route, config::Path const& path,
               std::string const& instance);
   HandOver handOver(Tick now, CallId id);
+  /// How long the path's requests take here of late: the longest, which each one that is served lets fade.
+  void noteTaken(Call const& call, Tick took);
+  /// A request of the path that comes now would be cut by the end of the drain.
+  bool outlastsDrain(Tick now, config::Path const& path) const;
   void checkHandOver(Tick now, Call const& call, Tick left) const;
   /// Notes a request that ends without its whole answer, for the log and the counters.
   void noteFailure(Commands& out, Tick now, Call const& call, int status, std::string const& reason);
@@ -571,6 +575,8 @@
   gossip::PartialView partialView_;
   core::Journal journal_;
   FailureLog failures_;
+  /// Milliseconds that requests take, by instance and path.
+  std::map<std::pair<std::string, std::string>, Tick> taken_;
   Tick started_ = 0;
   bool draining_ = false;
   Tick drainedAt_ = 0;
--- a/dataplane/src/answers.cpp
+++ b/dataplane/src/answers.cpp
@@ -5,6 +5,15 @@
 
 namespace corkward::dataplane {
 
+namespace {
+
+/// Part of the longest time that a path's requests took which fades with each one that is served.
+constexpr Tick fadeOfTaken = 32;
+/// Paths whose times are remembered.
+constexpr std::size_t mostTaken = 4096;
+
+}  // namespace
+
 Commands RequestRouter::firstWord(Tick now, CallId id, bool runKnown) {
   Commands out;
   std::unordered_map<CallId, Call>::iterator const it = calls_.find(id);
@@ -73,6 +82,7 @@
   if (end == End::notRun) call.outstanding = false;
   if (end == End::whole) {
     count(now, "served");
+    noteTaken(call, now - call.arrived);
     record(out, now, call, Happened::served);
     drop(out, now, id);
     return out;
@@ -165,4 +175,18 @@
   return out;
 }
 
+void RequestRouter::noteTaken(Call const& call, Tick took) {
+  config::Path const& path = rows_[call.path].path;
+  Tick& usual = taken_[{path.instance, path.path}];
+  usual = std::max(took, usual - usual / fadeOfTaken);
+  if (taken_.size() > mostTaken) taken_.clear();
+}
+
+bool RequestRouter::outlastsDrain(Tick now, config::Path const& path) const {
+  if (!draining_ || tuning_.drainLimit <= 0) return false;
+  std::map<std::pair<std::string, std::string>, Tick>::const_iterator const it =
+      taken_.find({path.instance, path.path});
+  return it != taken_.end() && now + it->second > drainedAt_ + tuning_.drainLimit;
+}
+
 }  // namespace corkward::dataplane
--- a/dataplane/src/calls.cpp
+++ b/dataplane/src/calls.cpp
@@ -82,6 +82,10 @@
     return out;
   }
   Row const& row = rows_[path];
+  if (outlastsDrain(now, row.path)) {
+    reject(out, now, id, 503, "leaving before it could end", true, tuning_.comeBack);
+    return out;
+  }
   Call& mine = calls_[id];
   mine.pool = choosePool(now, row, id);
   mine.until = now + (request.deadline > 0 ? std::min(request.deadline, row.path.deadline) : row.path.deadline) -
