Answer a replay at once only when its key has no value

Now the key itself must have none. Hosted processes don't wait for changes to be in force and never come to this line.

--- a/control/src/controller.cpp
+++ b/control/src/controller.cpp
@@ -106,9 +106,9 @@
   if (it == calls_.end()) return;
   checkConfirmed(d, it->second.call);
   bool const replayed = d.body.value("replayed").toBool() && d.status < 300;
-  // A replay without a revision asks for what has always been, as lifting an evacuation that never was: no router can
-  // lack it, so there is nothing to wait for.
-  bool const settled = d.revision == 0 && (!replayed || d.body.value("stamp").toInteger() == 0);
+  // A replay of a key that has no value asks for what has always been, as lifting an evacuation that never was: no
+  // router can lack it, so there is nothing to wait for.
+  bool const settled = d.revision == 0 && (!replayed || committedRevision(d.key) == 0);
   if (!tuning_.awaitInForce || settled) {
     finish(out, now, d.token, d.status, d.body);
     return;
