--- a/control/src/controller.cpp
+++ b/control/src/controller.cpp
@@ -110,7 +110,9 @@
   // router can lack it, so there is nothing to wait for.
   bool const settled = d.revision == 0 && (!replayed || committedRevision(d.key) == 0);
   if (!tuning_.awaitInForce || settled) {
-    finish(out, now, d.token, d.status, d.body);
+    QJsonObject body = d.body;
+    if (tuning_.awaitInForce && replayed) body.insert("inForce", true);
+    finish(out, now, d.token, d.status, body);
     return;
   }
   Force f;
--- a/control/test/controller_test.cpp
+++ b/control/test/controller_test.cpp
@@ -86,6 +86,7 @@
   rig.run(3000);
   REQUIRE(rig.answers.count(lift) == 1);
   CHECK(rig.answers.at(lift).status == 200);
+  CHECK(rig.answers.at(lift).body.value("inForce").toBool());
 }
 
 TEST_CASE("a node that refuses the connection does not hold a change up") {
