Show that owners of signal handlers close a descriptor that is not theirs

Processes with one daemon have one owner and are not touched; the fuzzer plays twelve daemons in one process.

--- /dev/null
+++ b/programs/test/clock_test.cpp
@@ -0,0 +1,55 @@
+#include <catch2/catch.hpp>
+
+#include <QCoreApplication>
+#include <csignal>
+#include <fcntl.h>
+#include <memory>
+#include <unistd.h>
+#include <vector>
+
+#include "clock.h"
+
+namespace programs = corkward::programs;
+
+namespace {
+
+void application() {
+  static int argc = 0;
+  static QCoreApplication app(argc, nullptr);
+}
+
+bool open(int descriptor) {
+  return ::fcntl(descriptor, F_GETFD) >= 0;
+}
+
+}  // namespace
+
+TEST_CASE("owners of signal handlers that come and go in one process close no descriptor but their own") {
+  application();
+  bool const held = GENERATE(false, true);
+  if (held) programs::holdReloads();
+  std::unique_ptr<QObject> first = std::make_unique<QObject>();
+  std::unique_ptr<QObject> second = std::make_unique<QObject>();
+  for (QObject* const owner : {first.get(), second.get()}) {
+    programs::onTermination(owner, [] {});
+    programs::onReload(owner, [] {});
+  }
+  first.reset();
+  // Takes the numbers that the first owner's pipes had.
+  std::vector<int> others;
+  for (int i = 0; i < 8; ++i) others.push_back(::dup(STDERR_FILENO));
+  second.reset();
+  for (int const other : others) CHECK(open(other));
+  for (int const other : others) ::close(other);
+}
+
+TEST_CASE("a reload that comes before there is an owner is told to it, once") {
+  application();
+  programs::holdReloads();
+  REQUIRE(::raise(SIGHUP) == 0);
+  int reloads = 0;
+  QObject owner;
+  programs::onReload(&owner, [&] { ++reloads; });
+  for (int i = 0; i < 5; ++i) QCoreApplication::processEvents();
+  CHECK(reloads == 1);
+}
