Give each owner of signal handlers a pipe of its own

Mend: a pipe that was only held for reloads goes to the first owner; any other owner makes its own, and closes its own ends alone. Looked for the same cause: the witness of an upstream connection is closed once and marked.

--- a/programs/common/clock.cpp
+++ b/programs/common/clock.cpp
@@ -12,39 +12,49 @@
 
 namespace {
 
-int endPipe[2] = {-1, -1};
-int reloadPipe[2] = {-1, -1};
+/// Where a signal's handler notes that it came. It belongs to the newest owner; each owner closes its own ends alone.
+struct SignalPipe {
+  int ends[2] = {-1, -1};
+  /// An owner reads from it already.
+  bool owned = false;
+};
+
+SignalPipe endPipe;
+SignalPipe reloadPipe;
 
 void caught(int number) {
   char const byte = 1;
-  ssize_t const n = ::write(number == SIGHUP ? reloadPipe[1] : endPipe[1], &byte, 1);
+  ssize_t const n = ::write(number == SIGHUP ? reloadPipe.ends[1] : endPipe.ends[1], &byte, 1);
   static_cast<void>(n);
 }
 
-/// Notes the signals in the pipe from here on; a pipe that is there already stays, with what waits in it.
-bool catchSignals(int (&ends)[2], std::initializer_list<int> numbers) {
-  if (ends[0] < 0 && ::pipe(ends) != 0) return false;
+/// Notes the signals in the pipe from here on. One that nobody owns yet stays, with what waits in it.
+bool catchSignals(SignalPipe& pipe, std::initializer_list<int> numbers) {
+  bool const waiting = pipe.ends[0] >= 0 && !pipe.owned;
+  if (!waiting && ::pipe(pipe.ends) != 0) return false;
+  pipe.owned = false;
   struct sigaction action {};
   action.sa_handler = caught;
   for (int const number : numbers) ::sigaction(number, &action, nullptr);
   return true;
 }
 
-void onSignals(QObject* owner, int (&ends)[2], std::initializer_list<int> numbers,
+void onSignals(QObject* owner, SignalPipe& pipe, std::initializer_list<int> numbers,
                std::function<void()> const& function) {
-  if (!catchSignals(ends, numbers)) return;
-  QSocketNotifier* const notifier = new QSocketNotifier(ends[0], QSocketNotifier::Read, owner);
-  int const readEnd = ends[0];
+  if (!catchSignals(pipe, numbers)) return;
+  pipe.owned = true;
+  int const readEnd = pipe.ends[0];
+  int const writeEnd = pipe.ends[1];
+  QSocketNotifier* const notifier = new QSocketNotifier(readEnd, QSocketNotifier::Read, owner);
   QObject::connect(notifier, &QSocketNotifier::activated, owner, [function, readEnd] {
     char byte = 0;
     ssize_t const n = ::read(readEnd, &byte, 1);
     if (n == 1) function();
   });
   // Not before the notifier is gone, which is the owner's child.
-  int const writeEnd = ends[1];
-  int* const named = ends;
+  SignalPipe* const named = &pipe;
   QObject::connect(notifier, &QObject::destroyed, [readEnd, writeEnd, named] {
-    if (named[1] == writeEnd) named[0] = named[1] = -1;
+    if (named->ends[1] == writeEnd) *named = SignalPipe();
     ::close(readEnd);
     ::close(writeEnd);
   });
