Show that the check of one value per revision cannot fire

Cause: Controller::checkCommitted compares the committed value with what Registers holds as committed, which is the very value: Registers::commit has left already when the revision is one that it knows. Found by reading each of the twelve checks for a way to make it fire, after nine of them were not shown to.

The new test tells a member a second value under a committed revision: 0 broken promises are counted in place of 1.

--- a/consensus/test/registers_test.cpp
+++ b/consensus/test/registers_test.cpp
@@ -2,6 +2,8 @@
 
 #include <iostream>
 
+#include <corkward/core/promises.h>
+
 #include "cluster.h"
 
 namespace core = corkward::core;
@@ -568,3 +570,20 @@
   CHECK(decided.front().token == 77);
   CHECK(decided.front().status == 200);
 }
+
+TEST_CASE("a second value under a revision that is committed breaks a promise, and the first one stays") {
+  Cluster cluster(5);
+  moor(cluster, three);
+  consensus::Registers& member = cluster.at("a");
+  consensus::Committed const before = member.committed().at("k");
+  core::PromiseCounts& counts = core::PromiseCounts::ofThread();
+  transport::Commit again{{}, {"k", before.revision, before.value}};
+  member.arrived(cluster.now, "b", again);
+  CHECK(counts.take().empty());
+  again.item.value.insert("other", true);
+  member.arrived(cluster.now, "b", again);
+  std::vector<std::string> const told = counts.take();
+  REQUIRE(told.size() == 1);
+  CHECK_THAT(told.front(), Catch::Contains("one-value-per-revision"));
+  CHECK(member.committed().at("k").value == before.value);
+}
