--- a/config/include/corkward/config/config.h
+++ b/config/include/corkward/config/config.h
@@ -108,6 +108,8 @@
 
 /// Key of the whole configuration.
 inline constexpr char const* wholeKey = "blueprint";
+/// Page at which operators read and change it.
+inline constexpr char const* wholePage = "/v1/blueprint";
 
 /// Reads and checks a whole configuration; throws Error.
 Whole readWhole(QJsonObject const& spec);
--- a/control/src/validator.cpp
+++ b/control/src/validator.cpp
@@ -456,8 +456,8 @@
 }  // namespace
 
 std::optional<Target> targetOf(std::string const& path) {
+  if (path == config::wholePage) return Target{config::wholeKey, "", ""};
   std::vector<std::string> const parts = split(path);
-  if (parts.size() == 2 && parts[0] == "v1" && parts[1] == "blueprint") return Target{config::wholeKey, "", ""};
   if (parts.size() == 2 && parts[0] == "v1" && parts[1] == "certificates") return Target{config::regimesKey, "", ""};
   if (parts.size() < 3 || parts[0] != "v1") return std::nullopt;
   if (parts[1] == "certificates" && parts.size() == 3 && config::validName(parts[2]))
--- a/control/test/cut_test.cpp
+++ b/control/test/cut_test.cpp
@@ -108,16 +108,15 @@
   int statusOf(std::uint64_t call) const { return answers.count(call) > 0 ? answers.at(call).status : 0; }
 };
 
-std::string const configurationPage = "/v1/blueprint";
 std::string const configuration = R"({"version":1,"paths":[],"pools":[]})";
 std::string const malformed = R"({"version":1,"surprise":1})";
 
 /// Every kind of question whose answer rests on state, at the controller of that name.
 std::vector<std::uint64_t> askAll(ThreeControllers& fleet, std::string const& at) {
-  return {fleet.call(at, "GET", configurationPage),
-          fleet.call(at, "PUT", configurationPage, configuration, "7"),
-          fleet.call(at, "PUT", configurationPage, malformed, "1"),
-          fleet.call(at, "PATCH", configurationPage, "{}", "7"),
+  return {fleet.call(at, "GET", config::wholePage),
+          fleet.call(at, "PUT", config::wholePage, configuration, "7"),
+          fleet.call(at, "PUT", config::wholePage, malformed, "1"),
+          fleet.call(at, "PATCH", config::wholePage, "{}", "7"),
           fleet.call(at, "PUT", "/v1/evacuations/z1"),
           fleet.call(at, "DELETE", "/v1/evacuations/z1"),
           fleet.call(at, "GET", "/v1/changes/unknown"),
@@ -129,7 +128,7 @@
 TEST_CASE("a controller that is cut off answers within the caller's second, serves nothing and refuses nothing") {
   for (core::Tick const since : {0, 5, 150, 700, 1300, 1600, 5000, 20000}) {
     ThreeControllers fleet;
-    std::uint64_t const base = fleet.call("s1", "PUT", configurationPage, configuration, "0");
+    std::uint64_t const base = fleet.call("s1", "PUT", config::wholePage, configuration, "0");
     fleet.run(2000);
     REQUIRE((fleet.statusOf(base) == 200 || fleet.statusOf(base) == 201));
     fleet.cutOff = "s1";
@@ -147,11 +146,11 @@
 
 TEST_CASE("after the cut the same controller answers again, and from what was chosen meanwhile") {
   ThreeControllers fleet;
-  fleet.call("s1", "PUT", configurationPage, configuration, "0");
+  fleet.call("s1", "PUT", config::wholePage, configuration, "0");
   fleet.run(2000);
   fleet.cutOff = "s1";
   fleet.run(3000);
-  std::uint64_t const other = fleet.call("s2", "PUT", configurationPage, R"({"version":2,"paths":[],"pools":[]})", "1");
+  std::uint64_t const other = fleet.call("s2", "PUT", config::wholePage, R"({"version":2,"paths":[],"pools":[]})", "1");
   fleet.run(17000);
   REQUIRE((fleet.statusOf(other) == 200 || fleet.statusOf(other) == 201));
   std::string const changeId = "c" + std::to_string(other);
@@ -159,7 +158,7 @@
   std::uint64_t const change = fleet.call("s1", "GET", "/v1/changes/" + changeId);
   fleet.run(callerWaits);
   CHECK((fleet.statusOf(change) == 200 || fleet.statusOf(change) == 503));
-  std::uint64_t const read = fleet.call("s1", "GET", configurationPage);
+  std::uint64_t const read = fleet.call("s1", "GET", config::wholePage);
   std::uint64_t const again = fleet.call("s1", "GET", "/v1/changes/" + changeId);
   fleet.run(callerWaits);
   CHECK(fleet.statusOf(read) == 200);
@@ -169,7 +168,7 @@
 
 TEST_CASE("a router that starts beside a controller that is cut off gets no first snapshot there") {
   ThreeControllers fleet;
-  fleet.call("s1", "PUT", configurationPage, configuration, "0");
+  fleet.call("s1", "PUT", config::wholePage, configuration, "0");
   fleet.run(2000);
   fleet.cutOff = "s1";
   fleet.run(200);
@@ -185,7 +184,7 @@
 
 TEST_CASE("a router that restarts asks for its snapshot anew, whatever its former life had asked") {
   ThreeControllers fleet;
-  fleet.call("s1", "PUT", configurationPage, configuration, "0");
+  fleet.call("s1", "PUT", config::wholePage, configuration, "0");
   fleet.run(2000);
   fleet.cutOff = "s1";
   fleet.run(30);
--- a/control/test/operators.h
+++ b/control/test/operators.h
@@ -20,7 +20,7 @@
 namespace corkward::control {
 
 /// Page of the whole configuration.
-inline constexpr char const* page = "/v1/blueprint";
+inline constexpr char const* page = config::wholePage;
 
 inline QJsonObject pathRow(std::string const& name, std::string const& pool = "big") {
   return QJsonObject{{"name", core::qstr(name)}, {"host", "h"},        {"prefix", core::qstr("/" + name + "/")},
--- a/dataplane/test/grey_test.cpp
+++ b/dataplane/test/grey_test.cpp
@@ -6,10 +6,12 @@
 #include <map>
 #include <set>
 
+#include <corkward/config/config.h>
 #include <corkward/core/json.h>
 #include <corkward/dataplane/request_router.h>
 #include <corkward/dataplane/stream.h>
 
+namespace config = corkward::config;
 namespace core = corkward::core;
 namespace dataplane = corkward::dataplane;
 namespace transport = corkward::transport;
@@ -70,7 +72,7 @@
     transport::News news;
     news.number = 1;
     news.whole = true;
-    news.items = {{"blueprint", 1, QJsonObject{{"spec", spec}}},
+    news.items = {{config::wholeKey, 1, QJsonObject{{"spec", spec}}},
                   {"pool:model", 1, QJsonObject{{"generation", 1}, {"replicas", list}}}};
     run(reducer.arrived(now, "s1", news));
   }
--- a/dataplane/test/prompt_test.cpp
+++ b/dataplane/test/prompt_test.cpp
@@ -3,9 +3,11 @@
 #include <QJsonArray>
 #include <set>
 
+#include <corkward/config/config.h>
 #include <corkward/core/json.h>
 #include <corkward/dataplane/request_router.h>
 
+namespace config = corkward::config;
 namespace core = corkward::core;
 namespace dataplane = corkward::dataplane;
 namespace transport = corkward::transport;
@@ -45,7 +47,7 @@
     transport::News news;
     news.number = 1;
     news.whole = true;
-    news.items = {{"blueprint", 1, QJsonObject{{"spec", spec}}},
+    news.items = {{config::wholeKey, 1, QJsonObject{{"spec", spec}}},
                   {"pool:model", 1, QJsonObject{{"generation", 1}, {"replicas", list}}}};
     reducer.arrived(now, "s1", news);
   }
--- a/programs/cli/declare.cpp
+++ b/programs/cli/declare.cpp
@@ -7,6 +7,7 @@
 #include <iostream>
 #include <map>
 
+#include <corkward/config/config.h>
 #include <corkward/config/regimes.h>
 #include <corkward/core/json.h>
 #include <corkward/core/types.h>
@@ -257,7 +258,7 @@
     for (QJsonValue const v : read(ask, "/v1/templates").body.value("templates").toArray())
       families.try_emplace(core::str(v.toString()));
   std::map<std::string, bool> pools;
-  for (QJsonValue const p : read(ask, "/v1/blueprint").body.value("spec").toObject().value("pools").toArray())
+  for (QJsonValue const p : read(ask, config::wholePage).body.value("spec").toObject().value("pools").toArray())
     pools[core::str(p.toObject().value("name").toString())] = true;
   OperatorOutcome const inForce = read(ask, certificatesPath);
   Known known{[&](std::string const& pool) {
--- a/programs/cli/main.cpp
+++ b/programs/cli/main.cpp
@@ -94,7 +94,7 @@
   if (c == "revoke") return {"DELETE", "/v1/certificates/" + words[1], ""};
   if (c == "node-gone") return {"DELETE", "/v1/nodes/" + words[1], ""};
   bool const body = method == "PUT" || method == "PATCH";
-  if (c.rfind("blueprint-", 0) == 0) return {method, "/v1/blueprint", body ? words[1] : ""};
+  if (c.rfind("blueprint-", 0) == 0) return {method, config::wholePage, body ? words[1] : ""};
   if (c.rfind("certificates-", 0) == 0) return {method, "/v1/certificates", body ? words[1] : ""};
   if (c.rfind("pool-", 0) == 0)
     return {method, "/v1/platform/pools/" + config::addressPart(words[1]), body ? words[2] : ""};
--- a/testing/sim/orders.cpp
+++ b/testing/sim/orders.cpp
@@ -10,7 +10,6 @@
 
 namespace {
 
-constexpr char const* wholePath = "/v1/blueprint";
 /// An operator takes so long a silence for no answer, and gives an order up after so long in all.
 constexpr Tick silence = 1000;
 constexpr Tick orderPatience = 20000;
@@ -123,7 +122,7 @@
   if (++o.copies > 1) ++result_.counts["order-resends"];
   transport::Call call;
   call.method = "PUT";
-  call.path = wholePath;
+  call.path = config::wholePage;
   call.ifMatch = o.base;
   call.changeId = o.id;
   if (plan_.mutation == Mutation::rebaseOrders && o.copies > 1) call.ifMatch = std::to_string(confirmedVersion_);
@@ -218,7 +217,7 @@
   Order const& o = orders_[ix];
   transport::Call call;
   call.method = "PUT";
-  call.path = wholePath;
+  call.path = config::wholePage;
   call.ifMatch = o.base;
   call.changeId = o.id;
   call.body = resentBody(o);
@@ -248,7 +247,7 @@
   }
   transport::Call call;
   call.method = "GET";
-  call.path = wholePath;
+  call.path = config::wholePage;
   ask(link, call, 10000,
       [this, link, confirmed](int status, QJsonObject const& body) { checkRead(link, confirmed, status, body); });
 }
@@ -306,7 +305,7 @@
   if (link.empty()) return;
   transport::Call call;
   call.method = "GET";
-  call.path = wholePath;
+  call.path = config::wholePage;
   ask(link, call, 10000, [this](int status, QJsonObject const& body) {
     std::uint64_t const version = static_cast<std::uint64_t>(body.value("version").toInteger());
     if (!success(status) && confirmedVersion_ > 0)
