Show that the check of current-when-served cannot fire

Cause: the stamp that was committed when a read came is taken from the field 'stamp' of the key's value, which no key's value has at its top; 0 is compared, which no answer is below.

--- a/control/test/cut_test.cpp
+++ b/control/test/cut_test.cpp
@@ -6,6 +6,7 @@
 #include <string>
 
 #include <corkward/core/json.h>
+#include <corkward/core/promises.h>
 
 #include "rig.h"
 
@@ -39,6 +40,8 @@
   std::map<std::string, int> snapshots;
   /// Called with the news that any controller sends to a router.
   std::function<void(transport::News const&)> heard;
+  /// Called with each answer that one controller sends to another, before it is sent.
+  std::function<void(transport::CallResponse&)> relayed;
   std::uint64_t token = 1;
 
   ThreeControllers() {
@@ -59,7 +62,11 @@
       events.emplace(now + diskDelay, [this, link, ticket = p.ticket] {
         take(link, members.at(link).reducer->written(now, ticket, true));
       });
-    for (transport::Send const& s : c.sends) deliver(link, s);
+    for (transport::Send& s : c.sends) {
+      transport::CallResponse* const response = std::get_if<transport::CallResponse>(&s.message);
+      if (response != nullptr && relayed) relayed(*response);
+      deliver(link, s);
+    }
     for (control::Answer const& a : c.answers) {
       answers[a.token] = a;
       answeredAt[a.token] = now;
@@ -271,3 +278,45 @@
       CHECK(listsThatCameBack(cutOff, leavesAfter) == std::vector<std::string>());
     }
 }
+
+TEST_CASE("an owner's answer that is older than what was committed when it was asked for breaks a promise") {
+  ThreeControllers fleet;
+  std::string const name = "/v1/templates/desk";
+  std::string const desk = R"({"paths":[{"path":"a","pool":"big","class":"short"}]})";
+  for (int change = 0; change < 2; ++change) {
+    std::string const version = std::to_string(change + 1);
+    std::string const whole = R"({"version":)" + version + R"(,"paths":[],"pools":[{"name":"big"}]})";
+    std::uint64_t const first = fleet.call("s1", "PUT", config::wholePage, whole, std::to_string(change));
+    fleet.run(2000);
+    REQUIRE(fleet.statusOf(first) < 300);
+  }
+  std::uint64_t const ordered = fleet.call("s1", "PUT", "/v1/evacuations/z1");
+  std::uint64_t const made = fleet.call("s1", "PUT", name, desk, "0");
+  fleet.run(2000);
+  REQUIRE(fleet.statusOf(ordered) < 300);
+  REQUIRE(fleet.statusOf(made) == 201);
+  core::PromiseCounts::ofThread().take();
+  int altered = 0;
+  bool older = false;
+  fleet.relayed = [&](transport::CallResponse& response) {
+    if (!response.body.contains("stamp")) return;
+    ++altered;
+    if (older) response.body.insert("stamp", response.body.value("stamp").toInteger() - 1);
+  };
+  for (std::string const& page : {std::string(config::wholePage), std::string("/v1/evacuations/z1"), name}) {
+    INFO(page);
+    for (bool const tamper : {false, true}) {
+      altered = 0;
+      older = tamper;
+      for (char const* const link : {"s1", "s2", "s3"}) {
+        std::uint64_t const read = fleet.call(link, "GET", page);
+        fleet.run(500);
+        CHECK(fleet.statusOf(read) == 200);
+      }
+      CHECK(altered == 2);
+      std::vector<std::string> const broken = core::PromiseCounts::ofThread().take();
+      REQUIRE(broken.size() == (tamper ? 1 : 0));
+      if (tamper) CHECK_THAT(broken.front(), Catch::Contains("current-when-served broken 2 times"));
+    }
+  }
+}
