Compare what a read tells with what was committed when it came

Mend: the stamp committed at the asking is the key's revision, or, for templates and instances, which tell a stamp of their own, that of the page that is read. No behaviour but the check changes.

--- a/control/include/corkward/control/controller.h
+++ b/control/include/corkward/control/controller.h
@@ -112,7 +112,7 @@
     Tick since = 0;
     Tick sentAt = 0;
     bool forwarded = false;
-    /// Stamp of the key's value that was committed here when the call came; 0: none.
+    /// Stamp that a read of the page would have told when the call came, by what was committed here; 0: none.
     std::uint64_t knownWhenAsked = 0;
   };
   /// A question that this controller answers from what it knows, once that is confirmed.
@@ -203,7 +203,9 @@
   void considerRoster(Commands& out, Tick now);
   bool rosterSettled(Tick now) const;
   std::uint64_t committedRevision(std::string const& key) const;
-  std::uint64_t committedStamp(std::string const& key) const;
+  /// Stamp that a read of the target would tell by what is committed here: its own in a family, else its key's
+  /// revision; 0: there is none.
+  std::uint64_t committedStamp(Target const& target) const;
   std::uint64_t generationOf(std::string const& pool) const;
   void on(Commands& out, Tick now, std::string const& from, transport::Hint const& m);
   void hint(Commands& out, Tick now, std::string const& pool, config::Pool const& list);
--- a/control/src/controller.cpp
+++ b/control/src/controller.cpp
@@ -206,7 +206,7 @@
     state.call.token = id;
     if (target->key.rfind(zonePrefix, 0) == 0) state.call.ifMatch = std::to_string(committedRevision(target->key));
     state.since = now;
-    state.knownWhenAsked = committedStamp(target->key);
+    state.knownWhenAsked = committedStamp(*target);
     calls_[id] = state;
     if (call.method == "PUT" && pool && !call.dryRun) {
       try {
@@ -272,7 +272,7 @@
   state.call = m;
   state.call.token = id;
   state.since = now;
-  state.knownWhenAsked = committedStamp(target->key);
+  state.knownWhenAsked = committedStamp(*target);
   calls_[id] = state;
   route(out, now, id);
 }
--- a/control/src/promise_checks.cpp
+++ b/control/src/promise_checks.cpp
@@ -37,10 +37,16 @@
   if (all.size() > confirmedKept) all.pop_front();
 }
 
-std::uint64_t Controller::committedStamp(std::string const& key) const {
-  std::map<std::string, consensus::Committed>::const_iterator const it = registers_.committed().find(key);
-  return it == registers_.committed().end() ? 0
-                                            : static_cast<std::uint64_t>(it->second.value.value("stamp").toInteger());
+std::uint64_t Controller::committedStamp(Target const& target) const {
+  std::map<std::string, consensus::Committed>::const_iterator const it = registers_.committed().find(target.key);
+  if (it == registers_.committed().end()) return 0;
+  bool const ofFamily = !target.templateName.empty();
+  if (!ofFamily) return it->second.revision;
+  QJsonObject const& family = it->second.value;
+  QJsonValue const row = target.instance.empty()
+                             ? family.value("template")
+                             : family.value("instances").toObject().value(core::qstr(target.instance));
+  return static_cast<std::uint64_t>(row.toObject().value("stamp").toInteger());
 }
 
 void Controller::checkServed(CallState const& state, int status, QJsonObject const& body) const {
