Test that a request is handed over with the time that its caller has left

Cause: a gap in the tests, not a fault of the product; the new case passes on the code as it is (450 of 1,000 ms left after 150 ms of reading and 400 ms of waiting).

--- a/dataplane/test/request_router_test.cpp
+++ b/dataplane/test/request_router_test.cpp
@@ -94,6 +94,24 @@
 
 }  // namespace
 
+TEST_CASE("a request is handed over with the time that its caller has left") {
+  Rig rig;
+  dataplane::Request request;
+  request.call = rig.next++;
+  request.instance = "desk.nord";
+  request.path = "a";
+  request.id = "waited";
+  request.deadline = 1000;
+  request.readFor = 150;
+  REQUIRE(Rig::find<dataplane::Connect>(rig.reducer.request(rig.now, request)) != nullptr);
+  rig.now += 400;
+  rig.confirm();
+  dataplane::Commands const connected = rig.reducer.connected(rig.now, request.call);
+  dataplane::HandOver const* const handOver = Rig::find<dataplane::HandOver>(connected);
+  REQUIRE(handOver != nullptr);
+  CHECK(handOver->left == 450);
+}
+
 TEST_CASE("a node that leaves takes what it can finish, and nothing that may be cut") {
   dataplane::Tuning tuning;
   tuning.drainServe = 2500;
