Show that a connection which the rig's relay keeps dark never ends

Neither relay nor caller ever gives such a one up, as any real caller does.

Ruled out: the router (it has no such connection), http's upstream connection (read for a way to end without an event: none found), the relay's cuts and holds.

--- a/testing/fleet/tap.cpp
+++ b/testing/fleet/tap.cpp
@@ -32,7 +32,8 @@
 
 }  // namespace
 
-Tap::Tap(std::string const& target, std::string const& ip, std::uint64_t seed) : target_(target), rng_(seed) {
+Tap::Tap(std::string const& target, std::string const& ip, std::uint64_t seed, int darkMs)
+    : target_(target), rng_(seed), darkMs_(darkMs) {
   server_.setListenBacklogSize(512);
   if (!server_.listen(QHostAddress(QString::fromStdString(ip)), 0)) throw http::Error("no free port at " + ip);
   address_ = ip + ":" + std::to_string(server_.serverPort());
@@ -90,7 +91,10 @@
       if (k && k->b->state() == QAbstractSocket::UnconnectedState && !k->bClosed) end(k, true);
     });
     std::pair<std::string, std::uint16_t> const at = http::splitAddress(target_);
-    if (p->way != Way::dark) p->b->connectToHost(QHostAddress(QString::fromStdString(at.first)), at.second);
+    if (p->way == Way::dark)
+      ++dark_;
+    else
+      p->b->connectToHost(QHostAddress(QString::fromStdString(at.first)), at.second);
   }
 }
 
--- a/testing/fleet/tap.h
+++ b/testing/fleet/tap.h
@@ -18,7 +18,10 @@
 /// once.
 class Tap : public QObject {
  public:
-  Tap(std::string const& target, std::string const& ip, std::uint64_t seed);
+  /// Time after which a connection that is kept dark is reset, as a caller or a network on the way gives it up.
+  static constexpr int darkForMs = 15000;
+
+  Tap(std::string const& target, std::string const& ip, std::uint64_t seed, int darkMs = darkForMs);
   ~Tap() override;
   std::string const& address() const { return address_; }
   /// Share of new connections that harm is done to.
@@ -31,6 +34,8 @@
   /// Lets nothing pass for a while; what waited goes on after.
   void hold(bool on);
   std::size_t harmed() const { return harmed_; }
+  /// Of the harmed connections those that were kept dark.
+  std::size_t dark() const { return dark_; }
 
  private:
   enum class Way { pass, cutUp, cutDown, stall, trickle, dark, garbage };
@@ -48,6 +53,8 @@
   bool cut_ = false;
   bool held_ = false;
   std::size_t harmed_ = 0;
+  std::size_t dark_ = 0;
+  int darkMs_ = darkForMs;
   std::set<std::string> cutSenders_;
   std::map<Pair*, std::shared_ptr<Pair>> pairs_;
 };
--- /dev/null
+++ b/testing/test/tap_test.cpp
@@ -0,0 +1,57 @@
+#include <catch2/catch.hpp>
+
+#include <QCoreApplication>
+#include <QElapsedTimer>
+#include <QHostAddress>
+#include <QTcpServer>
+#include <QTcpSocket>
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "tap.h"
+
+namespace testing = corkward::testing;
+
+namespace {
+
+constexpr std::size_t connections = 60;
+constexpr int darkMs = 50;
+constexpr int limitMs = 10000;
+
+void application() {
+  static int argc = 0;
+  static QCoreApplication app(argc, nullptr);
+}
+
+}  // namespace
+
+TEST_CASE("a connection that the relay keeps dark ends after a time", "[tap]") {
+  application();
+  // Takes connections and never answers, and nothing is sent, so that only the relay can end them.
+  QTcpServer silent;
+  REQUIRE(silent.listen(QHostAddress::LocalHost));
+  testing::Tap tap("127.0.0.1:" + std::to_string(silent.serverPort()), "127.0.0.1", 3, darkMs);
+  tap.harm(1.0);
+  std::string const port = tap.address().substr(tap.address().rfind(':') + 1);
+  std::vector<std::unique_ptr<QTcpSocket>> callers;
+  for (std::size_t i = 0; i < connections; ++i) {
+    callers.push_back(std::make_unique<QTcpSocket>());
+    callers.back()->connectToHost(QHostAddress::LocalHost, static_cast<quint16>(std::stoi(port)));
+  }
+  std::function<std::size_t()> const ended = [&] {
+    return static_cast<std::size_t>(
+        std::count_if(callers.begin(), callers.end(), [](std::unique_ptr<QTcpSocket> const& caller) {
+          return caller->state() == QAbstractSocket::UnconnectedState;
+        }));
+  };
+  QElapsedTimer clock;
+  clock.start();
+  while ((tap.harmed() < connections || ended() < tap.dark()) && clock.elapsed() < limitMs)
+    QCoreApplication::processEvents(QEventLoop::AllEvents | QEventLoop::WaitForMoreEvents, 20);
+  CHECK(tap.harmed() == connections);
+  CHECK(tap.dark() > 0);
+  CHECK(ended() == tap.dark());
+}
