Reset a connection that the rig's relay keeps dark after 15 s

Mend: the relay gives a dark connection up, as a network or a caller on the way would, within the callers' 20 s, so that they try again; a router that held a caller for good would still break the run off, as callers have no limit of their own. Not taken: a limit in the callers, which would hide just that.

--- a/testing/fleet/tap.cpp
+++ b/testing/fleet/tap.cpp
@@ -91,10 +91,14 @@
       if (k && k->b->state() == QAbstractSocket::UnconnectedState && !k->bClosed) end(k, true);
     });
     std::pair<std::string, std::uint16_t> const at = http::splitAddress(target_);
-    if (p->way == Way::dark)
-      ++dark_;
-    else
+    if (p->way != Way::dark) {
       p->b->connectToHost(QHostAddress(QString::fromStdString(at.first)), at.second);
+      continue;
+    }
+    ++dark_;
+    QTimer::singleShot(darkMs_, p->a, [this, weak] {
+      if (std::shared_ptr<Pair> const k = weak.lock()) end(k, true);
+    });
   }
 }
 
