--- a/config/include/corkward/config/config.h
+++ b/config/include/corkward/config/config.h
@@ -74,6 +74,23 @@
   int urgency = 5;
   /// Regime whose certificates bind each request; empty: none.
   std::string regime;
+  /// Requests need no tenant's key.
+  bool open = false;
+};
+
+/// A tenant of the whole configuration: who sends with one of its keys, how urgent that is, and how much it may send.
+struct Tenant {
+  std::string name;
+  std::vector<std::string> keys;
+  /// Rank of its requests, in place of the paths' own; below 0: not said.
+  int urgency = -1;
+  /// What it may send in a second and beyond that at once, over all nodes together; 0: no limit.
+  double perSecond = 0;
+  double burst = 0;
+  /// Its limit counts tokens, those of the prompt and those asked for; else requests.
+  bool inTokens = false;
+  /// Tokens that a request counts as which does not say how many it has.
+  std::int64_t plainTokens = 0;
 };
 
 /// What the whole configuration says of a pool.
@@ -103,6 +120,8 @@
   std::uint64_t version = 0;
   std::vector<Path> paths;
   std::vector<PoolTerms> pools;
+  /// None: no request needs a key.
+  std::vector<Tenant> tenants;
   HttpTerms http;
 };
 
@@ -114,13 +133,16 @@
 /// Reads and checks a whole configuration; throws Error.
 Whole readWhole(QJsonObject const& spec);
 /// The whole configuration after a change of named items:
-/// {"version", "set": {"paths": [...], "pools": [...]}, "drop": {"paths": [names], "pools": [names]}}; throws Error.
+/// {"version", "set": {"paths": [...], "pools": [...], "tenants": [...]}, "drop": {"paths": [names], ...}}; throws
+/// Error.
 QJsonObject patchWhole(QJsonObject const& current, QJsonObject const& patch);
 
 /// Limits of a configuration; texts in bytes.
 inline constexpr std::size_t maxText = 128;
 inline constexpr std::size_t maxPools = 2000;
 inline constexpr std::size_t maxPaths = 10000;
+inline constexpr std::size_t maxTenants = 10000;
+inline constexpr std::size_t maxTenantKeys = 1000;
 inline constexpr std::size_t maxInstances = 2000;
 inline constexpr std::size_t maxRendered = 100000;
 inline constexpr std::size_t changeWindow = 64;
--- a/config/src/whole.cpp
+++ b/config/src/whole.cpp
@@ -136,7 +136,7 @@
 Path readPath(QJsonObject const& row, PoolNames const& pools, std::string const& at) {
   onlyFields(row,
              {"name", "host", "prefix", "kind", "deadlineMs", "aimMs", "gapAimMs", "urgency", "tries", "resumable",
-              "affine", "pool", "shares", "extra"},
+              "affine", "pool", "shares", "open", "extra"},
              at);
   Path out;
   out.instance = text(row, "name", maxText, at);
@@ -164,12 +164,69 @@
   out.resumable = flag(row, "resumable", at) && out.stream;
   out.repeatable = found->repeatable || out.resumable;
   flag(row, "affine", at);
+  out.open = flag(row, "open", at);
   out.shares = readShares(row, pools, at);
   out.pool = out.shares.front().pool;
   objectIfSaid(row, "extra", at);
   return out;
 }
 
+double amount(QJsonObject const& o, char const* name, std::string const& at) {
+  QJsonValue const v = o.value(QLatin1String(name));
+  if (v.isUndefined() || v.isNull()) return 0;
+  double const out = v.toDouble(-1);
+  if (!(out >= 0 && out <= static_cast<double>(mostNumber)))
+    throw Error(at + "/" + name, "must be a number, 0 to " + std::to_string(mostNumber));
+  return out;
+}
+
+std::vector<std::string> readKeys(QJsonObject const& row, std::string const& at) {
+  std::vector<std::string> out;
+  QJsonArray const list = row.contains("keys") ? listAt(row, "keys", at, maxTenantKeys) : QJsonArray();
+  for (qsizetype i = 0; i < list.size(); ++i) {
+    std::string key = str(list.at(i).toString());
+    if (key.empty() || key.size() > maxPlace)
+      throw Error(at + "/keys/" + std::to_string(i), "must be a text of 1 to " + std::to_string(maxPlace) + " bytes");
+    out.push_back(std::move(key));
+  }
+  return out;
+}
+
+Tenant readTenant(QJsonObject const& row, std::string const& at) {
+  onlyFields(row, {"name", "keys", "urgency", "rate", "burst", "unit", "plainTokens", "extra"}, at);
+  Tenant out;
+  out.name = text(row, "name", maxText, at);
+  out.keys = readKeys(row, at);
+  if (!row.value("urgency").isUndefined() && !row.value("urgency").isNull())
+    out.urgency = static_cast<int>(integer(row, "urgency", 0, 9, 5, at));
+  out.perSecond = amount(row, "rate", at);
+  out.burst = amount(row, "burst", at);
+  QJsonValue const unit = row.value("unit");
+  if (!unit.isUndefined() && unit.toString() != "tokens" && unit.toString() != "requests")
+    throw Error(at + "/unit", "must be tokens or requests");
+  out.inTokens = unit.toString() == "tokens";
+  out.plainTokens = integer(row, "plainTokens", 0, mostNumber, 0, at);
+  objectIfSaid(row, "extra", at);
+  return out;
+}
+
+/// Reads the tenants; a key that stands twice, be it at one tenant or two, is an error.
+std::vector<Tenant> readTenants(QJsonObject const& spec) {
+  std::vector<Tenant> out;
+  if (!spec.contains("tenants")) return out;
+  std::unordered_set<std::string> names;
+  std::unordered_set<std::string> keys;
+  QJsonArray const rows = listAt(spec, "tenants", "", maxTenants);
+  for (qsizetype i = 0; i < rows.size(); ++i) {
+    std::string const at = "/tenants/" + std::to_string(i);
+    out.push_back(readTenant(itemAt(rows, i, at), at));
+    if (!names.insert(out.back().name).second) throw Error(at + "/name", "stands twice");
+    for (std::string const& key : out.back().keys)
+      if (!keys.insert(key).second) throw Error(at + "/keys", "a key stands twice");
+  }
+  return out;
+}
+
 HttpTerms readHttp(QJsonValue const& v) {
   if (v.isUndefined()) return {};
   if (!v.isObject()) throw Error("/door", "must be an object");
@@ -221,7 +278,7 @@
 }  // namespace
 
 Whole readWhole(QJsonObject const& spec) {
-  onlyFields(spec, {"version", "paths", "pools", "door", "extra"}, "");
+  onlyFields(spec, {"version", "paths", "pools", "tenants", "door", "extra"}, "");
   Whole out;
   out.version = static_cast<std::uint64_t>(neededInteger(spec, "version", 1, mostVersion, ""));
   PoolNames pools;
@@ -243,6 +300,7 @@
     if (!places.emplace(p.host, p.prefix).second)
       throw Error(at + "/prefix", "another path has the same host and prefix");
   }
+  out.tenants = readTenants(spec);
   out.http = readHttp(spec.value("door"));
   objectIfSaid(spec, "extra", "");
   return out;
@@ -253,12 +311,12 @@
   if (!patch.contains("version")) throw Error("/version", "missing");
   for (char const* part : {"set", "drop"}) {
     objectIfSaid(patch, part, "");
-    onlyFields(patch.value(QLatin1String(part)).toObject(), {"paths", "pools"}, std::string("/") + part);
+    onlyFields(patch.value(QLatin1String(part)).toObject(), {"paths", "pools", "tenants"}, std::string("/") + part);
   }
   QJsonObject const set = patch.value("set").toObject();
   QJsonObject const drop = patch.value("drop").toObject();
   QJsonObject out = current;
-  for (char const* list : {"paths", "pools"})
+  for (char const* list : {"paths", "pools", "tenants"})
     if (set.contains(QLatin1String(list)) || drop.contains(QLatin1String(list)))
       out.insert(QLatin1String(list), patchList(current.value(QLatin1String(list)).toArray(), set, drop, list));
   for (char const* field : {"version", "door", "extra"})
--- a/config/test/whole_test.cpp
+++ b/config/test/whole_test.cpp
@@ -260,3 +260,21 @@
   CHECK(fault("7", R"("a")") == "/replicas/0/id");
   CHECK(fault("\"" + std::string(129, 'x') + "\"", R"("a")") == "/replicas/0/id");
 }
+
+TEST_CASE("tenants that are not valid are rejected with their place") {
+  std::function<std::string(std::string const&)> const fault = [](std::string const& tenants) {
+    return faultOf(R"({"version":1,"paths":[],"pools":[],"tenants":)" + tenants + "}");
+  };
+  CHECK(fault(R"([{"name":"a","keys":["k"]},{"name":"b"}])").empty());
+  CHECK(fault(R"({})") == "/tenants");
+  CHECK(fault(R"([{"keys":["k"]}])") == "/tenants/0/name");
+  CHECK(fault(R"([{"name":"a"},{"name":"a"}])") == "/tenants/1/name");
+  CHECK(fault(R"([{"name":"a","keys":["k"]},{"name":"b","keys":["k"]}])") == "/tenants/1/keys");
+  CHECK(fault(R"([{"name":"a","keys":[""]}])") == "/tenants/0/keys/0");
+  CHECK(fault(R"([{"name":"a","keys":7}])") == "/tenants/0/keys");
+  CHECK(fault(R"([{"name":"a","rate":-1}])") == "/tenants/0/rate");
+  CHECK(fault(R"([{"name":"a","burst":"x"}])") == "/tenants/0/burst");
+  CHECK(fault(R"([{"name":"a","unit":"bytes"}])") == "/tenants/0/unit");
+  CHECK(fault(R"([{"name":"a","urgency":10}])") == "/tenants/0/urgency");
+  CHECK(fault(R"([{"name":"a","other":1}])") == "/tenants/0/other");
+}
--- a/control/include/corkward/control/controller.h
+++ b/control/include/corkward/control/controller.h
@@ -11,6 +11,7 @@
 #include <corkward/core/journal.h>
 #include <corkward/gossip/partial_view.h>
 #include <corkward/consensus/registers.h>
+#include <corkward/control/quota_meters.h>
 #include <corkward/control/validator.h>
 
 namespace corkward::control {
@@ -48,6 +49,8 @@
   Tick youngFor = 400;
   /// A router that has not asked here for this long is not held here.
   Tick heldFor = 2000;
+  /// What tenants may send beyond their limits.
+  scaling::QuotaSlack quotaSlack;
 };
 
 /// Answers an operator's call that came in at this process's own HTTP edge.
@@ -224,6 +227,7 @@
   void on(Commands& out, Tick now, std::string const& from, transport::Holding const& m);
   void on(Commands& out, Tick now, std::string const& from, transport::Ask const& m);
   void on(Commands& out, Tick now, std::string const& from, transport::WarmAsk const& m);
+  void on(Commands& out, Tick now, std::string const& from, transport::QuotaReport const& m);
 
   Tuning tuning_;
   gossip::PartialView partialView_;
@@ -247,6 +251,7 @@
   std::map<std::string, Router> routers_;
   /// Pools of the whole configuration in place.
   std::set<std::string> wholePools_;
+  QuotaMeters quotaMeters_;
   config::Wall wall_;
   std::map<std::string, Lease> leases_;
   Tick started_ = 0;
--- a/control/src/router_news.cpp
+++ b/control/src/router_news.cpp
@@ -27,6 +27,7 @@
     wholePools_.clear();
     for (QJsonValue const p : c.value.value("spec").toObject().value("pools").toArray())
       wholePools_.insert(core::str(p.toObject().value("name").toString()));
+    quotaMeters_.configure(now, config::readWhole(c.value.value("spec").toObject()).tenants);
   }
   Settling& s = settling_[c.key];
   std::uint64_t const before = s.revision;
--- a/dataplane/include/corkward/dataplane/request_router.h
+++ b/dataplane/include/corkward/dataplane/request_router.h
@@ -13,6 +13,7 @@
 #include <corkward/config/regimes.h>
 #include <corkward/core/journal.h>
 #include <corkward/dataplane/failure_log.h>
+#include <corkward/dataplane/tenants.h>
 #include <corkward/scaling/scaling.h>
 #include <corkward/gossip/partial_view.h>
 #include <corkward/transport/message.h>
@@ -71,6 +72,8 @@
   double nodeLimitPerReplica = 8.0;
   /// Seconds after which a caller is asked to come back when nothing better is known.
   double comeBack = 1.0;
+  /// The same, when its tenant is beyond its limit.
+  double quotaComeBack = 1.0;
   /// A router in an evacuated zone says that it is not ready, though it goes on serving.
   bool evacuationFailsReady = true;
   /// A draining node goes on taking requests for this long, until callers are sent elsewhere.
@@ -118,6 +121,10 @@
   /// The prompt's parts in order, and the tokens asked for at the most.
   std::vector<Part> parts;
   std::int64_t tokensOut = 0;
+  /// Tokens of the prompt and asked for at the most, together, when the caller says how many.
+  std::optional<std::int64_t> tokens;
+  /// Key of the tenant that sends; empty: none was given.
+  std::string key;
   std::string id;
   /// Name of this attempt in logs, as the caller gave it; it decides nothing.
   std::string trace;
@@ -175,6 +182,9 @@
   /// Not empty: a request of a regime. The Record of it stands before this, and it goes out at once when that is
   /// written; else it ended as End::notRun.
   std::string regime = {};
+  /// Tenant that the replica is told of in place of the caller's key; empty: one without a key. Not said: the
+  /// configuration knows no tenants.
+  std::optional<std::string> tenant = {};
 };
 /// Command: close the replica's connection, if there is one.
 struct Abandon {
@@ -345,6 +355,10 @@
     /// How far back those remember that said clear.
     std::vector<Tick> memories;
     bool ranElsewhere = false;
+    /// Who sends it, what it counts as against that tenant's limit, and the rank of its path or tenant.
+    std::string tenant;
+    double amount = 0;
+    int urgency = 5;
   };
   struct Key {
     std::uint64_t revision = 0;
@@ -533,6 +547,10 @@
   Seen& remember(Tick now, std::string const& key);
   std::string const& addressOf(Index replica) const;
   void breakOff(Commands& out, Tick now, CallId id, std::string const& why = "the connection broke");
+  /// Finds the call's tenant by its key under the configuration in force; false: it needs one and has none.
+  bool identify(Call& call, config::Path const& path) const;
+  /// Whether the limit of the call's tenant lets it go on.
+  bool withinQuota(Tick now, Call& call);
   void unhold(CallId id);
   void retry(Commands& out, Tick now, CallId id, char const* why);
   double comeBack(Credit const& c, config::Class cls) const;
@@ -568,6 +586,7 @@
   void on(Commands& out, Tick now, std::string const& from, transport::SeenEcho const& m);
   void on(Commands& out, Tick now, std::string const& from, transport::SeenLeft const& m);
   void on(Commands& out, Tick now, std::string const& from, transport::WarmGrant const& m);
+  void on(Commands& out, Tick now, std::string const& from, transport::QuotaShares const& m);
 
   Tuning tuning_;
   std::uint64_t seed_;
@@ -597,6 +616,7 @@
   std::unordered_map<std::string, Index> routes_;
   std::map<std::string, std::vector<std::string>> ownedRoutes_;
   config::HttpTerms httpTerms_;
+  Tenants tenants_;
   std::set<std::string> evacuated_;
   /// Rises whenever paths change.
   std::uint64_t configurationRevision_ = 1;
--- a/dataplane/src/calls.cpp
+++ b/dataplane/src/calls.cpp
@@ -53,6 +53,24 @@
   return chosen;
 }
 
+bool RequestRouter::identify(Call& call, config::Path const& path) const {
+  call.urgency = path.urgency;
+  call.tenant.clear();
+  if (path.host.empty() || !tenants_.required()) return true;
+  config::Tenant const* const tenant = tenants_.byKey(call.request.key);
+  if (tenant == nullptr) return path.open;
+  call.tenant = tenant->name;
+  if (tenant->urgency >= 0) call.urgency = tenant->urgency;
+  return true;
+}
+
+bool RequestRouter::withinQuota(Tick now, Call& call) {
+  config::Tenant const* const tenant = call.tenant.empty() ? nullptr : tenants_.byKey(call.request.key);
+  if (tenant == nullptr) return true;
+  call.amount = Tenants::amountOf(*tenant, call.request.tokens);
+  return tenants_.admit(now, *tenant, call.amount);
+}
+
 Commands RequestRouter::request(Tick now, Request const& request) {
   Commands out;
   noteLag(now);
@@ -82,11 +100,19 @@
     return out;
   }
   Row const& row = rows_[path];
+  Call& mine = calls_[id];
+  if (!identify(mine, row.path)) {
+    reject(out, now, id, 401, "no tenant has this key", true, 0);
+    return out;
+  }
   if (outlastsDrain(now, row.path)) {
     reject(out, now, id, 503, "leaving before it could end", true, tuning_.comeBack);
     return out;
   }
-  Call& mine = calls_[id];
+  if (!withinQuota(now, mine)) {
+    reject(out, now, id, 429, "the tenant is beyond its limit", true, tuning_.quotaComeBack);
+    return out;
+  }
   mine.pool = choosePool(now, row, id);
   mine.until = now + (request.deadline > 0 ? std::min(request.deadline, row.path.deadline) : row.path.deadline) -
                request.readFor;
--- a/dataplane/src/dispatch.cpp
+++ b/dataplane/src/dispatch.cpp
@@ -64,6 +64,11 @@
     reject(out, now, id, 404, "the configuration has changed", true, 0);
     return out;
   }
+  if (!identify(call, rows_[path].path)) {
+    out.calls.push_back(Abandon{id});
+    reject(out, now, id, 401, "the tenant's key was taken away", true, 0);
+    return out;
+  }
   std::vector<std::pair<Index, std::uint32_t>> const& shares = rows_[path].shares;
   bool const rebound = rows_[path].path.regime != rows_[call.path].path.regime;
   if (rebound || std::none_of(shares.begin(), shares.end(),
@@ -94,6 +99,7 @@
     return out;
   }
   if (!call.reached && !call.dispatched) budget_.first(now, call.pool);
+  if (!call.dispatched) tenants_.used(call.tenant, call.amount);
   call.phase = Phase::handed;
   call.phaseAt = now;
   call.handedAt = now;
@@ -147,13 +153,19 @@
   std::optional<config::PoolTerms> const& terms = poolViews_[call.pool].terms;
   for (std::size_t i = 0; i + 1 < parts.size(); ++i)
     kept_.sent(call.replica, parts[i].hash, parts[i].tokens, terms ? terms->tokens / 2 : 0);
-  int rank = rows_[call.path].path.urgency;
+  int rank = call.urgency;
   if (!parts.empty() && tuning_.ranksBySize) {
     std::int64_t tokens = 0;
     for (Part const& p : parts) tokens += p.tokens;
     rank = tokens < tuning_.shortTokens ? 1 : tokens < tuning_.longTokens ? 3 : 5;
   }
-  return HandOver{id, replicas_[call.replica].id, left, rank, regimeOf(call)};
+  bool const tells = tenants_.required() && !rows_[call.path].path.host.empty();
+  return HandOver{id,
+                  replicas_[call.replica].id,
+                  left,
+                  rank,
+                  regimeOf(call),
+                  tells ? std::optional<std::string>(call.tenant) : std::nullopt};
 }
 
 bool RequestRouter::mayGoOn(Tick now, Call const& call) const {
--- a/dataplane/src/news.cpp
+++ b/dataplane/src/news.cpp
@@ -310,6 +310,7 @@
   for (PoolView& view : poolViews_) view.terms.reset();
   for (config::PoolTerms const& t : whole.pools) poolViews_[poolIndex(t.name)].terms = t;
   httpTerms_ = whole.http;
+  tenants_.configure(whole.tenants);
 }
 
 void RequestRouter::applyOne(Commands& out, Tick now, transport::Item const& item) {
--- a/dataplane/src/request_router.cpp
+++ b/dataplane/src/request_router.cpp
@@ -22,6 +22,7 @@
       seed_(seed),
       who_(self.link + "#" + std::to_string(seed)),
       partialView_(std::move(self), std::move(seeds), seed ^ 0x91),
+      tenants_(partialView_.self().link, seed ^ 0x2d),
       rng_(seed ^ 0x3b) {}
 
 void RequestRouter::count(Tick now, std::string const& what, std::string const& about) {
@@ -57,6 +58,10 @@
   std::move(sends.begin(), sends.end(), std::back_inserter(out.sends));
 }
 
+void RequestRouter::on(Commands&, Tick now, std::string const& from, transport::QuotaShares const& m) {
+  tenants_.arrived(now, from, m);
+}
+
 void RequestRouter::noteLag(Tick now) {
   if (now - lastEvent_ > 300) {
     lag_ = now - lastEvent_;
@@ -77,6 +82,8 @@
   touchNeighbours(out, now);
   std::vector<transport::Send> sends = partialView_.clockEvent(now);
   std::move(sends.begin(), sends.end(), std::back_inserter(out.sends));
+  std::vector<transport::Send> reports = tenants_.clockEvent(now, membershipLinks_);
+  std::move(reports.begin(), reports.end(), std::back_inserter(out.sends));
   if (now >= freeAt_) {
     freeAt_ = now + freeEvery;
     freeGone(now);
--- a/transport/include/corkward/transport/message.h
+++ b/transport/include/corkward/transport/message.h
@@ -12,6 +12,7 @@
 #include <corkward/transport/contact_messages.h>
 #include <corkward/transport/news_messages.h>
 #include <corkward/transport/operator_messages.h>
+#include <corkward/transport/quota_messages.h>
 #include <corkward/transport/values.h>
 #include <corkward/transport/warming_messages.h>
 
@@ -25,7 +26,7 @@
 
 using Message = std::variant<Shuffle, Prepare, Promise, Accept, Accepted, Commit, Handover, Heartbeat, HeartbeatEcho,
                              Fetch, Copy, Call, CallResponse, News, NewsAck, Holding, Ask, Confirm, Hint, Touch,
-                             SeenAsk, SeenEcho, SeenLeft, WarmAsk, WarmGrant, NoDisk>;
+                             SeenAsk, SeenEcho, SeenLeft, WarmAsk, WarmGrant, NoDisk, QuotaReport, QuotaShares>;
 
 /// Command: send a message to the process that listens at the link address.
 struct Send {
