--- a/dataplane/include/corkward/dataplane/request_router.h
+++ b/dataplane/include/corkward/dataplane/request_router.h
@@ -398,8 +398,6 @@
     double coldRate = 0;
     std::vector<Index> replicas;
     transport::Hint hint;
-    /// How fast its replicas read prompts, as far as seen here; none: nothing was seen.
-    std::optional<scaling::ReadRate> readRate;
     /// What the whole configuration says of the pool, if it names it.
     std::optional<config::PoolTerms> terms;
     /// Those that may be drawn from, what they are made of has changed since, and when it next changes with time alone.
@@ -492,10 +490,6 @@
   void noteFailure(Commands& out, Tick now, Call const& call, int status, std::string const& reason);
   std::int64_t unread(Call const& call, Index replica, Index home) const;
   void haveRead(Call& call);
-  /// Tokens that the pool's replicas read in a millisecond.
-  double readPerMs(Index pool) const;
-  /// Learns from a first word how fast the replica has read the prompt, when what it had to read is known.
-  void noteRead(Call const& call, Tick took);
   bool mayGoOn(Tick now, Call const& call) const;
   /// Counts the outcome of the newest dispatch for or against its replica, once.
   void recordOutcome(Commands& out, Tick now, Call& call, bool bad);
--- a/dataplane/src/answers.cpp
+++ b/dataplane/src/answers.cpp
@@ -23,7 +23,6 @@
   Call& call = it->second;
   Row const& row = rows_[call.path];
   bool const first = !call.runKnown && call.resumes == 0;
-  if (first) noteRead(call, now - call.handedAt);
   haveRead(call);
   call.phase = Phase::streaming;
   call.phaseAt = now;
--- a/dataplane/src/replica_choice.cpp
+++ b/dataplane/src/replica_choice.cpp
@@ -6,13 +6,6 @@
 
 namespace corkward::dataplane {
 
-namespace {
-
-/// A pool of fewer replicas takes none apart for long prompts: one would be too large a part of it.
-constexpr std::size_t smallPool = 12;
-
-}  // namespace
-
 std::string const& RequestRouter::addressOf(Index replica) const {
   return replicas_[replica].address;
 }
@@ -103,16 +96,14 @@
     if (mayBeHome(r)) order.emplace_back(core::Rng(replicas_[r].hash).next(), r);
   }
   std::sort(order.begin(), order.end());
-  double const share = order.size() < smallPool ? 0.0 : tuning_.figures.apart;
-  order.resize(static_cast<std::size_t>(share * static_cast<double>(order.size())));
+  order.resize(static_cast<std::size_t>(tuning_.figures.apart * static_cast<double>(order.size())));
   for (std::pair<std::uint64_t, Index> const& o : order) replicas_[o.second].apart = true;
 }
 
 bool RequestRouter::readsApart(Call const& call) const {
-  config::Path const& path = rows_[call.path].path;
-  double const longest = path.gapAim > 0 ? tuning_.figures.withinGap * static_cast<double>(path.gapAim)
-                                         : tuning_.figures.withinAim * static_cast<double>(path.aim);
-  if (static_cast<double>(call.request.parts.back().tokens) <= longest * readPerMs(call.pool)) return false;
+  if (static_cast<double>(call.request.parts.back().tokens) <=
+      tuning_.figures.withinAim * static_cast<double>(rows_[call.path].path.aim))
+    return false;
   std::vector<Index> const& all = poolViews_[call.pool].replicas;
   return std::any_of(all.begin(), all.end(), [&](Index const r) { return replicas_[r].apart && mayBeHome(r); });
 }
@@ -143,18 +134,6 @@
   return out;
 }
 
-double RequestRouter::readPerMs(Index pool) const {
-  std::optional<scaling::ReadRate> const& rate = poolViews_[pool].readRate;
-  return rate ? rate->perMs() : tuning_.figures.readPerMs;
-}
-
-void RequestRouter::noteRead(Call const& call, Tick took) {
-  if (call.reading == 0 || call.reading != call.request.parts.back().tokens) return;
-  std::optional<scaling::ReadRate>& rate = poolViews_[call.pool].readRate;
-  if (!rate) rate.emplace(tuning_.figures.readPerMs);
-  rate->sample(static_cast<double>(call.reading), took);
-}
-
 void RequestRouter::haveRead(Call& call) {
   if (call.reading == 0) return;
   replicas_[call.replica].reading -= call.reading;
@@ -180,12 +159,12 @@
   Index const at = home(call);
   bool const apart = at != core::Names::none && replicas_[at].apart;
   std::unordered_map<Index, double> heldUp;
-  double const perMs = readPerMs(call.pool);
   for (std::unordered_map<CallId, Call>::value_type const& c : calls_) {
     Call const& other = c.second;
     if (other.phase != Phase::handed || other.reading == 0) continue;
-    double const late = static_cast<double>(now - other.handedAt - tuning_.figures.wordSlack) * perMs -
-                        static_cast<double>(other.reading);
+    double const late =
+        static_cast<double>(now - other.handedAt - tuning_.figures.wordSlack) * tuning_.figures.readPerMs -
+        static_cast<double>(other.reading);
     double& worst = heldUp[other.replica];
     worst = std::max(worst, late);
   }
--- a/scaling/include/corkward/scaling/figures.h
+++ b/scaling/include/corkward/scaling/figures.h
@@ -37,16 +37,13 @@
   double inFlightTokens = 300.0;
   /// What a token of a shared part weighs that would be read anew.
   double unreadWeight = 4.0;
-  /// Tokens that a replica is taken to read in a millisecond until its pool's rate is learned (see ReadRate), and how
-  /// long a first word may take beyond that. What an own request has waited longer counts as work that its replica is
-  /// held up by.
+  /// Tokens that a replica is taken to read in a millisecond, and how long a first word may take beyond that. What an
+  /// own request has waited longer counts as work that its replica is held up by.
   double readPerMs = 100.0;
   Tick wordSlack = 60;
-  /// A prompt whose own tokens take longer to read than this share of the pause that is allowed between two events
-  /// would make the streams beside it late; where no pause is said, than that share of its aim. This share of a pool's
+  /// A prompt of more own tokens for each millisecond of its aim cannot be read within it. This share of a pool's
   /// replicas, rounded down and the same on all nodes, reads those, so that they hold up nothing else.
-  double withinGap = 0.85;
-  double withinAim = 0.45;
+  double withinAim = 50.0;
   double apart = 0.09;
   /// What it weighs, in tokens, to send a prompt to a replica of the other kind.
   double wrongKind = 40000.0;
--- a/scaling/include/corkward/scaling/scaling.h
+++ b/scaling/include/corkward/scaling/scaling.h
@@ -9,7 +9,6 @@
 #include <corkward/scaling/prefixes.h>
 #include <corkward/scaling/quota.h>
 #include <corkward/scaling/rate.h>
-#include <corkward/scaling/read_rate.h>
 #include <corkward/scaling/reliability.h>
 #include <corkward/scaling/retry_budget.h>
 #include <corkward/scaling/scaler.h>
