--- a/consensus/include/corkward/consensus/registers.h
+++ b/consensus/include/corkward/consensus/registers.h
@@ -47,6 +47,8 @@
   /// Link of the member that owns the key, empty when none is known to be alive.
   std::string ownerLink(std::string const& key, Tick now) const;
   bool owns(std::string const& key) const;
+  /// Links of the members that vote and were heard of late, this one included if it votes.
+  std::vector<std::string> aliveLinks(Tick now) const;
   /// Keys with a committed value and their values.
   std::map<std::string, Committed> const& committed() const { return committed_; }
   /// A member has accepted a value of the key, which need not be known as committed here, as after a restart of all.
--- a/consensus/src/heartbeats.cpp
+++ b/consensus/src/heartbeats.cpp
@@ -144,6 +144,17 @@
   o.goodTick = o.echoTick;
 }
 
+std::vector<std::string> Registers::aliveLinks(Tick now) const {
+  std::vector<std::string> links;
+  for (Member const& m : membership_) {
+    std::map<std::string, Other>::const_iterator const other = others_.find(m.id);
+    bool const heard =
+        other != others_.end() && other->second.voting && now - other->second.heard < tuning_.ownerSilence;
+    if (m.id == self_.id ? voting() : heard) links.push_back(m.link);
+  }
+  return links;
+}
+
 void Registers::watchQuorum(Tick now) {
   std::set<std::string> heard;
   if (voting()) heard.insert(self_.id);
--- a/control/include/corkward/control/controller.h
+++ b/control/include/corkward/control/controller.h
@@ -11,8 +11,8 @@
 #include <corkward/core/journal.h>
 #include <corkward/gossip/partial_view.h>
 #include <corkward/consensus/registers.h>
-#include <corkward/control/quota_meters.h>
 #include <corkward/control/validator.h>
+#include <corkward/quota/lender.h>
 
 namespace corkward::control {
 
@@ -50,7 +50,7 @@
   /// A router that has not asked here for this long is not held here.
   Tick heldFor = 2000;
   /// What tenants may send beyond their limits.
-  scaling::QuotaSlack quotaSlack;
+  quota::Slack quotaSlack;
 };
 
 /// Answers an operator's call that came in at this process's own HTTP edge.
@@ -227,7 +227,14 @@
   void on(Commands& out, Tick now, std::string const& from, transport::Holding const& m);
   void on(Commands& out, Tick now, std::string const& from, transport::Ask const& m);
   void on(Commands& out, Tick now, std::string const& from, transport::WarmAsk const& m);
-  void on(Commands& out, Tick now, std::string const& from, transport::QuotaReport const& m);
+  // Lending of tenants' limits (lending.cpp).
+  /// Brings standing_ up to date.
+  void refreshStanding(Tick now);
+  void lendLimits(Commands& out, Tick now);
+  void on(Commands& out, Tick now, std::string const& from, quota::Report const& m);
+  void on(Commands& out, Tick now, std::string const& from, quota::Claims const& m);
+  void on(Commands& out, Tick now, std::string const& from, quota::TermAsk const& m);
+  void on(Commands& out, Tick now, std::string const& from, quota::TermGrant const& m);
 
   Tuning tuning_;
   gossip::PartialView partialView_;
@@ -251,7 +258,11 @@
   std::map<std::string, Router> routers_;
   /// Pools of the whole configuration in place.
   std::set<std::string> wholePools_;
-  QuotaMeters quotaMeters_;
+  quota::Lender lender_;
+  /// What the lender was told last, since when the members are these, and by which roster.
+  quota::Standing standing_;
+  Tick membersSince_ = 0;
+  std::uint64_t standingRoster_ = 0;
   config::Wall wall_;
   std::map<std::string, Lease> leases_;
   Tick started_ = 0;
--- a/control/src/controller.cpp
+++ b/control/src/controller.cpp
@@ -34,7 +34,7 @@
                  transport::Call const& call) { return validator(key, revision, value, call, around()); },
           seed ^ 0x77, tuning.registers),
       nextCall_(firstCall(seed)),
-      quotaMeters_(tuning.quotaSlack) {}
+      lender_(partialView_.self().link, partialView_.self().inc, tuning.quotaSlack) {}
 
 Around Controller::around() const {
   Around out;
@@ -259,11 +259,6 @@
   std::move(sends.begin(), sends.end(), std::back_inserter(out.sends));
 }
 
-void Controller::on(Commands& out, Tick now, std::string const& from, transport::QuotaReport const& m) {
-  std::vector<transport::Send> sends = quotaMeters_.arrived(now, from, m);
-  std::move(sends.begin(), sends.end(), std::back_inserter(out.sends));
-}
-
 void Controller::on(Commands& out, Tick now, std::string const& from, transport::Call const& m) {
   std::optional<Target> const target = targetOf(m.path);
   if (!target || draining_ || calls_.size() >= maxCalls) {
@@ -315,8 +310,7 @@
   if (!registers_.voting()) joinedAt_ = now;
   std::vector<transport::Send> sends = partialView_.clockEvent(now);
   std::move(sends.begin(), sends.end(), std::back_inserter(out.sends));
-  std::vector<transport::Send> shares = quotaMeters_.clockEvent(now);
-  std::move(shares.begin(), shares.end(), std::back_inserter(out.sends));
+  lendLimits(out, now);
   for (std::map<std::string, Router>::value_type& n : routers_) push(out, now, n.first, n.second);
   std::vector<std::uint64_t> late;
   std::vector<std::uint64_t> again;
--- /dev/null
+++ b/control/src/lending.cpp
@@ -0,0 +1,62 @@
+// Lending of tenants' limits: what the lender is told of this controller, and its messages.
+#include "internal.h"
+
+namespace corkward::control {
+
+namespace {
+
+/// Added to a term before a member grants one that it may have forgotten, or under a membership that is new to it.
+constexpr Tick grantMargin = 500;
+
+template <class Sends>
+void append(Commands& out, Sends&& sends) {
+  for (quota::Send& send : sends)
+    std::visit([&](auto& message) { out.sends.push_back(transport::Send{send.to, std::move(message)}); }, send.message);
+}
+
+}  // namespace
+
+void Controller::refreshStanding(Tick now) {
+  std::vector<std::string> links;
+  for (consensus::Member const& m : registers_.membership()) links.push_back(m.link);
+  if (links != standing_.members) {
+    standing_.members = std::move(links);
+    membersSince_ = now;
+  }
+  if (std::uint64_t const roster = committedRevision(rosterKey); roster != standingRoster_) {
+    standingRoster_ = roster;
+    standing_.routers = roster_.nodes;
+    standing_.routers.insert(roster_.previous.begin(), roster_.previous.end());
+    standing_.routers.insert(roster_.gone.begin(), roster_.gone.end());
+  }
+  Tick const wait = quota::officeTerm + grantMargin;
+  standing_.mayRenew = registers_.voting() && now - started_ > wait && (joinedAt_ < 0 || now - joinedAt_ > wait);
+  standing_.mayGrant = standing_.mayRenew && now - membersSince_ > wait;
+  standing_.alive = registers_.aliveLinks(now);
+  Tick const age = registers_.majorityAge(now);
+  standing_.contact = age < 0 ? -1 : now - age;
+  standing_.leaving = draining_;
+}
+
+void Controller::lendLimits(Commands& out, Tick now) {
+  refreshStanding(now);
+  append(out, lender_.clockEvent(now, standing_));
+}
+
+void Controller::on(Commands& out, Tick now, std::string const& from, quota::Report const& m) {
+  append(out, lender_.arrived(now, from, m, standing_));
+}
+
+void Controller::on(Commands& out, Tick now, std::string const& from, quota::Claims const& m) {
+  append(out, lender_.arrived(now, from, m, standing_));
+}
+
+void Controller::on(Commands& out, Tick now, std::string const& from, quota::TermAsk const& m) {
+  append(out, lender_.arrived(now, from, m, standing_));
+}
+
+void Controller::on(Commands& out, Tick now, std::string const& from, quota::TermGrant const& m) {
+  append(out, lender_.arrived(now, from, m, standing_));
+}
+
+}  // namespace corkward::control
--- a/control/src/router_news.cpp
+++ b/control/src/router_news.cpp
@@ -27,7 +27,10 @@
     wholePools_.clear();
     for (QJsonValue const p : c.value.value("spec").toObject().value("pools").toArray())
       wholePools_.insert(core::str(p.toObject().value("name").toString()));
-    quotaMeters_.configure(now, config::readWhole(c.value.value("spec").toObject()).tenants);
+    std::map<std::string, quota::Limit> limits;
+    for (config::Tenant const& t : config::readWhole(c.value.value("spec").toObject()).tenants)
+      if (t.perSecond > 0) limits[t.name] = quota::Limit{t.perSecond, t.burst};
+    lender_.configure(now, std::move(limits));
   }
   Settling& s = settling_[c.key];
   std::uint64_t const before = s.revision;
--- a/dataplane/include/corkward/dataplane/request_router.h
+++ b/dataplane/include/corkward/dataplane/request_router.h
@@ -101,6 +101,8 @@
   /// A stream of the whole configuration's paths is cut this long after its deadline, which the replica's own end may
   /// take to arrive.
   Tick pastDeadline = 100;
+  /// What tenants may send beyond their limits.
+  quota::Slack quotaSlack;
   scaling::Figures figures = scaling::figures;
 };
 
@@ -315,7 +317,9 @@
   core::Journal const& journal() const { return journal_; }
 
  private:
-  enum class Phase { asking, held, connecting, handed, streaming };
+  enum class Phase { asking, counting, held, connecting, handed, streaming };
+  /// A call's amount of its tenant's limit: not taken or not needed, taken, or used by a run.
+  enum class QuotaState { none, taken, used };
   static char const* nameOf(Phase phase);
   struct Call {
     Request request;
@@ -358,6 +362,9 @@
     /// Who sends it, what it counts as against that tenant's limit, and the rank of its path or tenant.
     std::string tenant;
     double amount = 0;
+    QuotaState quota = QuotaState::none;
+    /// When the amount was taken out of the limit, at the earliest.
+    Tick quotaAt = 0;
     int urgency = 5;
   };
   struct Key {
@@ -549,8 +556,18 @@
   void breakOff(Commands& out, Tick now, CallId id, std::string const& why = "the connection broke");
   /// Finds the call's tenant by its key under the configuration in force; false: it needs one and has none.
   bool identify(Call& call, config::Path const& path) const;
-  /// Whether the limit of the call's tenant lets it go on.
-  bool withinQuota(Tick now, Call& call);
+  // Tenants' limits (tenant_limits.cpp).
+  /// What the limit of the call's tenant says of it; what it asks for is sent.
+  Admission withinQuota(Commands& out, Tick now, Call& call);
+  /// Before a hand-over: the call's amount is taken and was taken lately, or can be taken at once.
+  bool spendQuota(Tick now, Call& call);
+  void rejectOverQuota(Commands& out, Tick now, CallId id, Admission admission);
+  /// The call goes without having used its amount.
+  void giveBackQuota(Tick now, Call& call);
+  void decideQuota(Commands& out, Tick now, std::vector<QuotaDecision> const& decisions);
+  void watchTenants(Commands& out, Tick now);
+  /// A request that may be served goes on: its id is looked up, then it is admitted.
+  void place(Commands& out, Tick now, CallId id);
   void unhold(CallId id);
   void retry(Commands& out, Tick now, CallId id, char const* why);
   double comeBack(Credit const& c, config::Class cls) const;
@@ -586,7 +603,8 @@
   void on(Commands& out, Tick now, std::string const& from, transport::SeenEcho const& m);
   void on(Commands& out, Tick now, std::string const& from, transport::SeenLeft const& m);
   void on(Commands& out, Tick now, std::string const& from, transport::WarmGrant const& m);
-  void on(Commands& out, Tick now, std::string const& from, transport::QuotaShares const& m);
+  void on(Commands& out, Tick now, std::string const& from, quota::Loans const& m);
+  void on(Commands& out, Tick now, std::string const& from, quota::ClaimAsk const& m);
 
   Tuning tuning_;
   std::uint64_t seed_;
--- a/dataplane/include/corkward/dataplane/tenants.h
+++ b/dataplane/include/corkward/dataplane/tenants.h
@@ -1,29 +1,41 @@
 #pragma once
 
 /// Tenants at one router: who sends a request, by its key, and whether the tenant's limit lets it go on. A reducer of
-/// its own: the router's clock makes its reports, and the answers of the meters come back to it.
+/// its own: a request goes on by what this router was lent of the limit, or waits one round trip for a single amount.
 
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 #include <corkward/config/config.h>
-#include <corkward/scaling/quota.h>
+#include <corkward/quota/gate.h>
 #include <corkward/transport/message.h>
 
 namespace corkward::dataplane {
 
 using core::Tick;
 
-/// The tenants of the whole configuration, their limits' gates, and the reports to the controllers that keep the
-/// meters. A tenant's meter is kept by the controller that ranks first for its name among all members, which every
-/// router finds by itself; while that one is silent, the next one in rank keeps it.
+/// What a tenant's limit says of a request. Refused by the share that routers may admit of its requests, by a lender
+/// that has too little left, or because no lender answers and this router has too little.
+enum class Admission { granted, waits, refusedByShare, refusedByLender, refusedWithoutLender };
+
+/// What became of a request that waited for its amount.
+struct QuotaDecision {
+  std::uint64_t call = 0;
+  Admission admission = Admission::granted;
+  /// When the amount was taken, at the earliest; see quota::handOverWithin.
+  Tick takenAt = 0;
+};
+
+/// The tenants of the whole configuration, the gates of their limits, and the reports to the controllers that lend.
 class Tenants {
  public:
-  Tenants(std::string link, std::uint64_t seed);
+  /// Life: number of this process's run.
+  Tenants(std::string link, std::uint64_t life, std::uint64_t seed, quota::Slack const& slack);
 
   /// The tenants of the configuration in force; gates of tenants that stay are kept.
   void configure(std::vector<config::Tenant> tenants);
@@ -31,36 +43,85 @@
   bool required() const { return !tenants_.empty(); }
   /// Whose key that is; null: nobody's.
   config::Tenant const* byKey(std::string const& key) const;
+  /// Members of the control plane, and how many routers there are.
+  void around(std::vector<std::string> controllers, std::size_t routers);
 
   /// What a request counts as against its tenant's limit; tokens: what it says that it has, if it says so.
   static double amountOf(config::Tenant const& tenant, std::optional<std::int64_t> tokens);
-  /// Whether the tenant's limit lets a request of that amount go on.
-  bool admit(Tick now, config::Tenant const& tenant, double amount);
-  /// A request that was let on is handed to a replica.
-  void used(std::string const& tenant, double amount);
+  /// Takes the amount out of the tenant's limit, or asks its lender for it.
+  Admission admit(Tick now, std::uint64_t call, config::Tenant const& tenant, double amount,
+                  std::vector<transport::Send>& out);
+  /// Takes the amount at once or not at all: for a further run of a request, or one that waited too long.
+  bool take(Tick now, std::string const& tenant, double amount);
+  /// An amount that was taken is not used.
+  void giveBack(Tick now, std::string const& tenant, double amount);
 
-  /// Reports that are due, to the controllers of the membership.
-  std::vector<transport::Send> clockEvent(Tick now, std::vector<std::string> const& controllers);
-  void arrived(Tick now, std::string const& from, transport::QuotaShares const& message);
+  std::vector<QuotaDecision> arrived(Tick now, std::string const& from, quota::Loans const& message,
+                                     std::vector<transport::Send>& out);
+  /// A new lender asks which loans of its parts are held here.
+  transport::Send arrived(Tick now, std::string const& from, quota::ClaimAsk const& message);
+  /// Reports that are due, and requests that have waited long enough.
+  std::vector<QuotaDecision> clockEvent(Tick now, std::vector<transport::Send>& out);
 
  private:
-  /// What is known of a controller as the keeper of meters.
-  struct Keeper {
+  struct Limited {
+    quota::Gate gate;
+    quota::Limit limit;
+    /// The lender had too little for the last request that asked; others are not asked for until then.
+    Tick scarceUntil = 0;
+  };
+  struct Waiting {
+    std::uint64_t call = 0;
+    std::string tenant;
+    double amount = 0;
+    Tick since = 0;
+    int asked = 0;
+  };
+  /// A report whose answer is still to come.
+  struct Asked {
+    Tick at = 0;
+    std::string lender;
+    std::vector<Waiting> waiting;
+  };
+  /// What is known of a controller as a lender.
+  struct Lender {
     /// First report that has had no answer; below 0: none.
     Tick unanswered = -1;
     /// When it was last found silent; below 0: never.
     Tick silentAt = -1;
   };
+  Limited* limited(std::string const& tenant);
+  double draw();
   void findSilent(Tick now);
   bool silent(Tick now, std::string const& link) const;
-  std::string keeperOf(Tick now, std::string const& tenant, std::vector<std::string> const& controllers) const;
+  /// Whom to ask for a part; empty: nobody answers.
+  std::string lenderOf(Tick now, std::uint64_t part) const;
+  /// Sends a report of one tenant with the amount that a request waits for. False: there is nobody to ask.
+  bool ask(Tick now, Waiting waiting, std::vector<transport::Send>& out);
+  void send(Tick now, std::string const& lender, std::vector<quota::Use> uses, std::vector<Waiting> waiting,
+            std::vector<transport::Send>& out);
+  /// Decides on a request for which no amount came.
+  QuotaDecision withoutLender(Tick now, Waiting const& waiting);
+  void report(Tick now, std::vector<transport::Send>& out);
 
   std::string link_;
+  std::uint64_t life_;
   core::Rng rng_;
+  quota::Slack slack_;
   std::vector<config::Tenant> tenants_;
   std::unordered_map<std::string, std::size_t> byKey_;
-  std::map<std::string, scaling::QuotaGate> gates_;
-  std::map<std::string, Keeper> keepers_;
+  std::map<std::string, Limited> gates_;
+  std::vector<std::string> controllers_;
+  quota::Crowd crowd_;
+  std::map<std::string, Lender> lenders_;
+  /// Who was said to lend a part; empty: nobody.
+  std::map<std::uint64_t, std::string> told_;
+  /// Nobody lends these parts; that is asked again then.
+  std::map<std::uint64_t, Tick> nobodyUntil_;
+  std::map<std::uint64_t, Asked> asked_;
+  std::uint64_t nextReport_ = 1;
+  /// First report of each part whose answer counts, since a new lender was told of the loans before it.
+  std::map<std::uint64_t, std::uint64_t> countsFrom_;
   Tick reportAt_ = 0;
 };
 
--- a/dataplane/src/answers.cpp
+++ b/dataplane/src/answers.cpp
@@ -81,7 +81,10 @@
     count(now, "connection_forgotten");
     end = End::broken;
   }
-  if (end == End::notRun) call.outstanding = false;
+  if (end == End::notRun) {
+    call.outstanding = false;
+    if (call.quota == QuotaState::used) call.quota = QuotaState::taken;
+  }
   if (end == End::whole) {
     count(now, "served");
     noteTaken(call, now - call.arrived);
--- a/dataplane/src/calls.cpp
+++ b/dataplane/src/calls.cpp
@@ -64,13 +64,6 @@
   return true;
 }
 
-bool RequestRouter::withinQuota(Tick now, Call& call) {
-  config::Tenant const* const tenant = call.tenant.empty() ? nullptr : tenants_.byKey(call.request.key);
-  if (tenant == nullptr) return true;
-  call.amount = Tenants::amountOf(*tenant, call.request.tokens);
-  return tenants_.admit(now, *tenant, call.amount);
-}
-
 Commands RequestRouter::request(Tick now, Request const& request) {
   Commands out;
   noteLag(now);
@@ -109,16 +102,27 @@
     reject(out, now, id, 503, "leaving before it could end", true, tuning_.comeBack);
     return out;
   }
-  if (!withinQuota(now, mine)) {
-    reject(out, now, id, 429, "the tenant is beyond its limit", true, tuning_.quotaComeBack);
-    return out;
-  }
   mine.pool = choosePool(now, row, id);
   mine.until = now + (request.deadline > 0 ? std::min(request.deadline, row.path.deadline) : row.path.deadline) -
                request.readFor;
   mine.prefix = request.prefix.empty() ? 0 : core::stableHash(request.instance + "|" + request.prefix);
   mine.echo = request.attempt > 1;
   mine.reached = request.earlierReached || (request.attempt > 1 && !request.earlierNotRun && row.path.resumable);
+  Admission const admission = withinQuota(out, now, mine);
+  if (admission == Admission::waits)
+    mine.phase = Phase::counting;
+  else if (admission == Admission::granted)
+    place(out, now, id);
+  else
+    rejectOverQuota(out, now, id, admission);
+  return out;
+}
+
+void RequestRouter::place(Commands& out, Tick now, CallId id) {
+  Call& mine = calls_.at(id);
+  Request const& request = mine.request;
+  Row const& row = rows_[mine.path];
+  mine.phase = Phase::asking;
   if (!request.id.empty()) {
     expireSeen(now);
     std::string const key = request.instance + "|" + request.id;
@@ -129,11 +133,11 @@
       mine.reached = mine.reached || before.reached;
       if (request.attempt > 0 && before.promisedAway >= request.attempt) {
         reject(out, now, id, 409, "a later attempt went to another node", false, 0);
-        return out;
+        return;
       }
       if (before.mayHaveRun && !row.path.resumable) {
         reject(out, now, id, 409, "an earlier attempt may have run", false, 0);
-        return out;
+        return;
       }
       if (request.attempt == 0) mine.claimants.insert(before.claimants.begin(), before.claimants.end());
       std::unordered_map<CallId, Call>::const_iterator const held = calls_.find(before.call);
@@ -142,7 +146,7 @@
           reject(out, now, before.call, 409, "replaced by a later attempt", true, 0);
         } else if (!row.path.resumable) {
           reject(out, now, id, 409, "an earlier attempt is in hand", false, 0);
-          return out;
+          return;
         }
       }
     }
@@ -151,7 +155,7 @@
   if (!request.id.empty() && request.attempt == 0) {
     askOthers(out, now, id);
     decideClaim(out, now, id, false);
-    return out;
+    return;
   }
   if (request.attempt > 1 && !request.earlierNotRun && !row.path.resumable) {
     if (request.id.empty()) {
@@ -165,10 +169,9 @@
       askOthers(out, now, id);
       if (calls_.at(id).waiting.empty()) admit(out, now, id);
     }
-    return out;
+    return;
   }
   admit(out, now, id);
-  return out;
 }
 
 void RequestRouter::admit(Commands& out, Tick now, CallId id) {
@@ -225,6 +228,8 @@
   switch (phase) {
     case Phase::asking:
       return "asking";
+    case Phase::counting:
+      return "counting";
     case Phase::held:
       return "held";
     case Phase::connecting:
--- a/dataplane/src/dispatch.cpp
+++ b/dataplane/src/dispatch.cpp
@@ -43,7 +43,8 @@
   Commands out;
   std::unordered_map<CallId, Call>::iterator const it = calls_.find(id);
   if (it != calls_.end() && it->second.phase == Phase::handed && it->second.resumes > 0) {
-    if (servingLease(now) && usable(now, it->second.replica) && lawful(now, it->second)) {
+    if (servingLease(now) && usable(now, it->second.replica) && lawful(now, it->second) &&
+        spendQuota(now, it->second)) {
       record(out, now, it->second, Happened::resumed);
       out.calls.push_back(handOver(now, id));
     } else if (!rows_[it->second.path].path.stream || !resumeElsewhere(out, now, id)) {
@@ -98,8 +99,14 @@
     reject(out, now, id, 503, "deadline passed", true, tuning_.comeBack);
     return out;
   }
+  if (!spendQuota(now, call)) {
+    out.calls.push_back(Abandon{id});
+    bool const ran = call.outstanding;
+    reject(out, now, id, ran ? 502 : 429, ran ? "unknown, may have run; its tenant is beyond its limit" : overQuota,
+           !ran, ran ? 0 : tuning_.quotaComeBack);
+    return out;
+  }
   if (!call.reached && !call.dispatched) budget_.first(now, call.pool);
-  if (!call.dispatched) tenants_.used(call.tenant, call.amount);
   call.phase = Phase::handed;
   call.phaseAt = now;
   call.handedAt = now;
@@ -219,6 +226,7 @@
   Call& call = calls_.at(id);
   call.handedTo.pop_back();
   call.outstanding = false;
+  if (call.quota == QuotaState::used) call.quota = QuotaState::taken;
   call.phase = Phase::connecting;
   call.dispatched = !call.handedTo.empty();
   if (!call.dispatched && !call.request.id.empty())
--- a/dataplane/src/ids.cpp
+++ b/dataplane/src/ids.cpp
@@ -134,6 +134,7 @@
       s->second.at = now;
     }
   }
+  giveBackQuota(now, it->second);
   calls_.erase(it);
 }
 
--- a/dataplane/src/internal.h
+++ b/dataplane/src/internal.h
@@ -8,6 +8,8 @@
 inline constexpr char const* membershipKey = "cohort";
 /// Instance whose credits the paths of the whole configuration share.
 inline constexpr char const* wholeInstance = "*";
+/// Why a request is turned away whose amount was taken too long ago and is not there any more.
+inline constexpr char const* overQuota = "the tenant is beyond its limit: held too long";
 inline constexpr Tick lookEvery = 100;
 inline constexpr Tick freeEvery = 10000;
 inline constexpr std::size_t leftAtOnce = 5000;
--- a/dataplane/src/request_router.cpp
+++ b/dataplane/src/request_router.cpp
@@ -22,7 +22,7 @@
       seed_(seed),
       who_(self.link + "#" + std::to_string(seed)),
       partialView_(std::move(self), std::move(seeds), seed ^ 0x91),
-      tenants_(partialView_.self().link, seed ^ 0x2d),
+      tenants_(partialView_.self().link, partialView_.self().inc, seed ^ 0x2d, tuning.quotaSlack),
       rng_(seed ^ 0x3b) {}
 
 void RequestRouter::count(Tick now, std::string const& what, std::string const& about) {
@@ -58,10 +58,6 @@
   std::move(sends.begin(), sends.end(), std::back_inserter(out.sends));
 }
 
-void RequestRouter::on(Commands&, Tick now, std::string const& from, transport::QuotaShares const& m) {
-  tenants_.arrived(now, from, m);
-}
-
 void RequestRouter::noteLag(Tick now) {
   if (now - lastEvent_ > 300) {
     lag_ = now - lastEvent_;
@@ -82,8 +78,7 @@
   touchNeighbours(out, now);
   std::vector<transport::Send> sends = partialView_.clockEvent(now);
   std::move(sends.begin(), sends.end(), std::back_inserter(out.sends));
-  std::vector<transport::Send> reports = tenants_.clockEvent(now, membershipLinks_);
-  std::move(reports.begin(), reports.end(), std::back_inserter(out.sends));
+  watchTenants(out, now);
   if (now >= freeAt_) {
     freeAt_ = now + freeEvery;
     freeGone(now);
@@ -116,6 +111,9 @@
         }
         reject(out, now, id, 409, "another node cannot say whether an earlier attempt ran", false, 0);
         break;
+      case Phase::counting:
+        reject(out, now, id, 503, "deadline passed", true, tuning_.comeBack);
+        break;
       case Phase::held: {
         Row const& row = rows_[it->second.path];
         reject(out, now, id, 503, "held too long", true,
@@ -265,7 +263,7 @@
   }
   std::vector<CallId> waiting;
   for (std::unordered_map<CallId, Call>::value_type const& c : calls_)
-    if (c.second.phase == Phase::asking) waiting.push_back(c.first);
+    if (c.second.phase == Phase::asking || c.second.phase == Phase::counting) waiting.push_back(c.first);
   for (CallId const id : waiting) reject(out, now, id, 503, "leaving", true, tuning_.comeBack);
   return out;
 }
--- a/dataplane/src/tenants.cpp
+++ b/dataplane/src/tenants.cpp
@@ -1,37 +1,44 @@
 #include <corkward/dataplane/tenants.h>
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 namespace corkward::dataplane {
 
 namespace {
 
-constexpr Tick reportEvery = 100;
-/// A report without an answer for this long shows that its keeper is silent, which is passed over for that long then.
+/// Milliseconds between looks for reports that are due.
+constexpr Tick reportEvery = 50;
+/// A report without an answer for this long shows that its lender is silent, which is passed over for that long then.
 constexpr Tick answerWithin = 400;
 constexpr Tick passOverFor = 2000;
-/// Gates of tenants that may send without limit or are no more are freed once so many are kept.
+/// Milliseconds that a request waits for its amount. Amounts that come later are void, see quota::Gate::lent.
+constexpr Tick waitAtMost = quota::handOverWithin / 2;
+/// Milliseconds for which no amount is asked for after a lender had too little, or nobody lent.
+constexpr Tick scarceFor = 30;
+constexpr Tick nobodyFor = 150;
+/// A request is sent on to another lender so often.
+constexpr int mostAsks = 3;
+/// Gates of tenants that send nothing are freed once so many are kept.
 constexpr std::size_t gatesKept = 4096;
 
-scaling::QuotaLimit limitOf(config::Tenant const& tenant) {
-  return {tenant.perSecond, tenant.burst};
-}
-
 }  // namespace
 
-Tenants::Tenants(std::string link, std::uint64_t seed) : link_(std::move(link)), rng_(seed) {}
+Tenants::Tenants(std::string link, std::uint64_t life, std::uint64_t seed, quota::Slack const& slack)
+    : link_(std::move(link)), life_(life), rng_(seed), slack_(slack) {}
 
 void Tenants::configure(std::vector<config::Tenant> tenants) {
   tenants_ = std::move(tenants);
   byKey_.clear();
-  std::set<std::string> names;
+  std::set<std::string> limitedNames;
   for (std::size_t i = 0; i < tenants_.size(); ++i) {
-    names.insert(tenants_[i].name);
-    for (std::string const& key : tenants_[i].keys) byKey_[key] = i;
+    config::Tenant const& tenant = tenants_[i];
+    for (std::string const& key : tenant.keys) byKey_[key] = i;
+    if (tenant.perSecond <= 0) continue;
+    limitedNames.insert(tenant.name);
+    gates_[tenant.name].limit = {tenant.perSecond, tenant.burst};
   }
-  std::erase_if(gates_, [&](auto const& gate) { return names.count(gate.first) == 0; });
+  std::erase_if(gates_, [&](auto const& gate) { return limitedNames.count(gate.first) == 0; });
 }
 
 config::Tenant const* Tenants::byKey(std::string const& key) const {
@@ -39,79 +46,194 @@
   return it == byKey_.end() ? nullptr : &tenants_[it->second];
 }
 
+void Tenants::around(std::vector<std::string> controllers, std::size_t routers) {
+  controllers_ = std::move(controllers);
+  crowd_.routers = std::max(crowd_.routers, routers);
+}
+
 double Tenants::amountOf(config::Tenant const& tenant, std::optional<std::int64_t> tokens) {
   if (!tenant.inTokens) return 1.0;
   return static_cast<double>(tokens.value_or(tenant.plainTokens));
 }
 
-bool Tenants::admit(Tick now, config::Tenant const& tenant, double amount) {
-  if (tenant.perSecond <= 0) return true;
-  double const draw = static_cast<double>(rng_.next() >> 11) * 0x1.0p-53;
-  return gates_[tenant.name].admit(now, limitOf(tenant), amount, draw);
+Tenants::Limited* Tenants::limited(std::string const& tenant) {
+  auto const it = gates_.find(tenant);
+  return it == gates_.end() ? nullptr : &it->second;
 }
 
-void Tenants::used(std::string const& tenant, double amount) {
-  auto const it = gates_.find(tenant);
-  if (it != gates_.end()) it->second.used(amount);
+double Tenants::draw() {
+  return static_cast<double>(rng_.next() >> 11) * 0x1.0p-53;
+}
+
+Admission Tenants::admit(Tick now, std::uint64_t call, config::Tenant const& tenant, double amount,
+                         std::vector<transport::Send>& out) {
+  Limited* const limit = limited(tenant.name);
+  if (limit == nullptr) return Admission::granted;
+  if (!limit->gate.seen(now, amount, draw())) return Admission::refusedByShare;
+  if (limit->gate.take(now, limit->limit, slack_, amount)) return Admission::granted;
+  Waiting const waiting{call, tenant.name, amount, now, 0};
+  if (now < limit->scarceUntil) return Admission::refusedByLender;
+  if (ask(now, waiting, out)) return Admission::waits;
+  return withoutLender(now, waiting).admission;
+}
+
+bool Tenants::take(Tick now, std::string const& tenant, double amount) {
+  Limited* const limit = limited(tenant);
+  return limit == nullptr || limit->gate.take(now, limit->limit, slack_, amount);
+}
+
+void Tenants::giveBack(Tick now, std::string const& tenant, double amount) {
+  Limited* const limit = limited(tenant);
+  if (limit != nullptr) limit->gate.giveBack(now, limit->limit, slack_, amount);
+}
+
+QuotaDecision Tenants::withoutLender(Tick now, Waiting const& waiting) {
+  Limited* const limit = limited(waiting.tenant);
+  bool const granted = limit == nullptr || limit->gate.take(now, limit->limit, slack_, waiting.amount) ||
+                       limit->gate.takeUnlent(now, limit->limit, slack_, waiting.amount, crowd_, draw());
+  return {waiting.call, granted ? Admission::granted : Admission::refusedWithoutLender, now};
 }
 
 void Tenants::findSilent(Tick now) {
-  for (auto& [link, keeper] : keepers_) {
-    if (keeper.unanswered < 0 || now - keeper.unanswered <= answerWithin) continue;
-    keeper.silentAt = now;
-    keeper.unanswered = -1;
+  for (auto& [link, lender] : lenders_) {
+    if (lender.unanswered < 0 || now - lender.unanswered <= answerWithin) continue;
+    lender.silentAt = now;
+    lender.unanswered = -1;
+    std::erase_if(told_, [&](auto const& told) { return told.second == link; });
   }
 }
 
 bool Tenants::silent(Tick now, std::string const& link) const {
-  auto const it = keepers_.find(link);
-  return it != keepers_.end() && it->second.silentAt >= 0 && now - it->second.silentAt < passOverFor;
+  auto const it = lenders_.find(link);
+  return it != lenders_.end() && it->second.silentAt >= 0 && now - it->second.silentAt < passOverFor;
 }
 
-std::string Tenants::keeperOf(Tick now, std::string const& tenant, std::vector<std::string> const& controllers) const {
+std::string Tenants::lenderOf(Tick now, std::uint64_t part) const {
+  auto const nobody = nobodyUntil_.find(part);
+  if (nobody != nobodyUntil_.end() && now < nobody->second) return {};
+  auto const told = told_.find(part);
+  if (told != told_.end() && !silent(now, told->second)) return told->second;
   std::string best;
-  std::pair<bool, std::uint64_t> bestRank{true, 0};
-  for (std::string const& link : controllers) {
-    std::pair<bool, std::uint64_t> const rank{silent(now, link), core::stableHash(tenant + "|" + link)};
-    if (!best.empty() && rank >= bestRank) continue;
-    best = link;
-    bestRank = rank;
+  for (std::string const& link : controllers_) {
+    if (silent(now, link)) continue;
+    if (best.empty() || quota::rankOf(part, link) < quota::rankOf(part, best)) best = link;
   }
   return best;
 }
 
-std::vector<transport::Send> Tenants::clockEvent(Tick now, std::vector<std::string> const& controllers) {
-  std::vector<transport::Send> out;
-  if (now < reportAt_ || controllers.empty()) return out;
+void Tenants::send(Tick now, std::string const& lender, std::vector<quota::Use> uses, std::vector<Waiting> waiting,
+                   std::vector<transport::Send>& out) {
+  Lender& known = lenders_[lender];
+  if (known.unanswered < 0) known.unanswered = now;
+  std::uint64_t const number = nextReport_++;
+  asked_[number] = Asked{now, lender, std::move(waiting)};
+  out.push_back(transport::Send{lender, quota::Report{link_, life_, number, std::move(uses)}});
+}
+
+bool Tenants::ask(Tick now, Waiting waiting, std::vector<transport::Send>& out) {
+  Limited* const limit = limited(waiting.tenant);
+  std::string const lender = lenderOf(now, quota::partOf(waiting.tenant));
+  if (limit == nullptr || lender.empty() || waiting.asked >= mostAsks) return false;
+  ++waiting.asked;
+  quota::Use use = limit->gate.report(now, limit->limit, slack_, waiting.amount);
+  use.tenant = waiting.tenant;
+  send(now, lender, {std::move(use)}, {std::move(waiting)}, out);
+  return true;
+}
+
+void Tenants::report(Tick now, std::vector<transport::Send>& out) {
+  std::map<std::string, std::vector<quota::Use>> uses;
+  for (auto& [name, limit] : gates_) {
+    if (!limit.gate.reportDue(now)) continue;
+    std::string const lender = lenderOf(now, quota::partOf(name));
+    if (lender.empty()) continue;
+    quota::Use use = limit.gate.report(now, limit.limit, slack_, 0);
+    use.tenant = name;
+    uses[lender].push_back(std::move(use));
+  }
+  for (auto& [lender, some] : uses) send(now, lender, std::move(some), {}, out);
+}
+
+std::vector<QuotaDecision> Tenants::clockEvent(Tick now, std::vector<transport::Send>& out) {
+  std::vector<QuotaDecision> decisions;
+  for (auto& [number, asked] : asked_) {
+    std::erase_if(asked.waiting, [&](Waiting const& waiting) {
+      if (now - waiting.since < waitAtMost) return false;
+      decisions.push_back(withoutLender(now, waiting));
+      return true;
+    });
+  }
+  std::erase_if(asked_, [&](auto const& asked) { return now - asked.second.at > passOverFor; });
+  if (now < reportAt_) return decisions;
   reportAt_ = now + reportEvery;
   findSilent(now);
-  std::map<std::string, transport::QuotaReport> reports;
-  for (auto& [name, gate] : gates_) {
-    if (!gate.hasReport()) continue;
-    scaling::QuotaGate::Report const use = gate.takeReport(now);
-    reports[keeperOf(now, name, controllers)].uses.push_back({name, use.demanded, use.admitted});
+  report(now, out);
+  if (gates_.size() > gatesKept)
+    for (auto& [name, limit] : gates_)
+      if (limit.gate.idle(now)) limit.gate = quota::Gate();
+  return decisions;
+}
+
+std::vector<QuotaDecision> Tenants::arrived(Tick now, std::string const& from, quota::Loans const& message,
+                                            std::vector<transport::Send>& out) {
+  std::vector<QuotaDecision> decisions;
+  auto const at = asked_.find(message.report);
+  if (at == asked_.end() || at->second.lender != from) return decisions;
+  Asked const asked = std::move(at->second);
+  asked_.erase(at);
+  lenders_[from].unanswered = -1;
+  for (quota::Elsewhere const& elsewhere : message.elsewhere) {
+    told_[elsewhere.part] = elsewhere.lender;
+    if (elsewhere.lender.empty()) {
+      told_.erase(elsewhere.part);
+      nobodyUntil_[elsewhere.part] = now + nobodyFor;
+    }
+  }
+  for (quota::Loan const& loan : message.loans) {
+    std::uint64_t const part = quota::partOf(loan.tenant);
+    Limited* const limit = limited(loan.tenant);
+    if (limit == nullptr || message.report < countsFrom_[part]) continue;
+    told_[part] = from;
+    limit->gate.lent(now, limit->limit, slack_, asked.at, loan);
   }
-  for (auto& [link, report] : reports) {
-    Keeper& keeper = keepers_[link];
-    if (keeper.unanswered < 0) keeper.unanswered = now;
-    report.link = link_;
-    out.push_back(transport::Send{link, std::move(report)});
+  for (Waiting const& waiting : asked.waiting) {
+    Limited* const limit = limited(waiting.tenant);
+    bool const lent = std::any_of(message.loans.begin(), message.loans.end(),
+                                  [&](quota::Loan const& loan) { return loan.tenant == waiting.tenant; });
+    if (limit == nullptr || limit->gate.take(now, limit->limit, slack_, waiting.amount)) {
+      decisions.push_back({waiting.call, Admission::granted, asked.at});
+    } else if (lent) {
+      limit->scarceUntil = now + scarceFor;
+      decisions.push_back({waiting.call, Admission::refusedByLender, now});
+    } else if (!ask(now, waiting, out)) {
+      decisions.push_back(withoutLender(now, waiting));
+    }
+  }
+  for (quota::Loan const& loan : message.loans)
+    if (Limited* const limit = limited(loan.tenant)) limit->gate.trim(now, limit->limit, slack_);
+  return decisions;
+}
+
+transport::Send Tenants::arrived(Tick now, std::string const& from, quota::ClaimAsk const& message) {
+  quota::Claims claims;
+  claims.link = link_;
+  claims.life = life_;
+  claims.terms = message.terms;
+  for (quota::PartEpoch const& term : message.terms) {
+    countsFrom_[term.part] = nextReport_;
+    told_[term.part] = from;
+    nobodyUntil_.erase(term.part);
   }
-  if (gates_.size() > gatesKept) std::erase_if(gates_, [&](auto const& gate) { return gate.second.idle(now); });
-  return out;
-}
-
-void Tenants::arrived(Tick now, std::string const& from, transport::QuotaShares const& message) {
-  auto const keeper = keepers_.find(from);
-  if (keeper == keepers_.end()) return;
-  keeper->second.unanswered = -1;
-  if (silent(now, from)) return;
-  for (transport::QuotaShare const& s : message.shares) {
-    auto const gate = gates_.find(s.tenant);
-    if (gate == gates_.end()) continue;
-    gate->second.share(now, static_cast<double>(s.share) / static_cast<double>(transport::wholeShare),
-                       static_cast<double>(s.demand));
+  for (auto const& [name, limit] : gates_) {
+    std::uint64_t const part = quota::partOf(name);
+    bool const asked = std::any_of(message.terms.begin(), message.terms.end(),
+                                   [&](quota::PartEpoch const& term) { return term.part == part; });
+    if (!asked || !limit.gate.holdsLoan(now)) continue;
+    quota::Use use = limit.gate.claim(now, limit.limit, slack_);
+    use.tenant = name;
+    claims.uses.push_back(std::move(use));
   }
+  return {from, std::move(claims)};
 }
 
 }  // namespace corkward::dataplane
--- a/dataplane/test/tenants_test.cpp
+++ b/dataplane/test/tenants_test.cpp
@@ -8,6 +8,7 @@
 namespace config = corkward::config;
 namespace core = corkward::core;
 namespace dataplane = corkward::dataplane;
+namespace quota = corkward::quota;
 namespace transport = corkward::transport;
 
 namespace {
@@ -23,25 +24,41 @@
 
 std::vector<std::string> const controllers{"c1", "c2", "c3", "c4"};
 
-/// Sends one request of the tenant and returns to which controller it is reported.
-std::string reportedTo(dataplane::Tenants& tenants, core::Tick now, config::Tenant const& of) {
-  tenants.admit(now, of, 5);
-  tenants.used(of.name, 5);
-  std::vector<transport::Send> const sends = tenants.clockEvent(now, controllers);
+dataplane::Tenants tenantsOf(config::Tenant const& of, std::uint64_t seed = 1) {
+  dataplane::Tenants tenants("n1", 7, seed, quota::Slack{});
+  tenants.configure({of});
+  tenants.around(controllers, 3);
+  return tenants;
+}
+
+struct Asked {
+  std::string to;
+  quota::Report report;
+};
+
+/// Sends one request of the tenant, for which nothing was lent, and returns what is asked of whom.
+Asked askedFor(dataplane::Tenants& tenants, core::Tick now, config::Tenant const& of, std::uint64_t call = 1) {
+  std::vector<transport::Send> sends;
+  REQUIRE(tenants.admit(now, call, of, 5, sends) == dataplane::Admission::waits);
   REQUIRE(sends.size() == 1);
-  auto const& report = std::get<transport::QuotaReport>(sends[0].message);
-  CHECK(report.link == "n1");
-  REQUIRE(report.uses.size() == 1);
-  CHECK(report.uses[0].tenant == of.name);
-  CHECK(report.uses[0].demanded == 5);
-  CHECK(report.uses[0].admitted == 5);
-  return sends[0].to;
+  Asked const asked{sends[0].to, std::get<quota::Report>(sends[0].message)};
+  CHECK(asked.report.link == "n1");
+  CHECK(asked.report.life == 7);
+  REQUIRE(asked.report.uses.size() == 1);
+  CHECK(asked.report.uses[0].tenant == of.name);
+  CHECK(asked.report.uses[0].wanted == 5);
+  return asked;
+}
+
+quota::Loans answer(Asked const& asked, std::uint64_t amount, std::uint64_t share = quota::whole,
+                    std::uint64_t fraction = 0) {
+  return {asked.report.number, {{"a", 1, 1, fraction, amount, share}}, {}};
 }
 
 }  // namespace
 
 TEST_CASE("a key belongs to the tenant of the configuration in force, and to nobody once it is taken away") {
-  dataplane::Tenants tenants("n1", 1);
+  dataplane::Tenants tenants("n1", 7, 1, quota::Slack{});
   CHECK_FALSE(tenants.required());
   tenants.configure({tenant("a", "ka", 0), tenant("b", "kb", 0)});
   CHECK(tenants.required());
@@ -63,15 +80,14 @@
   CHECK(dataplane::Tenants::amountOf(t, std::nullopt) == 200.0);
 }
 
-TEST_CASE("all routers report a tenant to the same controller, and tenants spread over the controllers") {
+TEST_CASE("all routers ask the same controller for a tenant, and tenants spread over the controllers") {
   std::set<std::string> used;
   for (int i = 0; i < 40; ++i) {
     config::Tenant const t = tenant("t" + std::to_string(i), "k", 1000);
     std::set<std::string> at;
     for (std::uint64_t seed = 1; seed <= 3; ++seed) {
-      dataplane::Tenants tenants("n1", seed);
-      tenants.configure({t});
-      at.insert(reportedTo(tenants, 1000, t));
+      dataplane::Tenants tenants = tenantsOf(t, seed);
+      at.insert(askedFor(tenants, 1000, t).to);
     }
     CHECK(at.size() == 1);
     used.insert(at.begin(), at.end());
@@ -79,32 +95,96 @@
   CHECK(used.size() == controllers.size());
 }
 
-TEST_CASE("a controller that does not answer reports is passed over for the next one, and comes back") {
+TEST_CASE("a controller that does not answer is passed over for the next one, and comes back") {
+  config::Tenant const t = tenant("a", "k", 1000);
+  dataplane::Tenants tenants = tenantsOf(t);
+  std::vector<transport::Send> sends;
+  std::string const first = askedFor(tenants, 1000, t).to;
+  tenants.clockEvent(1500, sends);
+  Asked const second = askedFor(tenants, 1510, t, 2);
+  CHECK(second.to != first);
+  tenants.arrived(1520, second.to, {second.report.number, {}, {}}, sends);
+  CHECK(askedFor(tenants, 1530, t, 3).to == second.to);
+  CHECK(askedFor(tenants, 3600, t, 4).to == first);
+}
+
+TEST_CASE("a request waits for its amount: all of it is lent, nothing is left, or another lends") {
+  config::Tenant const t = tenant("a", "k", 1000);
+  dataplane::Tenants tenants = tenantsOf(t);
+  std::vector<transport::Send> sends;
+  Asked const granted = askedFor(tenants, 1000, t, 1);
+  std::vector<dataplane::QuotaDecision> decisions = tenants.arrived(1004, granted.to, answer(granted, 5), sends);
+  REQUIRE(decisions.size() == 1);
+  CHECK(decisions[0].call == 1);
+  CHECK(decisions[0].admission == dataplane::Admission::granted);
+  CHECK(decisions[0].takenAt == 1000);
+
+  Asked const elsewhere = askedFor(tenants, 1100, t, 2);
+  std::string const other = elsewhere.to == "c1" ? "c2" : "c1";
+  sends.clear();
+  CHECK(
+      tenants.arrived(1104, elsewhere.to, {elsewhere.report.number, {}, {{quota::partOf("a"), other}}}, sends).empty());
+  REQUIRE(sends.size() == 1);
+  CHECK(sends[0].to == other);
+
+  sends.clear();
+  Asked const refused = askedFor(tenants, 1200, t, 3);
+  decisions = tenants.arrived(1204, refused.to, answer(refused, 0), sends);
+  REQUIRE(decisions.size() == 1);
+  CHECK(decisions[0].admission == dataplane::Admission::refusedByLender);
+}
+
+TEST_CASE("nobody is believed but the controller that was asked, and only for the report that it answers") {
+  config::Tenant const t = tenant("a", "k", 1000);
+  dataplane::Tenants tenants = tenantsOf(t);
+  std::vector<transport::Send> sends;
+  Asked const asked = askedFor(tenants, 1000, t);
+  CHECK(tenants.arrived(1002, "stranger", answer(asked, 5), sends).empty());
+  quota::Loans other = answer(asked, 5);
+  other.report += 17;
+  CHECK(tenants.arrived(1002, asked.to, other, sends).empty());
+  CHECK(tenants.arrived(1004, asked.to, answer(asked, 5), sends).size() == 1);
+  CHECK(tenants.arrived(1006, asked.to, answer(asked, 5), sends).empty());
+}
+
+TEST_CASE("a request without an answer is decided on within a quarter of a second, by what no loan is needed for") {
+  config::Tenant const t = tenant("a", "k", 1000);
+  dataplane::Tenants tenants = tenantsOf(t);
+  std::vector<transport::Send> sends;
+  askedFor(tenants, 1000, t);
+  CHECK(tenants.clockEvent(1240, sends).empty());
+  std::vector<dataplane::QuotaDecision> const decisions = tenants.clockEvent(1260, sends);
+  REQUIRE(decisions.size() == 1);
+  CHECK(decisions[0].admission == dataplane::Admission::refusedWithoutLender);
+}
+
+TEST_CASE("answers to reports from before a claim was made count no more") {
   config::Tenant const t = tenant("a", "k", 1000);
-  dataplane::Tenants tenants("n1", 1);
-  tenants.configure({t});
-  std::string const first = reportedTo(tenants, 1000, t);
-  std::string const second = reportedTo(tenants, 1500, t);
-  CHECK(second != first);
-  tenants.arrived(1510, second, {{{"a", transport::wholeShare, 10}}});
-  CHECK(reportedTo(tenants, 2000, t) == second);
-  tenants.arrived(2010, second, {{{"a", transport::wholeShare, 10}}});
-  CHECK(reportedTo(tenants, 3600, t) == first);
+  dataplane::Tenants tenants = tenantsOf(t);
+  std::vector<transport::Send> sends;
+  Asked const asked = askedFor(tenants, 1000, t);
+  transport::Send const claim = tenants.arrived(1001, "c9", quota::ClaimAsk{{{quota::partOf("a"), 4}}});
+  CHECK(claim.to == "c9");
+  CHECK(std::get<quota::Claims>(claim.message).uses.empty());
+  std::vector<dataplane::QuotaDecision> const decisions = tenants.arrived(1004, asked.to, answer(asked, 5), sends);
+  REQUIRE(decisions.size() == 1);
+  CHECK(decisions[0].admission != dataplane::Admission::granted);
 }
 
-TEST_CASE("the share that a meter answers with is admitted, and nothing else is believed") {
+TEST_CASE("the share that a lender answers with is admitted") {
   config::Tenant const t = tenant("a", "k", 1000);
-  dataplane::Tenants tenants("n1", 1);
-  tenants.configure({t});
-  tenants.arrived(900, "c1", {{{"a", 0, 10}}});
-  std::string const keeper = reportedTo(tenants, 1000, t);
-  tenants.arrived(1010, "stranger", {{{"a", 0, 10}}});
-  CHECK(tenants.admit(1020, t, 5));
-  tenants.arrived(1030, keeper, {{{"a", 0, 10}}});
-  for (int i = 0; i < 50; ++i) CHECK_FALSE(tenants.admit(1040, t, 5));
-  tenants.arrived(1050, keeper, {{{"a", transport::wholeShare / 2, 10}}});
+  dataplane::Tenants tenants = tenantsOf(t);
+  std::vector<transport::Send> sends;
+  Asked asked = askedFor(tenants, 1020, t);
+  tenants.arrived(1030, asked.to, answer(asked, 5, 0), sends);
+  for (std::uint64_t i = 0; i < 50; ++i)
+    CHECK(tenants.admit(1040, 100 + i, t, 5, sends) == dataplane::Admission::refusedByShare);
+  dataplane::Tenants half = tenantsOf(t);
+  asked = askedFor(half, 1020, t);
+  half.arrived(1030, asked.to, answer(asked, 100000, quota::whole / 2, quota::whole), sends);
   int admitted = 0;
-  for (int i = 0; i < 1000; ++i) admitted += tenants.admit(1060, t, 5) ? 1 : 0;
+  for (std::uint64_t i = 0; i < 1000; ++i)
+    admitted += half.admit(1040, 200 + i, t, 0.01, sends) == dataplane::Admission::granted ? 1 : 0;
   CHECK(admitted > 400);
   CHECK(admitted < 600);
 }
--- /dev/null
+++ b/quota/src/ledger.cpp
@@ -0,0 +1,204 @@
+#include <corkward/quota/ledger.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace corkward::quota {
+
+namespace {
+
+/// Milliseconds after which a router's last report says nothing of the tenant's demand any more.
+constexpr Tick reportSpeaks = 2000;
+/// A router's fraction is changed when it is off by more than this part of itself: what a smaller one frees flows to
+/// nobody until the router has said that it has it.
+constexpr double worthChanging = 0.25;
+/// The lender keeps a capacity of so many of the largest amounts that were wanted; what it has seen halves in so many
+/// milliseconds.
+constexpr double keptForLargest = 2.0;
+constexpr Tick largestHalves = 20000;
+/// Below this part of the capacity routers are told to admit only a share of the requests.
+constexpr double scarce = 0.5;
+/// Part of the capacity that this leaves for large requests, which need more at once than flows in for them.
+constexpr double spared = 0.25;
+/// Seconds within which what is left beyond that may be spent beside what flows in.
+constexpr double planSeconds = 1.0;
+
+double fromWire(std::uint64_t fraction) {
+  return static_cast<double>(fraction) / static_cast<double>(whole);
+}
+
+std::uint64_t toWire(double fraction) {
+  return static_cast<std::uint64_t>(std::clamp(fraction, 0.0, 1.0) * static_cast<double>(whole));
+}
+
+}  // namespace
+
+Ledger::Ledger(Tick now, std::uint64_t epoch, Limit const& limit, Slack const& slack, Tick unknownUntil)
+    : epoch_(epoch), limit_(limit), slack_(slack), at_(now), unknown_(lentMost), unknownUntil_(unknownUntil) {}
+
+double Ledger::unknown(Tick now) const {
+  return now < unknownUntil_ ? unknown_ : 0.0;
+}
+
+double Ledger::out(Tick now) const {
+  double sum = unknown(now);
+  for (auto const& [router, entry] : entries_)
+    if (now < entry.until) sum += entry.reserved;
+  return sum;
+}
+
+double Ledger::kept(Tick now) const {
+  return std::max(0.0, 1.0 - unlentPart - out(now));
+}
+
+double Ledger::most(Tick now) const {
+  double fraction = kept(now);
+  for (auto const& [router, entry] : entries_)
+    if (now < entry.until && now < entry.flowUntil) fraction += (1.0 - heldInTouch) * entry.reserved;
+  return fraction * capacity(limit_, slack_);
+}
+
+double Ledger::flowed(Tick now) const {
+  double fractionTime = kept(now) * static_cast<double>(now - at_);
+  for (auto const& [router, entry] : entries_) {
+    Tick const end = std::min({now, entry.flowUntil, entry.until});
+    if (end > at_) fractionTime += entry.reserved * static_cast<double>(end - at_);
+  }
+  return limit_.perSecond * fractionTime / 1000.0;
+}
+
+double Ledger::level(Tick now) const {
+  return std::min(level_ + flowed(now), most(now));
+}
+
+void Ledger::settle(Tick now) {
+  level_ = level(now);
+  at_ = now;
+  std::erase_if(entries_, [&](auto const& entry) { return now >= entry.second.until; });
+}
+
+void Ledger::setLimit(Tick now, Limit const& limit, Slack const& slack) {
+  settle(now);
+  limit_ = limit;
+  slack_ = slack;
+  level_ = level(now);
+}
+
+void Ledger::unheard(Tick now, std::size_t routers) {
+  settle(now);
+  unknown_ = std::min(unknown_, lentToOneMost * static_cast<double>(routers));
+}
+
+Ledger::Entry& Ledger::entryOf(std::string const& router, std::uint64_t life) {
+  Entry& entry = entries_[router];
+  if (entry.life != life) entry = Entry{.life = life};
+  return entry;
+}
+
+void Ledger::claim(Tick now, std::string const& router, std::uint64_t life, Use const& use) {
+  if (use.fraction == 0 || use.remaining == 0) return;
+  settle(now);
+  Entry& entry = entryOf(router, life);
+  if (entry.number != 0) return;
+  Tick const until = now + std::min<Tick>(static_cast<Tick>(use.remaining), loanTerm);
+  double const claimed = fromWire(use.fraction);
+  unknown_ = std::max(0.0, unknown_ - std::max(0.0, claimed - entry.reserved));
+  entry.reserved = std::max(entry.reserved, claimed);
+  entry.until = std::max(entry.until, until);
+}
+
+double Ledger::demand(Tick now) const {
+  double sum = 0;
+  for (auto const& [router, entry] : entries_)
+    if (now - entry.heard <= reportSpeaks) sum += entry.demand;
+  return sum;
+}
+
+double Ledger::lendable(Tick now) const {
+  double const faded =
+      largest_ * std::exp2(-static_cast<double>(now - largestAt_) / static_cast<double>(largestHalves));
+  double const needed = keptForLargest * faded / capacity(limit_, slack_);
+  return std::clamp(1.0 - unlentPart - needed, 0.0, lentMost);
+}
+
+void Ledger::sawAmount(Tick now, double amount) {
+  double const faded =
+      largest_ * std::exp2(-static_cast<double>(now - largestAt_) / static_cast<double>(largestHalves));
+  largest_ = std::max(faded, amount);
+  largestAt_ = now;
+}
+
+double Ledger::fractionFor(Tick now, std::string const& router) const {
+  Entry const& entry = entries_.at(router);
+  double const all = demand(now);
+  if (all <= 0 || entry.demand <= 0) return 0;
+  double const others = out(now) - (now < entry.until ? entry.reserved : 0.0);
+  double const most = lendable(now);
+  double const free = std::max(0.0, most - others);
+  double const target = std::min({free, lentToOneMost, most * entry.demand / all});
+  bool const near = std::abs(target - entry.fraction) <= worthChanging * entry.fraction;
+  return near && entry.fraction <= free ? entry.fraction : target;
+}
+
+double Ledger::share(Tick now) const {
+  double left = level(now);
+  for (auto const& [router, entry] : entries_)
+    if (now - entry.heard <= reportSpeaks) left += entry.left;
+  if (left >= scarce * capacity(limit_, slack_)) return 1.0;
+  double const wanted = demand(now) * planSeconds;
+  double const given = std::max(0.0, limit_.perSecond * planSeconds + left - spared * capacity(limit_, slack_));
+  return wanted <= given ? 1.0 : given / wanted;
+}
+
+void Ledger::topUp(Tick now, Entry const& entry, Loan& loan) {
+  if (level_ < scarce * most(now)) return;
+  double const missing = heldInTouch * entry.fraction * capacity(limit_, slack_) - entry.left;
+  if (missing < 1.0) return;
+  loan.amount += static_cast<std::uint64_t>(missing);
+  level_ -= missing;
+}
+
+void Ledger::lend(Tick now, Entry& entry, double fraction, Loan& loan) {
+  if (entry.reserved == 0) entry.flowUntil = now + ownFlowAfter;
+  entry.fraction = fraction;
+  entry.reserved = std::max(entry.reserved, fraction);
+  entry.until = now + loanTerm;
+  entry.sentAt = now;
+  entry.number = nextNumber_++;
+  loan.number = entry.number;
+  loan.fraction = toWire(fraction);
+  topUp(now, entry, loan);
+}
+
+void Ledger::heard(Tick now, Entry& entry, Use const& use) {
+  bool const newest = use.epoch == epoch_ && use.number == entry.number && entry.number != 0;
+  if (newest) {
+    entry.reserved = entry.fraction;
+    entry.flowUntil = entry.sentAt + ownFlowAfter;
+  }
+  entry.demand = static_cast<double>(use.demand);
+  entry.left = static_cast<double>(use.left);
+  entry.heard = now;
+  if (now < entry.flowUntil) level_ = std::min(level_ + static_cast<double>(use.returned), most(now));
+}
+
+Loan Ledger::report(Tick now, std::string const& router, std::uint64_t life, Use const& use, bool lends) {
+  claim(now, router, life, use);
+  settle(now);
+  Entry& entry = entryOf(router, life);
+  heard(now, entry, use);
+  Loan loan;
+  loan.tenant = use.tenant;
+  loan.epoch = epoch_;
+  double const wanted = static_cast<double>(use.wanted);
+  sawAmount(now, wanted);
+  if (wanted <= level_) {
+    level_ -= wanted;
+    loan.amount = use.wanted;
+  }
+  if (use.renew) lend(now, entry, lends ? fractionFor(now, router) : 0.0, loan);
+  loan.share = toWire(share(now));
+  return loan;
+}
+
+}  // namespace corkward::quota
--- a/transport/include/corkward/transport/message.h
+++ b/transport/include/corkward/transport/message.h
@@ -7,12 +7,12 @@
 #include <variant>
 
 #include <corkward/core/error.h>
+#include <corkward/quota/messages.h>
 #include <corkward/transport/attempt_messages.h>
 #include <corkward/transport/consensus_messages.h>
 #include <corkward/transport/contact_messages.h>
 #include <corkward/transport/news_messages.h>
 #include <corkward/transport/operator_messages.h>
-#include <corkward/transport/quota_messages.h>
 #include <corkward/transport/values.h>
 #include <corkward/transport/warming_messages.h>
 
@@ -26,7 +26,8 @@
 
 using Message = std::variant<Shuffle, Prepare, Promise, Accept, Accepted, Commit, Handover, Heartbeat, HeartbeatEcho,
                              Fetch, Copy, Call, CallResponse, News, NewsAck, Holding, Ask, Confirm, Hint, Touch,
-                             SeenAsk, SeenEcho, SeenLeft, WarmAsk, WarmGrant, NoDisk, QuotaReport, QuotaShares>;
+                             SeenAsk, SeenEcho, SeenLeft, WarmAsk, WarmGrant, NoDisk, quota::Report, quota::Loans,
+                             quota::ClaimAsk, quota::Claims, quota::TermAsk, quota::TermGrant>;
 
 /// Command: send a message to the process that listens at the link address.
 struct Send {
