Renew lending terms only in contact with a majority; late words of former lives free nothing

Cause, found by reading the change again: a member that took part in striking a lender off, and was then cut off together with it, would have gone on renewing its term while the new membership chose another lender. And a report of a router's former life that comes after one of its present life would have freed what the present one holds.

Change: a member renews only while its newest contact with a majority is fresh, which it is not while it has accepted a membership that it does not know as chosen. A lower life number keeps what is reserved.

--- a/control/src/lending.cpp
+++ b/control/src/lending.cpp
@@ -29,11 +29,14 @@
     standing_.routers.insert(roster_.previous.begin(), roster_.previous.end());
     standing_.routers.insert(roster_.gone.begin(), roster_.gone.end());
   }
+  // Contact with a majority also says that no newer membership was accepted here without being known as chosen: a
+  // member that may have been struck off is not renewed by one that took part in striking it off.
   Tick const wait = quota::officeTerm + grantMargin;
-  standing_.mayRenew = registers_.voting() && now - started_ > wait && (joinedAt_ < 0 || now - joinedAt_ > wait);
+  Tick const age = registers_.majorityAge(now);
+  bool const inTouch = age >= 0 && age <= tuning_.fence;
+  standing_.mayRenew = inTouch && now - started_ > wait && (joinedAt_ < 0 || now - joinedAt_ > wait);
   standing_.mayGrant = standing_.mayRenew && now - membersSince_ > wait;
   standing_.alive = registers_.aliveLinks(now);
-  Tick const age = registers_.majorityAge(now);
   standing_.contact = age < 0 ? -1 : now - age;
   standing_.leaving = draining_;
 }
--- a/control/src/status_pages.cpp
+++ b/control/src/status_pages.cpp
@@ -55,6 +55,8 @@
          std::to_string(registers_.majorityAge(now)) + "\n";
   out += "# TYPE corkward_substation_owned_keys gauge\ncorkward_substation_owned_keys " +
          std::to_string(registers_.ownedCount()) + "\n";
+  out += "# TYPE corkward_quota_parts_lent gauge\ncorkward_quota_parts_lent " +
+         std::to_string(lender_.lent(now, standing_)) + "\n";
   out += "# TYPE corkward_substation_calls_in_hand gauge\ncorkward_substation_calls_in_hand " +
          std::to_string(calls_.size()) + "\n";
   config::Regimes const regimes = around().regimes();
--- a/dataplane/include/corkward/dataplane/tenants.h
+++ b/dataplane/include/corkward/dataplane/tenants.h
@@ -44,7 +44,7 @@
   /// Whose key that is; null: nobody's.
   config::Tenant const* byKey(std::string const& key) const;
   /// Members of the control plane, and how many routers there are.
-  void around(std::vector<std::string> controllers, std::size_t routers);
+  void around(std::vector<std::string> const& controllers, std::size_t routers);
 
   /// What a request counts as against its tenant's limit; tokens: what it says that it has, if it says so.
   static double amountOf(config::Tenant const& tenant, std::optional<std::int64_t> tokens);
--- a/dataplane/src/tenants.cpp
+++ b/dataplane/src/tenants.cpp
@@ -46,8 +46,8 @@
   return it == byKey_.end() ? nullptr : &tenants_[it->second];
 }
 
-void Tenants::around(std::vector<std::string> controllers, std::size_t routers) {
-  controllers_ = std::move(controllers);
+void Tenants::around(std::vector<std::string> const& controllers, std::size_t routers) {
+  if (controllers_ != controllers) controllers_ = controllers;
   crowd_.routers = std::max(crowd_.routers, routers);
 }
 
--- a/quota/src/ledger.cpp
+++ b/quota/src/ledger.cpp
@@ -91,7 +91,13 @@
 
 Ledger::Entry& Ledger::entryOf(std::string const& router, std::uint64_t life) {
   Entry& entry = entries_[router];
-  if (entry.life != life) entry = Entry{.life = life};
+  if (entry.life == life) return entry;
+  // What an earlier life held is gone with it; a word of an earlier life that comes late frees nothing.
+  Entry fresh;
+  fresh.life = life;
+  fresh.reserved = life > entry.life ? 0.0 : entry.reserved;
+  fresh.until = life > entry.life ? 0 : entry.until;
+  entry = fresh;
   return entry;
 }
 
--- a/quota/test/ledger_test.cpp
+++ b/quota/test/ledger_test.cpp
@@ -80,6 +80,20 @@
   CHECK(ledger.out(1100) == 0.0);
 }
 
+TEST_CASE("a late word of a router's former life frees nothing of what the present one holds") {
+  quota::Ledger ledger = known();
+  quota::Loan const loan = ledger.report(1000, "r1", 2, use(100), true);
+  ledger.report(1100, "r1", 1, use(0), true);
+  CHECK(ledger.out(1100) == Approx(fractionOf(loan)));
+  quota::Use held = use(100);
+  held.fraction = loan.fraction;
+  held.epoch = loan.epoch;
+  held.number = loan.number;
+  held.remaining = 9000;
+  ledger.report(1200, "r1", 2, held, true);
+  CHECK(ledger.out(1200) >= fractionOf(loan) - 1e-6);
+}
+
 TEST_CASE("a new lender lends no fraction that an earlier loan may still use") {
   quota::Ledger ledger(0, 4, limit, slack, quota::loanTerm);
   CHECK(ledger.out(0) == Approx(quota::lentMost));
