Shorter lending terms, and no refusals by share while what flows in is enough

Change: terms of 0.8 s in place of 1.5 s, asked for each 0.2 s; a restarted member pauses 1.0 s in place of 2.0 s, still longer than a term. Where a tenant asks for no more than 0.9 of what flows in, nothing is refused by share. What is spared for large requests is won back by a quarter a second.

--- a/control/src/lending.cpp
+++ b/control/src/lending.cpp
@@ -5,9 +5,6 @@
 
 namespace {
 
-/// Added to a term before a member grants one that it may have forgotten, or under a membership that is new to it.
-constexpr Tick grantMargin = 500;
-
 template <class Sends>
 void append(Commands& out, Sends&& sends) {
   for (quota::Send& send : sends)
@@ -31,7 +28,7 @@
   }
   // Contact with a majority also says that no newer membership was accepted here without being known as chosen: a
   // member that may have been struck off is not renewed by one that took part in striking it off.
-  Tick const wait = quota::officeTerm + grantMargin;
+  Tick const wait = quota::pauseBeforeGrants;
   Tick const age = registers_.majorityAge(now);
   bool const inTouch = age >= 0 && age <= tuning_.fence;
   standing_.mayRenew = inTouch && now - started_ > wait && (joinedAt_ < 0 || now - joinedAt_ > wait);
--- a/quota/include/corkward/quota/terms.h
+++ b/quota/include/corkward/quota/terms.h
@@ -14,7 +14,10 @@
 namespace corkward::quota {
 
 /// Milliseconds for which a member's grant holds.
-inline constexpr Tick officeTerm = 1500;
+inline constexpr Tick officeTerm = 800;
+/// Milliseconds for which a member grants no new term after it has started, joined or seen a new membership: by then
+/// what it may have granted before has run out.
+inline constexpr Tick pauseBeforeGrants = officeTerm + 200;
 
 /// One member's grants.
 class TermGrants {
--- a/quota/src/ledger.cpp
+++ b/quota/src/ledger.cpp
@@ -20,8 +20,10 @@
 constexpr double scarce = 0.5;
 /// Part of the capacity that this leaves for large requests, which need more at once than flows in for them.
 constexpr double spared = 0.25;
-/// Seconds within which what is left beyond that may be spent beside what flows in.
-constexpr double planSeconds = 1.0;
+/// What is left beyond that may be spent within a second; of what is missing to it, this part is won back in a second.
+constexpr double sparedBack = 0.25;
+/// A demand of this part of the flow or less needs no refusals: what is missing comes by itself.
+constexpr double enoughFlow = 0.9;
 
 double fromWire(std::uint64_t fraction) {
   return static_cast<double>(fraction) / static_cast<double>(whole);
@@ -151,9 +153,11 @@
   for (auto const& [router, entry] : entries_)
     if (now - entry.heard <= reportSpeaks) left += entry.left;
   if (left >= scarce * capacity(limit_, slack_)) return 1.0;
-  double const wanted = demand(now) * planSeconds;
-  double const given = std::max(0.0, limit_.perSecond * planSeconds + left - spared * capacity(limit_, slack_));
-  return wanted <= given ? 1.0 : given / wanted;
+  double const wanted = demand(now);
+  if (wanted <= enoughFlow * limit_.perSecond) return 1.0;
+  double const beyond = left - spared * capacity(limit_, slack_);
+  double const given = limit_.perSecond + (beyond < 0 ? sparedBack : 1.0) * beyond;
+  return std::clamp(given / wanted, 0.0, 1.0);
 }
 
 void Ledger::topUp(Tick now, Entry const& entry, Loan& loan) {
--- a/quota/src/lender.cpp
+++ b/quota/src/lender.cpp
@@ -8,9 +8,9 @@
 namespace {
 
 /// Milliseconds between questions for terms, to take one and to keep it.
-constexpr Tick askEvery = 300;
+constexpr Tick askEvery = 200;
 /// Milliseconds between questions for loans to routers that have not answered.
-constexpr Tick claimEvery = 400;
+constexpr Tick claimEvery = 200;
 /// Milliseconds after which a controller gives up seeking a part, and how long it leaves it to others then: by its
 /// rank, so that two that share the members' grants don't go on to do so.
 constexpr Tick seekFor = officeTerm;
