--- a/dataplane/src/regimes.cpp
+++ b/dataplane/src/regimes.cpp
@@ -138,7 +138,8 @@
   refreshCertified(now);
   std::vector<CallId> ours;
   for (std::unordered_map<CallId, Call>::value_type const& c : calls_)
-    if (c.second.phase != Phase::asking && c.second.phase != Phase::counting && !regimeOf(c.second).empty()) ours.push_back(c.first);
+    if (c.second.phase != Phase::asking && c.second.phase != Phase::counting && !regimeOf(c.second).empty())
+      ours.push_back(c.first);
   std::sort(ours.begin(), ours.end());
   std::map<std::string, std::pair<std::string, std::string>> known;
   for (CallId const id : ours) {
--- a/transport/src/message.cpp
+++ b/transport/src/message.cpp
@@ -11,12 +11,38 @@
 
 namespace {
 
-constexpr std::array<char const*, 32> kinds{
-    "shuffle",   "prepare",   "promise",  "accept",     "accepted", "commit",       "handover",
-    "beat",      "beat-echo", "fetch",    "copy",       "call",     "outcome",      "news",
-    "news-ack",  "holding",   "ask",      "confirm",    "hint",     "touch",        "seen-ask",
-    "seen-echo", "seen-left", "warm-ask", "warm-grant", "no-disk",  "quota-report", "quota-loans",
-    "quota-claim-ask", "quota-claims", "quota-term-ask", "quota-term-grant"};
+constexpr std::array<char const*, 32> kinds{"shuffle",
+                                            "prepare",
+                                            "promise",
+                                            "accept",
+                                            "accepted",
+                                            "commit",
+                                            "handover",
+                                            "beat",
+                                            "beat-echo",
+                                            "fetch",
+                                            "copy",
+                                            "call",
+                                            "outcome",
+                                            "news",
+                                            "news-ack",
+                                            "holding",
+                                            "ask",
+                                            "confirm",
+                                            "hint",
+                                            "touch",
+                                            "seen-ask",
+                                            "seen-echo",
+                                            "seen-left",
+                                            "warm-ask",
+                                            "warm-grant",
+                                            "no-disk",
+                                            "quota-report",
+                                            "quota-loans",
+                                            "quota-claim-ask",
+                                            "quota-claims",
+                                            "quota-term-ask",
+                                            "quota-term-grant"};
 static_assert(kinds.size() == std::variant_size_v<Message>);
 
 struct Packer {
