--- a/dataplane/src/tenants.cpp
+++ b/dataplane/src/tenants.cpp
@@ -95,11 +95,12 @@
 }
 
 void Tenants::findSilent(Tick now) {
-  for (auto& [link, lender] : lenders_) {
+  for (auto& entry : lenders_) {
+    Lender& lender = entry.second;
     if (lender.unanswered < 0 || now - lender.unanswered <= answerWithin) continue;
     lender.silentAt = now;
     lender.unanswered = -1;
-    std::erase_if(told_, [&](auto const& told) { return told.second == link; });
+    std::erase_if(told_, [&](auto const& told) { return told.second == entry.first; });
   }
 }
 
--- a/quota/src/lender.cpp
+++ b/quota/src/lender.cpp
@@ -42,7 +42,7 @@
 
 std::string Lender::holderOf(Tick now, std::uint64_t part, Standing const& standing) const {
   if (lends(now, part, standing)) return link_;
-  std::string const granted = grants_.holder(now, part);
+  std::string granted = grants_.holder(now, part);
   if (!granted.empty() && granted != link_) return granted;
   auto const told = told_.find(part);
   return told == told_.end() || now >= told->second.second ? "" : told->second.first;
