A restarted member may grant lending terms a second after its start, not after it votes

What it may have granted in a former life has run out officeTerm after its start, and a change of the membership is watched by itself, so the start is what counts.

--- a/control/src/lending.cpp
+++ b/control/src/lending.cpp
@@ -31,7 +31,7 @@
   Tick const wait = quota::pauseBeforeGrants;
   Tick const age = registers_.majorityAge(now);
   bool const inTouch = age >= 0 && age <= tuning_.fence;
-  standing_.mayRenew = inTouch && now - started_ > wait && (joinedAt_ < 0 || now - joinedAt_ > wait);
+  standing_.mayRenew = inTouch && now - started_ > wait;
   standing_.mayGrant = standing_.mayRenew && now - membersSince_ > wait;
   standing_.alive = registers_.aliveLinks(now);
   standing_.contact = age < 0 ? -1 : now - age;
