Compare host names in one normal form, in requests and in configurations

Requests went on to the service of the older route with a shorter prefix, or got 404, on every router and for ever.

Cause: the caller mapping lowered the case of a request's host and dropped its port, and the routes were kept under the host as the configuration spelled it. So a host with a capital letter, a port or a final dot was found by no request.

Change: core::HostName is made from a spelling and holds the normal form alone. Request::host and Path::host have this type, so that a spelling cannot be compared. The stored configuration keeps the operator's spelling and is read back as sent; header fields go to the replica as they came.

Disks and half-upgraded fleets: earlier releases accepted conflicting spellings, and a controller that rejects a committed value does not start. So committed values are read by readCommittedFleetConfiguration: the path whose host is spelled in normal form stays, the only one that those releases found, else the first; the router logs paths-ignored. Changes are checked strictly.

Why this works: the one place where a name is compared takes a HostName, and there is no way to make one that is not in normal form.

--- a/config/include/corkward/config/config.h
+++ b/config/include/corkward/config/config.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include <corkward/core/error.h>
+#include <corkward/core/host_name.h>
 #include <corkward/core/types.h>
 
 namespace corkward::config {
@@ -56,7 +57,7 @@
   std::string path;
   /// Host and URL prefix that select a path of the fleet configuration for a request. Both are empty for a path of an
   /// instance.
-  std::string host;
+  core::HostName host;
   std::string prefix;
   std::string pool;
   /// Pools among which the requests are distributed. Never empty; the first one is `pool`.
@@ -130,6 +131,8 @@
   /// If there are no tenants, requests are accepted without a key.
   std::vector<Tenant> tenants;
   HttpLimits http;
+  /// Names of the paths of a committed configuration that are left out of `paths`; see readCommittedFleetConfiguration.
+  std::vector<std::string> ignoredPaths;
 };
 
 /// Key under which the replicated state stores the fleet configuration.
@@ -137,8 +140,14 @@
 /// HTTP resource at which operators read and change the fleet configuration.
 inline constexpr char const* fleetConfigurationPage = "/v1/blueprint";
 
-/// Reads and checks a fleet configuration. Throws ConfigError.
+/// Reads and checks a fleet configuration. Throws ConfigError, also if two paths have the same prefix and spellings of
+/// the same host.
 FleetConfiguration readFleetConfiguration(QJsonObject const& spec);
+/// Reads a committed fleet configuration, which an earlier release may have checked. Earlier releases compared hosts
+/// byte by byte. Paths that readFleetConfiguration rejects for their host alone are left out, and `ignoredPaths` names
+/// them: of several paths with one host and prefix, the one whose host is spelled in normal form stays, the only one
+/// that those releases could select; if no host is, the first one stays. Throws ConfigError for any other violation.
+FleetConfiguration readCommittedFleetConfiguration(QJsonObject const& spec);
 /// Returns the fleet configuration after a patch of named items:
 /// {"version", "set": {"paths": [...], "pools": [...], "tenants": [...]}, "drop": {"paths": [names], ...}}. The patch
 /// may also replace "door" and "extra". The result is not checked: readFleetConfiguration does that. Throws
--- a/config/src/fleet_configuration.cpp
+++ b/config/src/fleet_configuration.cpp
@@ -1,5 +1,6 @@
 #include <QJsonArray>
 #include <limits>
+#include <map>
 #include <set>
 #include <unordered_map>
 #include <unordered_set>
@@ -146,7 +147,7 @@
                       at);
   Path out;
   out.instance = requireText(object, "name", maxTextBytes, at);
-  out.host = requireText(object, "host", maxAddressBytes, at);
+  out.host = core::HostName(requireText(object, "host", maxAddressBytes, at));
   out.prefix = requireText(object, "prefix", maxAddressBytes, at);
   if (out.prefix.front() != '/' || out.prefix.back() != '/')
     throw ConfigError(at + "/prefix", "must begin and end with /");
@@ -285,9 +286,64 @@
   return out;
 }
 
-}  // namespace
+/// Host and prefix by which requests select a path.
+using PathSelector = std::pair<core::HostName, std::string>;
 
-FleetConfiguration readFleetConfiguration(QJsonObject const& spec) {
+PathSelector selectorOf(Path const& path) {
+  return {path.host, path.prefix};
+}
+
+/// Throws ConfigError if no request can select one of the paths: its host has no name, or an earlier path has the same
+/// host and prefix.
+void checkSelectors(std::vector<Path> const& paths) {
+  std::set<PathSelector> selectors;
+  for (std::size_t i = 0; i < paths.size(); ++i) {
+    std::string const at = "/paths/" + std::to_string(i);
+    if (paths[i].host.empty()) throw ConfigError(at + "/host", "names no host");
+    if (!selectors.insert(selectorOf(paths[i])).second)
+      throw ConfigError(at + "/prefix", "another path has the same host and prefix");
+  }
+}
+
+/// Removes the paths that checkSelectors rejects and returns their names; readCommittedFleetConfiguration says which.
+/// @param values the paths as the configuration has them
+std::vector<std::string> removeUnselectable(std::vector<Path>& paths, QJsonArray const& values) {
+  auto const isNormalForm = [&](std::size_t i) {
+    return core::HostName::isNormalForm(toStdString(values.at(static_cast<qsizetype>(i))["host"].toString()));
+  };
+  std::map<PathSelector, std::size_t> selected;
+  for (std::size_t i = 0; i < paths.size(); ++i) {
+    if (paths[i].host.empty()) continue;
+    auto const [entry, isNew] = selected.emplace(selectorOf(paths[i]), i);
+    if (!isNew && isNormalForm(i)) entry->second = i;
+  }
+  std::vector<Path> remaining;
+  std::vector<std::string> removed;
+  for (std::size_t i = 0; i < paths.size(); ++i) {
+    auto const entry = selected.find(selectorOf(paths[i]));
+    if (entry != selected.end() && entry->second == i)
+      remaining.push_back(std::move(paths[i]));
+    else
+      removed.push_back(paths[i].instance);
+  }
+  paths = std::move(remaining);
+  return removed;
+}
+
+std::vector<Path> readPaths(QJsonArray const& values, PoolNames const& pools) {
+  std::vector<Path> out;
+  std::unordered_set<std::string> names;
+  out.reserve(static_cast<std::size_t>(values.size()));
+  for (qsizetype i = 0; i < values.size(); ++i) {
+    std::string const at = "/paths/" + std::to_string(i);
+    out.push_back(readPath(objectItem(values, i, at), pools, at));
+    if (!names.insert(out.back().instance).second) throw ConfigError(at + "/name", "stands twice");
+  }
+  return out;
+}
+
+/// Reads a fleet configuration without checking that its paths can be selected.
+FleetConfiguration readUnchecked(QJsonObject const& spec) {
   rejectUnknownFields(spec, {"version", "paths", "pools", "tenants", "door", "extra"}, "");
   FleetConfiguration out;
   out.version = static_cast<std::uint64_t>(requiredInteger(spec, "version", 1, maxVersion, ""));
@@ -298,24 +354,27 @@
     out.pools.push_back(readPool(objectItem(poolValues, i, at), at));
     if (!pools.insert(out.pools.back().name).second) throw ConfigError(at + "/name", "stands twice");
   }
-  std::unordered_set<std::string> names;
-  std::set<std::pair<std::string, std::string>> routes;
-  QJsonArray const pathValues = requireList(spec, "paths", "", maxPaths);
-  out.paths.reserve(static_cast<std::size_t>(pathValues.size()));
-  for (qsizetype i = 0; i < pathValues.size(); ++i) {
-    std::string const at = "/paths/" + std::to_string(i);
-    out.paths.push_back(readPath(objectItem(pathValues, i, at), pools, at));
-    Path const& p = out.paths.back();
-    if (!names.insert(p.instance).second) throw ConfigError(at + "/name", "stands twice");
-    if (!routes.emplace(p.host, p.prefix).second)
-      throw ConfigError(at + "/prefix", "another path has the same host and prefix");
-  }
+  out.paths = readPaths(requireList(spec, "paths", "", maxPaths), pools);
   out.tenants = readTenants(spec);
   out.http = readHttp(spec.value("door"));
   checkOptionalObject(spec, "extra", "");
   return out;
 }
 
+}  // namespace
+
+FleetConfiguration readFleetConfiguration(QJsonObject const& spec) {
+  FleetConfiguration out = readUnchecked(spec);
+  checkSelectors(out.paths);
+  return out;
+}
+
+FleetConfiguration readCommittedFleetConfiguration(QJsonObject const& spec) {
+  FleetConfiguration out = readUnchecked(spec);
+  out.ignoredPaths = removeUnselectable(out.paths, spec.value("paths").toArray());
+  return out;
+}
+
 QJsonObject patchFleetConfiguration(QJsonObject const& current, QJsonObject const& patch) {
   rejectUnknownFields(patch, {"version", "set", "drop", "door", "extra"}, "");
   if (!patch.contains("version")) throw ConfigError("/version", "missing");
--- a/config/test/fleet_configuration_test.cpp
+++ b/config/test/fleet_configuration_test.cpp
@@ -77,7 +77,7 @@
   config::Path const& a = w.paths[0];
   CHECK(a.instance == "Pfad 1/ü");
   CHECK(a.path.empty());
-  CHECK((a.host == "a.example" && a.prefix == "/x/"));
+  CHECK((a.host.text() == "a.example" && a.prefix == "/x/"));
   CHECK((a.stream && a.resumable && a.idempotent));
   CHECK((a.deadline == 15000 && a.latencyTarget == 800 && a.eventGapTarget == 400 && a.urgency == 0 &&
          a.maxAttempts == 2));
@@ -220,6 +220,90 @@
   }
 }
 
+namespace {
+
+/// A path that serves one prefix of a host.
+struct HostPath {
+  char const* name;
+  char const* host;
+  char const* prefix = "/a/";
+};
+
+QJsonObject configurationOf(std::vector<HostPath> const& hostPaths) {
+  QJsonArray items;
+  for (HostPath const& item : hostPaths)
+    items.append(QJsonObject{{"name", item.name},
+                             {"host", item.host},
+                             {"prefix", item.prefix},
+                             {"kind", "once"},
+                             {"deadlineMs", 3000},
+                             {"pool", "p"}});
+  return QJsonObject{{"version", 1}, {"pools", QJsonArray{QJsonObject{{"name", "p"}}}}, {"paths", items}};
+}
+
+std::vector<std::string> namesOf(std::vector<config::Path> const& paths) {
+  std::vector<std::string> out;
+  for (config::Path const& item : paths) out.push_back(item.instance);
+  return out;
+}
+
+using Names = std::vector<std::string>;
+
+}  // namespace
+
+TEST_CASE("a path's host is read in its normal form, so that a host with a capital letter is found") {
+  // Guards against review case 2: hosts were kept as spelled and never matched a request's host in lower case.
+  for (char const* const host : {"Night.example", "NIGHT.EXAMPLE", "night.example:8080", "night.example."}) {
+    config::FleetConfiguration const read = config::readFleetConfiguration(configurationOf({{"x", host}}));
+    CHECK(read.paths.at(0).host == core::HostName("night.example"));
+  }
+}
+
+TEST_CASE("two spellings of one host with the same prefix are rejected, with different prefixes accepted") {
+  for (char const* const host : {"Night.example", "night.example:80", "night.example.", "night.example"}) {
+    INFO(host);
+    CHECK(errorPointer(core::jsonText(configurationOf({{"x", "night.example"}, {"y", host}}))) == "/paths/1/prefix");
+    CHECK(errorPointer(core::jsonText(configurationOf({{"x", host}, {"y", "night.example"}}))) == "/paths/1/prefix");
+    CHECK(errorPointer(core::jsonText(configurationOf({{"x", "night.example"}, {"y", host, "/a/b/"}}))).empty());
+    CHECK(errorPointer(core::jsonText(configurationOf({{"x", "night.example"}, {"y", host, "/A/"}}))).empty());
+  }
+  CHECK(errorPointer(core::jsonText(configurationOf({{"x", "night.example"}, {"y", "Nightly.example"}}))).empty());
+}
+
+TEST_CASE("a host that names none is rejected") {
+  for (char const* const host : {":8080", ".", ":"}) {
+    INFO(host);
+    CHECK(errorPointer(core::jsonText(configurationOf({{"x", "a"}, {"y", host}}))) == "/paths/1/host");
+  }
+}
+
+TEST_CASE("a committed configuration with two spellings of one host is read with one path for each selector") {
+  auto const read = [](std::vector<HostPath> const& items) {
+    return config::readCommittedFleetConfiguration(configurationOf(items));
+  };
+  config::FleetConfiguration const normalFormFirst = read({{"low", "night.example"}, {"cap", "Night.example"}});
+  CHECK(namesOf(normalFormFirst.paths) == Names{"low"});
+  CHECK(normalFormFirst.ignoredPaths == Names{"cap"});
+  config::FleetConfiguration const normalFormLast =
+      read({{"cap", "Night.example"}, {"other", "other"}, {"all", "NIGHT.example"}, {"low", "night.example"}});
+  CHECK(namesOf(normalFormLast.paths) == Names{"other", "low"});
+  CHECK(normalFormLast.ignoredPaths == Names{"cap", "all"});
+  config::FleetConfiguration const noNormalForm = read({{"cap", "Night.example"}, {"port", "night.example:80"}});
+  CHECK(namesOf(noNormalForm.paths) == Names{"cap"});
+  CHECK(noNormalForm.ignoredPaths == Names{"port"});
+  config::FleetConfiguration const nameless = read({{"port", ":80"}, {"a", "a"}, {"dot", "."}});
+  CHECK(namesOf(nameless.paths) == Names{"a"});
+  CHECK(nameless.ignoredPaths == Names{"port", "dot"});
+  CHECK(read({{"x", "Night.example"}, {"y", "night.example", "/b/"}}).ignoredPaths.empty());
+}
+
+TEST_CASE("a committed configuration that is invalid for another reason is rejected") {
+  QJsonObject spec = configurationOf({{"x", "a"}, {"x", "b"}});
+  CHECK_THROWS_AS(config::readCommittedFleetConfiguration(spec), config::ConfigError);
+  spec = configurationOf({{"x", "a", "no-slash"}});
+  CHECK_THROWS_AS(config::readCommittedFleetConfiguration(spec), config::ConfigError);
+}
+
 TEST_CASE("a patch replaces items in place, appends and removes items, and must state the new version") {
   char const* const current = R"({"version":3,"extra":{"old":1},"door":{"headMs":5},"pools":[{"name":"a"},{"name":"b"}],
     "paths":[{"name":"x","n":1},{"name":"y","n":2},{"name":"z","n":3}]})";
--- a/config/test/golden_forms.h
+++ b/config/test/golden_forms.h
@@ -40,7 +40,7 @@
 
 inline std::string formOf(Path const& path) {
   std::string out = "path\n" + field("instance", path.instance) + field("path", path.path);
-  out += field("host", path.host) + field("prefix", path.prefix) + field("pool", path.pool);
+  out += field("host", path.host.text()) + field("prefix", path.prefix) + field("pool", path.pool);
   for (WeightedPool const& weighted : path.weightedPools)
     out += field("share", weighted.pool + " " + std::to_string(weighted.weight));
   out += field("class", classText(path.requestClass));
--- a/control/src/controller.cpp
+++ b/control/src/controller.cpp
@@ -136,7 +136,7 @@
   }
   if (committed.key == config::fleetConfigurationKey) {
     config::FleetConfiguration const configuration =
-        config::readFleetConfiguration(committed.value.value(fields::spec).toObject());
+        config::readCommittedFleetConfiguration(committed.value.value(fields::spec).toObject());
     clusterView_.configure(configuration);
     quotas_.configure(now, configuration);
   }
--- a/control/test/fleet_configuration_test.cpp
+++ b/control/test/fleet_configuration_test.cpp
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include <QJsonArray>
+#include <algorithm>
 #include <functional>
 
 #include <corkward/config/config.h>
@@ -290,3 +291,31 @@
   CHECK(mostRevisions > 20);
   CHECK(accepted > 200);
 }
+
+TEST_CASE("a controller starts on a disk whose configuration has two spellings of one host, and can be corrected") {
+  // Guards against review case 2's other side: an earlier release accepted such configurations and left them on disks.
+  QJsonObject accepted = spec(5, {"a"});
+  QJsonObject other = pathSpec("a");
+  other.insert("name", "cap");
+  other.insert("host", "g");
+  accepted.insert("paths", QJsonArray{pathSpec("a"), other});
+  std::map<std::string, std::string> disk;
+  {
+    OperatorClient client;
+    client.harness.run(6000);
+    REQUIRE(client.put(accepted, "0") == 201);
+    disk = client.harness.disk;
+  }
+  std::string const sentHost = R"("host":"g")";
+  auto const record = std::find_if(disk.begin(), disk.end(),
+                                   [&](auto const& entry) { return entry.second.find(sentHost) != std::string::npos; });
+  REQUIRE(record != disk.end());
+  record->second.replace(record->second.find(sentHost), sentHost.size(), R"("host":"H")");
+  OperatorClient client{ControllerHarness({}, disk), {}};
+  client.harness.run(6000);
+  CHECK(client.version() == 5);
+  CHECK(client.lastResponse.body.value("spec").toObject().value("paths").toArray().at(1)["host"].toString() == "H");
+  CHECK(client.patch(patchOf(6, {"b"}), "5") == 422);
+  CHECK(client.patch(QJsonObject{{"version", 6}, {"drop", QJsonObject{{"paths", QJsonArray{"cap"}}}}}, "5") == 200);
+  CHECK(client.version() == 6);
+}
--- a/control/test/fleet_configuration_validator_test.cpp
+++ b/control/test/fleet_configuration_validator_test.cpp
@@ -21,6 +21,24 @@
                                     {"extra", QJsonObject{{"note", core::toQString(note)}}}});
 }
 
+QJsonObject pathOf(char const* name, char const* host) {
+  return QJsonObject{{"name", name},   {"host", host},       {"prefix", "/a/"},
+                     {"kind", "once"}, {"deadlineMs", 3000}, {"pool", "big"}};
+}
+
+QJsonObject specWithPaths(int version, QJsonArray const& paths) {
+  return QJsonObject{{"version", version}, {"pools", QJsonArray{QJsonObject{{"name", "big"}}}}, {"paths", paths}};
+}
+
+corkward::transport::OperatorCall call(char const* method, QJsonObject const& body, std::string const& ifMatch) {
+  return operatorCall(method, config::fleetConfigurationPage, core::jsonText(body), ifMatch);
+}
+
+bool isInvalidAt(control::ValidationResult const& result, std::string const& pointer) {
+  return control::isRejected(result, RejectionReason::invalidConfiguration) &&
+         std::get<control::Rejection>(result).pointer == pointer;
+}
+
 corkward::transport::OperatorCall put(int version, std::string const& ifMatch, std::string const& note = "") {
   return operatorCall("PUT", config::fleetConfigurationPage, specOf(version, note), ifMatch);
 }
@@ -74,3 +92,39 @@
   CHECK(control::isRejected(key.call(operatorCall("DELETE", config::fleetConfigurationPage, "", "0")),
                             RejectionReason::methodNotAllowed));
 }
+
+TEST_CASE("a configuration is read back with its hosts as they were sent") {
+  control::ValidatedKey key(control::validateFleetConfiguration);
+  QJsonObject const sent =
+      specWithPaths(5, {pathOf("cap", "Night.example"), pathOf("port", "b:80"), pathOf("dot", "c.")});
+  REQUIRE(control::isAccepted(key.call(call("PUT", sent, "0"))));
+  control::ValidationResult const read = key.call(operatorCall("GET", config::fleetConfigurationPage));
+  REQUIRE(std::holds_alternative<control::Page>(read));
+  CHECK(std::get<control::Page>(read).body.value("spec").toObject() == sent);
+}
+
+TEST_CASE("a change that gives one host and prefix to two paths is rejected, however the host is spelled") {
+  control::ValidatedKey key(control::validateFleetConfiguration);
+  REQUIRE(control::isAccepted(key.call(call("PUT", specWithPaths(5, {pathOf("low", "night.example")}), "0"))));
+  QJsonObject const both = specWithPaths(6, {pathOf("low", "night.example"), pathOf("cap", "Night.example")});
+  CHECK(isInvalidAt(key.call(call("PUT", both, "5")), "/paths/1/prefix"));
+  QJsonObject const add{{"version", 6}, {"set", QJsonObject{{"paths", QJsonArray{pathOf("cap", "Night.example")}}}}};
+  CHECK(isInvalidAt(key.call(call("PATCH", add, "5")), "/paths/1/prefix"));
+  QJsonObject respell{{"version", 6}, {"set", QJsonObject{{"paths", QJsonArray{pathOf("low", "Night.example")}}}}};
+  CHECK(control::isAccepted(key.call(call("PATCH", respell, "5"))));
+}
+
+TEST_CASE("a configuration of an earlier release with two spellings of one host is read back and can be corrected") {
+  QJsonObject const stored = specWithPaths(5, {pathOf("low", "night.example"), pathOf("cap", "Night.example")});
+  control::ValidatedKey key(control::validateFleetConfiguration);
+  key.revision = 1;
+  key.value = QJsonObject{{"spec", stored}};
+  control::ValidationResult const read = key.call(operatorCall("GET", config::fleetConfigurationPage));
+  REQUIRE(std::holds_alternative<control::Page>(read));
+  CHECK(std::get<control::Page>(read).body.value("spec").toObject() == stored);
+  CHECK(control::isReplay(key.call(call("PUT", stored, "0"))));
+  QJsonObject const unrelated{{"version", 6}, {"door", QJsonObject{{"headMs", 3000}}}};
+  CHECK(isInvalidAt(key.call(call("PATCH", unrelated, "5")), "/paths/1/prefix"));
+  QJsonObject const correction{{"version", 6}, {"drop", QJsonObject{{"paths", QJsonArray{"cap"}}}}};
+  CHECK(control::isAccepted(key.call(call("PATCH", correction, "5"))));
+}
--- a/dataplane/include/corkward/dataplane/request.h
+++ b/dataplane/include/corkward/dataplane/request.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include <corkward/core/host_name.h>
 #include <corkward/core/types.h>
 
 namespace corkward::dataplane {
@@ -25,7 +26,7 @@
   std::string instance;
   std::string path;
   /// Host and request target. They select the path of the fleet configuration if the request names no instance.
-  std::string host;
+  core::HostName host;
   std::string target;
   /// Segments of the prompt, in order.
   std::vector<PromptSegment> segments;
--- a/dataplane/include/corkward/dataplane/request_router.h
+++ b/dataplane/include/corkward/dataplane/request_router.h
@@ -243,10 +243,10 @@
   /// Frees removed routes that no call uses any more, if RouteTable::needsCompaction.
   void compactRoutes();
   /// Applies the value of one configuration entry. Throws core::Error if the value is not valid.
-  void applyValue(Milliseconds now, transport::CommittedEntry const& entry);
+  void applyValue(RouterCommands& out, Milliseconds now, transport::CommittedEntry const& entry);
   void applyEndpointList(std::string const& poolName, config::EndpointList const& list);
   void applyMembership(QJsonObject const& value);
-  void applyFleetConfiguration(QJsonObject const& value);
+  void applyFleetConfiguration(RouterCommands& out, Milliseconds now, QJsonObject const& value);
   void addRoute(std::string const& owner, std::string const& key, config::Path const& path,
                 std::string const& instance);
   SendRequest dispatch(Milliseconds now, CallId id);
--- a/dataplane/include/corkward/dataplane/route_table.h
+++ b/dataplane/include/corkward/dataplane/route_table.h
@@ -40,7 +40,7 @@
   void remove(std::string const& owner);
   /// Adds a route of a configuration key.
   /// @param owner the configuration key.
-  /// @param key "instance/path", or the host followed by the path prefix.
+  /// @param key "instance/path", or the normal form of the host followed by the path prefix.
   void add(std::string const& owner, std::string const& key, Route route);
 
   /// Returns the route of the request's instance and path or, if the request names no instance, the route of its host
--- a/dataplane/src/configuration_updates.cpp
+++ b/dataplane/src/configuration_updates.cpp
@@ -46,11 +46,14 @@
   routes_.add(owner, key, std::move(route));
 }
 
-void RequestRouter::applyFleetConfiguration(QJsonObject const& value) {
-  config::FleetConfiguration const fleet = config::readFleetConfiguration(value.value("spec").toObject());
+void RequestRouter::applyFleetConfiguration(RouterCommands& out, Milliseconds now, QJsonObject const& value) {
+  config::FleetConfiguration const fleet = config::readCommittedFleetConfiguration(value.value("spec").toObject());
+  if (!fleet.ignoredPaths.empty())
+    logEvent(out, now, events::pathsIgnored,
+             {{"first", fleet.ignoredPaths.front()}, {"count", std::to_string(fleet.ignoredPaths.size())}});
   routes_.remove(config::fleetConfigurationKey);
   for (config::Path const& path : fleet.paths)
-    addRoute(config::fleetConfigurationKey, path.host + path.prefix, path, fleetInstance);
+    addRoute(config::fleetConfigurationKey, path.host.text() + path.prefix, path, fleetInstance);
   for (PoolView& view : pools_) view.settings.reset();
   for (config::PoolSettings const& settings : fleet.pools) pools_[poolIndex(settings.name)].settings = settings;
   httpLimits_ = fleet.http;
@@ -59,7 +62,7 @@
 
 void RequestRouter::applyEntry(RouterCommands& out, Milliseconds now, transport::CommittedEntry const& entry) {
   try {
-    applyValue(now, entry);
+    applyValue(out, now, entry);
   } catch (core::Error const& error) {
     logEvent(out, now, events::entryRejected, {{"key", entry.key}, {"error", error.what()}});
     return;
@@ -69,7 +72,7 @@
   compactRoutes();
 }
 
-void RequestRouter::applyValue(Milliseconds now, transport::CommittedEntry const& entry) {
+void RequestRouter::applyValue(RouterCommands& out, Milliseconds now, transport::CommittedEntry const& entry) {
   std::size_t const colon = entry.key.find(':');
   std::string const kind = entry.key.substr(0, colon);
   std::string const name = colon == std::string::npos ? "" : entry.key.substr(colon + 1);
@@ -80,7 +83,7 @@
   } else if (entry.key == config::regimesKey) {
     regimePolicy_.declare(config::readStoredRegimes(entry.value));
   } else if (entry.key == config::fleetConfigurationKey) {
-    applyFleetConfiguration(entry.value);
+    applyFleetConfiguration(out, now, entry.value);
   } else if (kind == "pool") {
     applyEndpointList(name, config::readStoredEndpointList(entry.value));
   } else if (kind == "zone") {
--- a/dataplane/src/events.h
+++ b/dataplane/src/events.h
@@ -15,6 +15,9 @@
 inline constexpr core::EventName entryApplied{"in-force"};
 /// A committed value cannot be applied. The previous value stays in effect.
 inline constexpr core::EventName entryRejected{"configuration-entry-rejected", "news-not-applied"};
+/// Paths of a committed configuration are left out, each because another one has the same host and prefix or because
+/// its host has no name. Earlier releases accepted such configurations.
+inline constexpr core::EventName pathsIgnored{"paths-ignored"};
 /// The first complete snapshot of the configuration in this incarnation is applied.
 inline constexpr core::EventName snapshotApplied{"snapshot-applied", "whole-image"};
 /// Replicas that the platform removes are out of use before the controllers have committed the endpoint list.
--- a/dataplane/src/route_table.cpp
+++ b/dataplane/src/route_table.cpp
@@ -31,8 +31,9 @@
     auto const route = index_.find(request.instance + "/" + request.path);
     return route == index_.end() ? core::InternedNames::none : route->second;
   }
-  std::string const key = request.host + request.target.substr(0, request.target.find_first_of("?#"));
-  for (std::size_t slash = key.rfind('/'); slash != std::string::npos && slash >= request.host.size();
+  std::string const& host = request.host.text();
+  std::string const key = host + request.target.substr(0, request.target.find_first_of("?#"));
+  for (std::size_t slash = key.rfind('/'); slash != std::string::npos && slash >= host.size();
        slash = key.rfind('/', slash - 1)) {
     auto const route = index_.find(key.substr(0, slash + 1));
     if (route != index_.end()) return route->second;
--- a/dataplane/test/golden_pages_test.cpp
+++ b/dataplane/test/golden_pages_test.cpp
@@ -209,7 +209,7 @@
   dataplane::Request fleetRequest(std::string const& path, std::string const& key = "") {
     dataplane::Request r;
     r.call = nextCall++;
-    r.host = "h";
+    r.host = core::HostName("h");
     r.target = "/" + path + "/x";
     r.tenantKey = key;
     return r;
@@ -217,7 +217,7 @@
   /// Sends the request and returns its call id.
   std::uint64_t sendRequest(dataplane::Request const& r) {
     step("request " + std::to_string(r.call) + " " +
-             (r.instance.empty() ? r.host + r.target : r.instance + "/" + r.path),
+             (r.instance.empty() ? r.host.text() + r.target : r.instance + "/" + r.path),
          reducer.onRequest(now, r));
     return r.call;
   }
--- a/dataplane/test/outlier_ejection_test.cpp
+++ b/dataplane/test/outlier_ejection_test.cpp
@@ -92,7 +92,7 @@
   std::uint64_t sendRequest() {
     dataplane::Request r;
     r.call = next++;
-    r.host = "h";
+    r.host = core::HostName("h");
     r.target = std::string(path) + "x";
     run(reducer.onRequest(now, r));
     return r.call;
--- a/dataplane/test/prefix_affinity_test.cpp
+++ b/dataplane/test/prefix_affinity_test.cpp
@@ -74,7 +74,7 @@
   std::string sendRequest(std::uint64_t shared, std::int64_t sharedTokens, std::int64_t ownTokens) {
     dataplane::Request r;
     r.call = nextCall++;
-    r.host = "h";
+    r.host = core::HostName("h");
     r.target = "/p/x";
     r.id = "r" + std::to_string(r.call);
     r.attempt = 1;
--- a/dataplane/test/route_table_test.cpp
+++ b/dataplane/test/route_table_test.cpp
@@ -24,7 +24,7 @@
 
 Request requestToHost(std::string const& host, std::string const& target) {
   Request request;
-  request.host = host;
+  request.host = core::HostName(host);
   request.target = target;
   return request;
 }
--- a/http/test/golden_exchange.h
+++ b/http/test/golden_exchange.h
@@ -117,7 +117,7 @@
   };
   line("instance", r.instance);
   line("path", r.path);
-  line("host", r.host);
+  line("host", r.host.text());
   line("target", r.target);
   for (dataplane::PromptSegment const& segment : r.segments)
     line("part", std::to_string(segment.hash) + " " + std::to_string(segment.tokens));
--- a/testing/sim/operator_changes.cpp
+++ b/testing/sim/operator_changes.cpp
@@ -14,6 +14,8 @@
 /// An operator retries a change after this time without a response, and gives it up after `changeTimeout` in all.
 constexpr Milliseconds answerTimeout = 1000;
 constexpr Milliseconds changeTimeout = 20000;
+/// Fraction of the changes beside which an invalid one is sent, if the plan has any.
+constexpr double invalidFraction = 0.3;
 /// Returns whether the status leaves open whether the change was accepted; the operator then sends it again.
 bool isInconclusive(int status) {
   return status == 0 || status == 307 || status == 408 || status == 421 || status == 429 || status >= 500;
@@ -23,13 +25,13 @@
   return status == 200 || status == 201;
 }
 
-std::string configurationBody(std::uint64_t version) {
+QJsonObject configurationBody(std::uint64_t version) {
   QJsonObject const body = core::parseJson(R"({"pools":[{"name":"wide","standing":"/health"}],"paths":[{"name":"p",
       "host":"h","prefix":"/a/","kind":"once","deadlineMs":3000,"pool":"wide"}]})")
                                .toObject();
   QJsonObject out = body;
   out.insert("version", static_cast<qint64>(version));
-  return core::jsonText(out);
+  return out;
 }
 
 }  // namespace
@@ -90,22 +92,42 @@
   if (open > 0) return;
   sendNewChange("");
   if (burstChangesLeft_ == 0 && rng_.chance(plan_.operators.raceFraction)) sendNewChange("");
+  if (plan_.operators.hostSpellings && rng_.chance(invalidFraction)) sendInvalidChange();
   if (burstChangesLeft_ > 0 && --burstChangesLeft_ == 0) stopControllerAfterBurst();
 }
 
-void SimulatedCluster::sendNewChange(std::string const& link) {
+SimulatedCluster::ConfigurationChange SimulatedCluster::newChange() {
   ConfigurationChange o;
   o.base = std::to_string(knownVersion_);
   nextVersion_ = std::max(nextVersion_, knownVersion_ + 1);
   o.version = nextVersion_;
   nextVersion_ += 1 + rng_.below(3);
   o.id = "order" + std::to_string(o.version);
-  o.body = configurationBody(o.version);
-  configurationChanges_.push_back(o);
+  QJsonObject body = configurationBody(o.version);
+  if (plan_.operators.hostSpellings) body.insert("paths", respelledPaths(o.version));
+  o.body = core::jsonText(body);
+  return o;
+}
+
+void SimulatedCluster::sendNewChange(std::string const& link) {
+  configurationChanges_.push_back(newChange());
   ++result_.counts["orders"];
   sendConfigurationChange(configurationChanges_.size() - 1, link.empty() ? chooseController() : link);
 }
 
+void SimulatedCluster::sendInvalidChange() {
+  ConfigurationChange change = newChange();
+  QJsonObject body = core::parseJson(change.body).toObject();
+  QJsonArray paths = body.value("paths").toArray();
+  paths.append(conflictingPath(change.version));
+  body.insert("paths", paths);
+  change.body = core::jsonText(body);
+  change.invalid = true;
+  configurationChanges_.push_back(change);
+  ++result_.counts["invalid-orders"];
+  sendConfigurationChange(configurationChanges_.size() - 1, chooseController());
+}
+
 void SimulatedCluster::sendConfigurationChange(std::size_t index, std::string const& link) {
   ConfigurationChange& o = configurationChanges_[index];
   if (o.closed) return;
@@ -153,6 +175,7 @@
   ConfigurationChange& o = configurationChanges_[index];
   ++result_.counts["order-" + std::to_string(status)];
   if (success(status)) {
+    if (o.invalid) violation("an invalid change of the fleet configuration was accepted: " + o.id + " by " + link);
     bool const first = o.acknowledgedAt < 0;
     if (first) {
       o.acknowledgedAt = now_;
@@ -192,6 +215,10 @@
 
 void SimulatedCluster::checkRejection(ConfigurationChange& rejected, std::string const& link, std::uint64_t baseAtSend,
                                       int status) {
+  if (rejected.invalid) {
+    ++result_.counts["invalid-orders-rejected"];
+    return;
+  }
   auto const ix = static_cast<std::size_t>(&rejected - configurationChanges_.data());
   bool const committed =
       std::any_of(changeOfRevision_.begin(), changeOfRevision_.end(),
--- a/testing/sim/plan.h
+++ b/testing/sim/plan.h
@@ -196,7 +196,8 @@
   startWithOldConfiguration,
   dropSnapshotChunks,
   delayResponses,
-  directorySkipsSync
+  directorySkipsSync,
+  distinctHosts
 };
 
 /// Behaviour of the operators of the fleet configuration. They send one change at a time, each based on the newest
@@ -218,6 +219,9 @@
   bool retryImmediately = false;
   /// Report a violation if a valid template change is rejected as invalid (400, 422) or unknown (404).
   bool rejectionsChecked = false;
+  /// Each configuration spells its host in other ways. Some changes give one host and prefix to two paths, with
+  /// different spellings of the host, and must be rejected.
+  bool hostSpellings = false;
   /// Minimum and maximum number of changes in one burst.
   int burstMin = 200;
   int burstMax = 200;
--- a/testing/sim/simulated_cluster.cpp
+++ b/testing/sim/simulated_cluster.cpp
@@ -384,6 +384,10 @@
       });
     }
   }
+  bool const applied = std::any_of(c.logEvents.begin(), c.logEvents.end(), [](core::LogEvent const& logEvent) {
+    return logEvent.event == "in-force" && logEvent.fields.at("key") == config::fleetConfigurationKey;
+  });
+  if (plan_.operators.hostSpellings && applied) probeHostSpellings(n);
 }
 
 Result SimulatedCluster::run() {
--- a/testing/sim/simulated_cluster.h
+++ b/testing/sim/simulated_cluster.h
@@ -187,6 +187,8 @@
     std::string base;
     std::string body;
     std::uint64_t version = 0;
+    /// The configuration is invalid, and must not be accepted.
+    bool invalid = false;
     Milliseconds sentAt = -1;
     /// Time of the first successful response, even if it was lost on the way to the operator. -1 if there is none.
     Milliseconds acknowledgedAt = -1;
@@ -297,6 +299,9 @@
   // Operators of the fleet configuration: operator_changes.cpp.
   void changeFleetConfigurationPeriodically();
   void sendNewChange(std::string const& link);
+  void sendInvalidChange();
+  /// Returns a new change on the newest version that the operators know. It is not sent yet.
+  ConfigurationChange newChange();
   void sendConfigurationChange(std::size_t index, std::string const& link);
   void onChangeResponse(std::size_t index, std::string const& link, std::uint64_t baseAtSend, int status,
                         QJsonObject const& body);
@@ -315,6 +320,12 @@
   /// within `limit`.
   void sendOperatorCall(std::string const& link, transport::OperatorCall call, Milliseconds limit,
                         std::function<void(int, QJsonObject const&)> then);
+  // Spellings of a host: host_spellings.cpp.
+  QJsonArray respelledPaths(std::uint64_t version) const;
+  /// Returns a path with the same host, spelled differently, and the same prefix as another one of the version.
+  QJsonObject conflictingPath(std::uint64_t version) const;
+  /// Sends a router a request for the route of its configuration's version by each spelling of the host.
+  void probeHostSpellings(Node& n);
   // Processes in contact with the core, and the rules for them: contact_oracles.cpp.
   void checkContactRules();
   bool isRunning(Node const& n) const;
--- a/testing/sim/sweep.cpp
+++ b/testing/sim/sweep.cpp
@@ -70,6 +70,8 @@
       "meet", po::bool_switch(&operators.sendToIsolated),
       "operators send changes to isolated controllers during and right after the partition")(
       "hard", po::bool_switch(&operators.retryImmediately), "operators retry after 20 ms until they get a response")(
+      "host-spellings", po::bool_switch(&operators.hostSpellings),
+      "configurations and requests spell one host in different ways")(
       "proper", po::bool_switch(&proper), "also report rejections of valid template changes")(
       "burst", po::value(&operators.burstMax), "maximum number of changes in a burst")(
       "loose-names", po::bool_switch(&namesLostSeparately),
@@ -144,6 +146,7 @@
           if (!faults.empty()) plan.faults = faults;
         }
         if (operators.enabled) plan.operators = operators;
+        if (operators.hostSpellings) plan.operators.hostSpellings = true;
         if (operators.burstMax != Operators{}.burstMax) plan.operators.burstMax = operators.burstMax;
         plan.operators.rejectionsChecked = proper;
         if (!fencing.empty()) plan.fenced = fencing == "on";
--- a/testing/test/sim_test.cpp
+++ b/testing/test/sim_test.cpp
@@ -256,6 +256,20 @@
   checkCounted(runControlPlans(testing::ControlScenario::powerCuts, 10, Fencing::on), {"strikes", "names-lost"});
 }
 
+TEST_CASE("every router finds a route by each spelling of its host, and no two paths share a host and a prefix",
+          "[host-spellings]") {
+  // Guards against review case 2: a route whose host has a capital letter was acknowledged and never taken.
+  std::map<std::string, std::size_t> counts;
+  for (testing::ControlScenario const point : {testing::ControlScenario::cuts, testing::ControlScenario::powerCuts})
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+      testing::Plan plan = testing::controlPlan(seed, point);
+      plan.operators.hostSpellings = true;
+      for (auto const& [name, count] : checkControlPlan(plan).counts) counts[name] += count;
+    }
+  CHECK(counts["host-spellings-probed"] > 500);
+  CHECK(counts["invalid-orders-rejected"] > 10);
+}
+
 TEST_CASE("a valid template change is accepted after a power loss of the complete fleet", "[proper]") {
   for (std::uint64_t seed = 1; seed <= 4; ++seed) {
     testing::Plan plan = testing::controlPlan(seed, testing::ControlScenario::powerCuts);
@@ -350,7 +364,9 @@
        ControlScenario::secondDiskLoss,
        {Fault::wipeSameAddress},
        "does not vote in time"},
-      {Mutation::delayResponses, ControlScenario::cuts, {Fault::requestBurst}, "no acknowledgement in"}};
+      {Mutation::delayResponses, ControlScenario::cuts, {Fault::requestBurst}, "no acknowledgement in"},
+      {Mutation::distinctHosts, ControlScenario::cuts, {Fault::requestBurst}, "has no route for a spelling"},
+      {Mutation::distinctHosts, ControlScenario::cuts, {Fault::requestBurst}, "an invalid change"}};
   for (Case const& testCase : cases) {
     bool found = false;
     for (std::uint64_t seed = 1; seed <= 16 && !found; ++seed) {
@@ -359,6 +375,7 @@
       plan.fenced = testCase.fenced;
       plan.mutation = testCase.mutation;
       plan.operators.raceFraction = 0.5;
+      plan.operators.hostSpellings = testCase.mutation == Mutation::distinctHosts;
       for (std::string const& v : testing::SimulatedCluster(plan).run().violations)
         found = found || v.find(testCase.says) != std::string::npos;
     }
