Serve a request at a router only as the role of its own listener says

Clients that asked for that path at the clients' address got a success with the router's own text and without a replica's seal; no replica saw the request.

Cause: the hosted router listens at two addresses with one HTTP server, and the handler of readiness checks ran before the mapping and looked at method and path, not at the listener. The other way round, the address of the readiness checks routed all other requests to the replicas.

Change: each listener of a router has a role: callers, readiness, or combined for the product's own single address. RouterSurface::extraEndpoints and standardEndpoints, which held for all addresses, are gone. At the clients' address every path is routed; at the readiness address everything but the check gets 404.

Why this works: the listener decides before any path is looked at, so no path can belong to two of them.

--- a/programs/router/router_daemon.cpp
+++ b/programs/router/router_daemon.cpp
@@ -23,13 +23,25 @@
 /// Request id for an endpoint list that was not received by an HTTP request and needs no response.
 constexpr std::uint64_t noRequest = 0;
 
+/// Returns the surface with at least one listener.
+RouterSurface withListeners(RouterSurface surface, Settings const& settings) {
+  if (surface.listeners.empty()) surface.listeners.push_back({settings.http, ListenerRole::combined});
+  return surface;
+}
+
+std::vector<std::string> addressesOf(std::vector<RouterListener> const& listeners) {
+  std::vector<std::string> addresses;
+  for (RouterListener const& listener : listeners) addresses.push_back(listener.address);
+  return addresses;
+}
+
 }  // namespace
 
 RouterDaemon::RouterDaemon(Settings const& settings, dataplane::RouterTuning const& tuning,
                            http::Mapping const& mapping, RouterSurface surface)
     : settings_(settings),
       mapping_(mapping),
-      surface_(std::move(surface)),
+      surface_(withListeners(std::move(surface), settings)),
       shutdown_(settings.drainLimitMs, tuning.drainAcceptPeriod),
       reducer_(contactOf(settings, transport::routerRole), settings.seeds,
                surface_.seed == 0 ? randomSeed() : surface_.seed, tuning),
@@ -41,8 +53,7 @@
           },
           settings.listen),
       upstreams_(surface_.keepAlive, [] { return now(); }),
-      server_(surface_.addresses.empty() ? std::vector<std::string>{settings.http} : surface_.addresses,
-              surface_.limits, serverEvents()),
+      server_(addressesOf(surface_.listeners), surface_.limits, serverEvents()),
       relay_(this, server_, upstreams_, mapping, recorder_, relayEvents()) {
   execute(reducer_.started(now()));
   QObject::connect(&timer_, &QTimer::timeout, this, [this] { onTimer(); });
@@ -114,8 +125,29 @@
 }
 
 void RouterDaemon::serve(http::Request request) {
-  if (surface_.extraEndpoints && surface_.extraEndpoints(*this, request)) return;
-  if (surface_.standardEndpoints && serveNativeEndpoint(request)) return;
+  switch (surface_.listeners.at(request.listener).role) {
+    case ListenerRole::readiness:
+      serveReadinessCheck(request);
+      return;
+    case ListenerRole::combined:
+      if (!serveNativeEndpoint(request)) routeRequest(std::move(request));
+      return;
+    case ListenerRole::callers:
+      routeRequest(std::move(request));
+      return;
+  }
+}
+
+void RouterDaemon::serveReadinessCheck(http::Request const& request) {
+  bool const isCheck =
+      core::httpMethodOf(request.method) == core::HttpMethod::get && pathOf(request) == surface_.readinessPath;
+  if (isCheck)
+    respondReadiness(server_, request, ready());
+  else
+    server_.respond(request.id, core::code(core::HttpStatus::notFound), {}, "");
+}
+
+void RouterDaemon::routeRequest(http::Request request) {
   http::CallerRequest caller = mapping_.callerRequest(request);
   if (!caller.request) {
     dataplane::Reject const reject{request.id, caller.status, caller.reason, true, 0};
--- a/programs/router/router_daemon.h
+++ b/programs/router/router_daemon.h
@@ -22,24 +22,33 @@
 
 namespace corkward::programs {
 
-class RouterDaemon;
+/// What a router serves at a listen address. A request is served only as the role of its own address says.
+enum class ListenerRole {
+  /// Callers: every request is routed to a replica, whatever its path.
+  callers,
+  /// Readiness checks: RouterSurface::readinessPath and nothing else.
+  readiness,
+  /// The product's own interface: callers, operators and the platform, told apart by their paths.
+  combined
+};
+
+struct RouterListener {
+  /// Address to listen at, ip:port.
+  std::string address;
+  ListenerRole role = ListenerRole::combined;
+};
 
 /// Configuration of a router's HTTP interface, for deployments in which it differs from the product's own.
 struct RouterSurface {
-  /// Addresses to listen at, ip:port. Callers, operators and the platform are served at each of them. Empty to use only
-  /// Settings::http.
-  std::vector<std::string> addresses = {};
+  /// Empty for one listener at Settings::http with the role `combined`.
+  std::vector<RouterListener> listeners = {};
+  /// Path of the readiness checks at listeners with the role `readiness`.
+  std::string readinessPath = {};
   http::ServerLimits limits = {};
   /// Policy for keeping connections to replicas open for further requests.
   http::KeepAlivePolicy keepAlive = {};
   /// Interval of the reducer's timer events, in milliseconds.
   int timerIntervalMs = 20;
-  /// Responds to a request for an additional endpoint and returns true. Returns false, without a response, for any
-  /// other request.
-  std::function<bool(RouterDaemon&, http::Request const&)> extraEndpoints = {};
-  /// Whether the product's own endpoints are served: /healthz, /readyz, /metrics, /v1/state and the platform's endpoint
-  /// lists. `extraEndpoints` takes precedence over them.
-  bool standardEndpoints = true;
   /// Computes the limits of the callers' HTTP server from those of the fleet configuration. Called each time the latter
   /// change. Empty if the limits are fixed.
   std::function<http::ServerLimits(config::HttpLimits const&)> deriveServerLimits = {};
@@ -74,7 +83,12 @@
   http::Server::Events serverEvents();
   RequestRelay::Events relayEvents();
   void serve(http::Request request);
+  void serveReadinessCheck(http::Request const& request);
+  /// Serves the product's own endpoints: /healthz, /readyz, /metrics, /v1/state and the platform's endpoint lists.
+  /// Returns false, without a response, for any other request.
   bool serveNativeEndpoint(http::Request const& request);
+  /// Maps a caller's request and passes it to the reducer.
+  void routeRequest(http::Request request);
   void respondState(http::Request const& request);
   /// Executes the reducer's commands.
   void execute(dataplane::RouterCommands&& commands);
--- a/testing/fuzz/scenario.cpp
+++ b/testing/fuzz/scenario.cpp
@@ -43,12 +43,12 @@
   return t;
 }
 
-programs::RouterSurface daemonOptions(std::uint64_t seed) {
+programs::RouterSurface daemonOptions(std::string const& address, std::uint64_t seed) {
   programs::RouterSurface s;
+  s.listeners = {{address, programs::ListenerRole::callers}};
   s.limits.sendsServerHeader = false;
   s.limits.errorHeaders = {};
   s.keepAlive = http::KeepAlivePolicy{8, 1000, 250};
-  s.standardEndpoints = false;
   s.seed = seed;
   return s;
 }
@@ -124,7 +124,8 @@
   control_ = std::make_unique<transport::Link>(this, control, [this, update, link](transport::Envelope const&) {
     if (!router_->ready()) control_->send(link, update);
   });
-  router_ = std::make_unique<programs::RouterDaemon>(settings, tuning(), mapping_, daemonOptions(plan_.seed));
+  router_ =
+      std::make_unique<programs::RouterDaemon>(settings, tuning(), mapping_, daemonOptions(settings.http, plan_.seed));
   for (int const number : {SIGTERM, SIGINT}) ::signal(number, SIG_DFL);
   QObject::connect(&boot_, &QTimer::timeout, this, [this] {
     if (!router_->ready()) return;
