Keep routes under host and prefix apart, so that joined texts cannot meet

Cause: a route's key was the joined text of host and prefix, and both pairs join to one text. The check of a configuration compares the pairs, so it takes both.

Change: RouteKey holds the kind of route (of an instance or of a host), the name and the path as fields.

Why this works: two keys are equal only if each field is.

--- a/dataplane/include/corkward/dataplane/request_router.h
+++ b/dataplane/include/corkward/dataplane/request_router.h
@@ -247,8 +247,7 @@
   void applyEndpointList(std::string const& poolName, config::EndpointList const& list);
   void applyMembership(QJsonObject const& value);
   void applyFleetConfiguration(RouterCommands& out, Milliseconds now, QJsonObject const& value);
-  void addRoute(std::string const& owner, std::string const& key, config::Path const& path,
-                std::string const& instance);
+  void addRoute(std::string const& owner, RouteKey const& key, config::Path const& path, std::string const& instance);
   SendRequest dispatch(Milliseconds now, CallId id);
   // Steps of onConnected.
   void dispatchResume(RouterCommands& out, Milliseconds now, CallId id);
--- a/dataplane/include/corkward/dataplane/route_table.h
+++ b/dataplane/include/corkward/dataplane/route_table.h
@@ -31,6 +31,29 @@
   std::vector<Backend> backends;
 };
 
+/// What requests select a route by: an instance and a path, or a host and a path prefix.
+struct RouteKey {
+  enum class Kind { instance, host };
+
+  static RouteKey ofInstance(std::string const& instance, std::string const& path) {
+    return {Kind::instance, instance, path};
+  }
+  static RouteKey ofHost(core::HostName const& host, std::string const& prefix) {
+    return {Kind::host, host.text(), prefix};
+  }
+  bool operator==(RouteKey const&) const = default;
+
+  Kind kind = Kind::instance;
+  /// Name of the instance, or normal form of the host's name.
+  std::string name;
+  /// Path below the instance, or path prefix.
+  std::string path;
+};
+
+struct RouteKeyHash {
+  std::size_t operator()(RouteKey const& key) const;
+};
+
 /// The active routes, found by instance and path or by host and path prefix. A removed route keeps its index for as
 /// long as a call uses it.
 class RouteTable {
@@ -40,8 +63,7 @@
   void remove(std::string const& owner);
   /// Adds a route of a configuration key.
   /// @param owner the configuration key.
-  /// @param key "instance/path", or the normal form of the host followed by the path prefix.
-  void add(std::string const& owner, std::string const& key, Route route);
+  void add(std::string const& owner, RouteKey const& key, Route route);
 
   /// Returns the route of the request's instance and path or, if the request names no instance, the route of its host
   /// with the longest matching prefix of its target. Returns InternedNames::none if there is no such route.
@@ -61,11 +83,13 @@
   std::vector<NameIndex> compact(std::set<NameIndex> const& inUse);
 
  private:
+  NameIndex find(RouteKey const& key) const;
+
   std::vector<Route> routes_;
   /// Active routes by key.
-  std::unordered_map<std::string, NameIndex> index_;
+  std::unordered_map<RouteKey, NameIndex, RouteKeyHash> index_;
   /// Keys of the routes of each configuration key (owner).
-  std::map<std::string, std::vector<std::string>> owned_;
+  std::map<std::string, std::vector<RouteKey>> owned_;
   std::uint64_t revision_ = 1;
 };
 
--- a/dataplane/src/configuration_updates.cpp
+++ b/dataplane/src/configuration_updates.cpp
@@ -36,7 +36,7 @@
   return pool;
 }
 
-void RequestRouter::addRoute(std::string const& owner, std::string const& key, config::Path const& path,
+void RequestRouter::addRoute(std::string const& owner, RouteKey const& key, config::Path const& path,
                              std::string const& instance) {
   Route route{path, poolIndex(path.pool), instanceNames_.intern(instance), {}};
   for (config::WeightedPool const& weighted : path.weightedPools)
@@ -53,7 +53,7 @@
              {{"first", fleet.ignoredPaths.front()}, {"count", std::to_string(fleet.ignoredPaths.size())}});
   routes_.remove(config::fleetConfigurationKey);
   for (config::Path const& path : fleet.paths)
-    addRoute(config::fleetConfigurationKey, path.host.text() + path.prefix, path, fleetInstance);
+    addRoute(config::fleetConfigurationKey, RouteKey::ofHost(path.host, path.prefix), path, fleetInstance);
   for (PoolView& view : pools_) view.settings.reset();
   for (config::PoolSettings const& settings : fleet.pools) pools_[poolIndex(settings.name)].settings = settings;
   httpLimits_ = fleet.http;
@@ -79,7 +79,8 @@
   if (kind == "family") {
     std::vector<config::Path> const paths = config::renderPaths(name, entry.value);
     routes_.remove(entry.key);
-    for (config::Path const& path : paths) addRoute(entry.key, path.instance + "/" + path.path, path, path.instance);
+    for (config::Path const& path : paths)
+      addRoute(entry.key, RouteKey::ofInstance(path.instance, path.path), path, path.instance);
   } else if (entry.key == config::regimesKey) {
     regimePolicy_.declare(config::readStoredRegimes(entry.value));
   } else if (entry.key == config::fleetConfigurationKey) {
--- a/dataplane/src/route_table.cpp
+++ b/dataplane/src/route_table.cpp
@@ -1,3 +1,4 @@
+#include <boost/container_hash/hash.hpp>
 #include <utility>
 
 #include <corkward/dataplane/route_table.h>
@@ -13,35 +14,45 @@
 
 }  // namespace
 
+std::size_t RouteKeyHash::operator()(RouteKey const& key) const {
+  std::size_t seed = 0;
+  boost::hash_combine(seed, key.kind);
+  boost::hash_combine(seed, key.name);
+  boost::hash_combine(seed, key.path);
+  return seed;
+}
+
 void RouteTable::remove(std::string const& owner) {
-  std::vector<std::string>& keys = owned_[owner];
-  for (std::string const& key : keys) index_.erase(key);
+  std::vector<RouteKey>& keys = owned_[owner];
+  for (RouteKey const& key : keys) index_.erase(key);
   keys.clear();
   ++revision_;
 }
 
-void RouteTable::add(std::string const& owner, std::string const& key, Route route) {
+void RouteTable::add(std::string const& owner, RouteKey const& key, Route route) {
   index_[key] = static_cast<NameIndex>(routes_.size());
   owned_[owner].push_back(key);
   routes_.push_back(std::move(route));
 }
 
 NameIndex RouteTable::find(Request const& request) const {
-  if (!request.instance.empty()) {
-    auto const route = index_.find(request.instance + "/" + request.path);
-    return route == index_.end() ? core::InternedNames::none : route->second;
-  }
-  std::string const& host = request.host.text();
-  std::string const key = host + request.target.substr(0, request.target.find_first_of("?#"));
-  for (std::size_t slash = key.rfind('/'); slash != std::string::npos && slash >= host.size();
-       slash = key.rfind('/', slash - 1)) {
-    auto const route = index_.find(key.substr(0, slash + 1));
-    if (route != index_.end()) return route->second;
-    if (slash == 0) break;
+  if (!request.instance.empty()) return find(RouteKey::ofInstance(request.instance, request.path));
+  RouteKey key = RouteKey::ofHost(request.host, request.target.substr(0, request.target.find_first_of("?#")));
+  std::string& prefix = key.path;
+  while (!prefix.empty()) {
+    prefix.resize(prefix.rfind('/') + 1);
+    NameIndex const route = find(key);
+    if (route != core::InternedNames::none) return route;
+    if (!prefix.empty()) prefix.pop_back();
   }
   return core::InternedNames::none;
 }
 
+NameIndex RouteTable::find(RouteKey const& key) const {
+  auto const route = index_.find(key);
+  return route == index_.end() ? core::InternedNames::none : route->second;
+}
+
 std::set<NameIndex> RouteTable::instances() const {
   std::set<NameIndex> instances;
   for (auto const& [key, route] : index_) instances.insert(routes_[route].instance);
