Clear three findings of the linter in the host name and the listeners

Cause: clang-tidy takes the 0 of a defaulted three-way comparison for a null pointer, and wants a vector that grows in a loop to be reserved.

Change: HostName has operator== and operator< in place of operator<=>, and the listeners' addresses are reserved.

--- a/core/include/corkward/core/host_name.h
+++ b/core/include/corkward/core/host_name.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <compare>
 #include <string>
 #include <string_view>
 
@@ -22,7 +21,8 @@
   /// Whether the spelling is the normal form of its name.
   static bool isNormalForm(std::string_view spelling) { return HostName(spelling).text_ == spelling; }
 
-  std::strong_ordering operator<=>(HostName const&) const = default;
+  bool operator==(HostName const&) const = default;
+  bool operator<(HostName const& other) const { return text_ < other.text_; }
 
  private:
   /// Invariant: the normal form, that is without a port, without the final dot of an absolute name, ASCII letters in
--- a/programs/router/router_daemon.cpp
+++ b/programs/router/router_daemon.cpp
@@ -31,6 +31,7 @@
 
 std::vector<std::string> addressesOf(std::vector<RouterListener> const& listeners) {
   std::vector<std::string> addresses;
+  addresses.reserve(listeners.size());
   for (RouterListener const& listener : listeners) addresses.push_back(listener.address);
   return addresses;
 }
