Parse ip:port in one place

Cause: three parsers of an address, in http, programs and platform, and two functions that take the ip from one.

--- a/programs/common/settings.cpp
+++ b/programs/common/settings.cpp
@@ -5,11 +5,13 @@
 #include <cerrno>
 #include <fstream>
 #include <iostream>
+#include <optional>
 #include <sys/stat.h>
 #include <system_error>
 #include <unistd.h>
 
 #include <corkward/config/config.h>
+#include <corkward/http/socket_address.h>
 
 namespace corkward::programs {
 
@@ -24,20 +26,13 @@
 constexpr core::Milliseconds millisPerSecond = 1000;
 constexpr int minAuditMegabytes = 2;
 constexpr int maxAuditMegabytes = 65536;
-constexpr int maxPort = 65535;
 
 enum class Presence { optional, required };
 
 bool isAddress(std::string const& value) {
-  std::size_t const colon = value.rfind(':');
-  QHostAddress host;
-  bool const hostIsValid = colon != std::string::npos &&
-                           host.setAddress(QString::fromStdString(value.substr(0, colon))) &&
-                           host.protocol() == QAbstractSocket::IPv4Protocol;
-  if (!hostIsValid) return false;
-  bool isNumber = false;
-  int const port = QString::fromStdString(value.substr(colon + 1)).toInt(&isNumber);
-  return isNumber && port > 0 && port <= maxPort;
+  std::optional<http::SocketAddress> const address = http::socketAddressOf(value);
+  if (!address || address->port == 0) return false;
+  return QHostAddress(QString::fromStdString(address->host)).protocol() == QAbstractSocket::IPv4Protocol;
 }
 
 void checkAddress(std::string const& name, std::string const& value, Presence presence) {
