Count an invalid configuration as rejected only when it was judged invalid

Cause (found by reading the whole change again): the simulator's check that more than 10 conflicting configurations are rejected also counted those that lost a race (412), three quarters of them.

Change: only 422 counts.

--- a/testing/sim/operator_changes.cpp
+++ b/testing/sim/operator_changes.cpp
@@ -16,6 +16,8 @@
 constexpr Milliseconds changeTimeout = 20000;
 /// Fraction of the changes beside which an invalid one is sent, if the plan has any.
 constexpr double invalidFraction = 0.3;
+/// Status of a change that is rejected because its configuration is invalid.
+constexpr int unprocessableContent = 422;
 /// Returns whether the status leaves open whether the change was accepted; the operator then sends it again.
 bool isInconclusive(int status) {
   return status == 0 || status == 307 || status == 408 || status == 421 || status == 429 || status >= 500;
@@ -216,7 +218,7 @@
 void SimulatedCluster::checkRejection(ConfigurationChange& rejected, std::string const& link, std::uint64_t baseAtSend,
                                       int status) {
   if (rejected.invalid) {
-    ++result_.counts["invalid-orders-rejected"];
+    if (status == unprocessableContent) ++result_.counts["invalid-orders-rejected"];
     return;
   }
   auto const ix = static_cast<std::size_t>(&rejected - configurationChanges_.data());
