--- a/dataplane/include/corkward/dataplane/response_stream.h
+++ b/dataplane/include/corkward/dataplane/response_stream.h
@@ -6,6 +6,7 @@
 #include <utility>
 #include <vector>
 
+#include <corkward/core/body_end.h>
 #include <corkward/dataplane/request_router.h>
 
 namespace corkward::dataplane {
@@ -85,9 +86,9 @@
   std::string const& lastEvent() const { return lastEventId_; }
   StreamSteps onHead(ResponseHead const& head);
   StreamSteps onChunk(std::string bytes);
-  /// The response ended.
-  /// @param complete true if the end of the body was received, false if the connection ended before it.
-  StreamSteps onEnd(bool complete);
+  /// The response ended. A body whose framing marks its end is complete, also if its last event lacks the blank line.
+  /// An event stream that ends with the connection is complete only after a complete event; see docs/design.md.
+  StreamSteps onEnd(core::BodyEnd end);
   /// Whether the head was forwarded to the caller.
   bool begun() const { return begun_; }
 
@@ -104,6 +105,10 @@
   StreamSteps onEventChunk(std::string const& bytes);
   /// Forwards the event that begins at `start` of the buffer. Returns false if it cannot follow the last forwarded one.
   bool forwardEvent(StreamSteps& out, std::size_t start);
+  /// Whether a body that ended in this way is complete.
+  bool isComplete(core::BodyEnd end) const;
+  /// Whether the last received bytes end an event, and no further event is known to follow.
+  bool isBetweenEvents() const;
   void parseLine(std::size_t from, std::size_t to);
   ResponseHead head_;
   std::string run_;
@@ -128,6 +133,11 @@
   std::size_t lineStart_ = 0;
   /// The line before the current one ended with CR LF, not with a single CR or LF.
   bool lineEndedWithCrLf_ = false;
+  /// The last received byte is a CR that was taken as the end of a line, and an LF that follows belongs to it.
+  bool endsWithCr_ = false;
+  /// At least one further event follows: none was forwarded yet, or a previous replica had begun to send one. Never set
+  /// after a request that names the last event its caller has, unless a replica has begun another event.
+  bool eventOutstanding_ = false;
   Event event_;
 };
 
--- a/dataplane/src/response_stream.cpp
+++ b/dataplane/src/response_stream.cpp
@@ -29,16 +29,19 @@
 void ResponseStream::expectEvents(std::string lastEventId) {
   eventsExpected_ = true;
   lastEventId_ = std::move(lastEventId);
+  eventOutstanding_ = lastEventId_.empty();
 }
 
 void ResponseStream::onConnecting(bool resume) {
   resuming_ = resume && begun_;
   headReceived_ = false;
   ended_ = false;
+  eventOutstanding_ = eventOutstanding_ || !buffer_.empty();
   buffer_.clear();
   scanPosition_ = 0;
   lineStart_ = 0;
   lineEndedWithCrLf_ = false;
+  endsWithCr_ = false;
   event_ = Event{};
   if (begun_) return;
   head_ = ResponseHead{};
@@ -130,8 +133,11 @@
     bool const blank = scanPosition_ == lineStart_;
     if (c == '\r' && (!blank || lineEndedWithCrLf_) && scanPosition_ + 1 == buffer_.size()) break;
     std::size_t next = scanPosition_ + 1;
-    lineEndedWithCrLf_ = c == '\r' && next < buffer_.size() && buffer_[next] == '\n';
-    if (lineEndedWithCrLf_) ++next;
+    bool const completesCrLf = c == '\n' && blank && endsWithCr_;
+    bool const isCrLf = c == '\r' && next < buffer_.size() && buffer_[next] == '\n';
+    if (isCrLf) ++next;
+    lineEndedWithCrLf_ = isCrLf || completesCrLf;
+    endsWithCr_ = c == '\r' && !isCrLf && next == buffer_.size();
     parseLine(lineStart_, scanPosition_);
     scanPosition_ = next;
     lineStart_ = next;
@@ -174,16 +180,34 @@
   } else if (hasContent) {
     hasUnnumberedEvent_ = true;
   }
+  if (hasContent) eventOutstanding_ = false;
   beginResponse(out);
   out.chunk.append(buffer_, start, lineStart_ - start);
   return true;
 }
 
-StreamSteps ResponseStream::onEnd(bool complete) {
-  if (ended_) return {};
+bool ResponseStream::isBetweenEvents() const {
+  return buffer_.empty() && !eventOutstanding_;
+}
+
+bool ResponseStream::isComplete(core::BodyEnd end) const {
+  if (!headReceived_) return false;
   std::uint64_t const length = head_.bodiless ? 0 : static_cast<std::uint64_t>(head_.length);
-  bool const isWhole = complete && headReceived_ && ((head_.length < 0 && !head_.bodiless) || offset_ == length);
-  if (!isWhole) return endUpstream(UpstreamResult::connectionLost);
+  bool const hasAllBytes = (head_.length < 0 && !head_.bodiless) || offset_ == length;
+  switch (end) {
+    case core::BodyEnd::framed:
+      return hasAllBytes;
+    case core::BodyEnd::connectionClosed:
+      return hasAllBytes && (!isEventStream_ || isBetweenEvents());
+    case core::BodyEnd::incomplete:
+      return false;
+  }
+  return false;
+}
+
+StreamSteps ResponseStream::onEnd(core::BodyEnd end) {
+  if (ended_) return {};
+  if (!isComplete(end)) return endUpstream(UpstreamResult::connectionLost);
   StreamSteps out;
   if (isEventStream_ && !buffer_.empty()) {
     if (lineStart_ < buffer_.size()) parseLine(lineStart_, std::max(lineStart_, buffer_.find_last_not_of('\r') + 1));
--- a/dataplane/test/outlier_ejection_test.cpp
+++ b/dataplane/test/outlier_ejection_test.cpp
@@ -366,7 +366,7 @@
     REQUIRE(chunk.begin);
     CHECK(chunk.begin->status == 502);
     CHECK(chunk.chunk == "bad");
-    CHECK(s.onEnd(true).finish);
+    CHECK(s.onEnd(core::BodyEnd::framed).finish);
   }
   SECTION("another replica is tried") {
     s.onConnecting(false);
@@ -374,7 +374,7 @@
     dataplane::StreamSteps const chunk = s.onChunk("ok");
     REQUIRE(chunk.begin);
     CHECK(chunk.begin->status == 200);
-    CHECK(s.onEnd(true).finish);
+    CHECK(s.onEnd(core::BodyEnd::framed).finish);
   }
 }
 
@@ -384,7 +384,7 @@
   s.onConnecting(false);
   s.onHead({.status = 200, .events = true});
   REQUIRE(s.onChunk("id: 1\ndata: a\n\n").begin);
-  s.onEnd(false);
+  s.onEnd(core::BodyEnd::incomplete);
   s.onConnecting(true);
   CHECK(s.onHead({.status = 500, .failed = true}).ended == dataplane::UpstreamResult::connectionLost);
 }
--- a/dataplane/test/request_router_test.cpp
+++ b/dataplane/test/request_router_test.cpp
@@ -779,19 +779,19 @@
   SECTION("resumed by the same execution at the same offset") {
     s.onHead({.status = 200, .run = "r1"});
     CHECK(s.onChunk("abc").begin);
-    CHECK(s.onEnd(false).ended == dataplane::UpstreamResult::connectionLost);
+    CHECK(s.onEnd(core::BodyEnd::incomplete).ended == dataplane::UpstreamResult::connectionLost);
     s.onConnecting(true);
     CHECK(s.resume().resuming);
     CHECK(s.resume().run == "r1");
     CHECK(s.resume().offset == 3);
     CHECK_FALSE(s.onHead({.status = 206, .run = "r1", .offset = "3"}).ended);
     CHECK_FALSE(s.onChunk("d").begin);
-    CHECK(s.onEnd(true).finish);
+    CHECK(s.onEnd(core::BodyEnd::framed).finish);
   }
   SECTION("not resumed by another execution, offset or status") {
     s.onHead({.status = 200, .run = "r1"});
     s.onChunk("abc");
-    s.onEnd(false);
+    s.onEnd(core::BodyEnd::incomplete);
     s.onConnecting(true);
     int const status = GENERATE(206, 200);
     std::string const run = GENERATE("r1", "r2", "");
@@ -804,7 +804,7 @@
     s.onHead({200, {}, 4});
     CHECK_FALSE(s.onChunk("abc").ended);
     SECTION("shorter") {
-      CHECK(s.onEnd(true).ended == dataplane::UpstreamResult::connectionLost);
+      CHECK(s.onEnd(core::BodyEnd::framed).ended == dataplane::UpstreamResult::connectionLost);
     }
     SECTION("longer") {
       dataplane::StreamSteps const longer = s.onChunk("de");
@@ -819,9 +819,9 @@
   SECTION("nothing is forwarded after the end") {
     s.onHead({200, {}, -1});
     s.onChunk("a");
-    s.onEnd(false);
+    s.onEnd(core::BodyEnd::incomplete);
     CHECK(s.onChunk("b").chunk.empty());
-    CHECK_FALSE(s.onEnd(true).finish);
+    CHECK_FALSE(s.onEnd(core::BodyEnd::framed).finish);
   }
 }
 
--- a/dataplane/test/response_stream_test.cpp
+++ b/dataplane/test/response_stream_test.cpp
@@ -65,7 +65,7 @@
     s.onConnecting(false);
     c.apply(s.onHead(eventStreamHead()));
     feed(s, c, all.substr(0, cut), step);
-    c.apply(s.onEnd(false));
+    c.apply(s.onEnd(core::BodyEnd::incomplete));
     REQUIRE(c.end == dataplane::UpstreamResult::connectionLost);
     REQUIRE(all.rfind(c.received, 0) == 0);
     bool const resume = s.begun();
@@ -75,7 +75,7 @@
     c.end.reset();
     c.apply(s.onHead(eventStreamHead()));
     feed(s, c, eventsAfter(s.lastEvent().empty() ? 0 : std::stoi(s.lastEvent()), eol), step);
-    c.apply(s.onEnd(true));
+    c.apply(s.onEnd(core::BodyEnd::framed));
     REQUIRE(c.end == dataplane::UpstreamResult::complete);
     REQUIRE(c.received == all);
     REQUIRE(c.heads == 1);
@@ -92,7 +92,7 @@
   s.onHead(eventStreamHead());
   c.apply(s.onChunk("id: 9\ndata: a\n\nid: 10\ndata: b\n\nid: 11\nda"));
   CHECK(s.lastEvent() == "10");
-  s.onEnd(false);
+  s.onEnd(core::BodyEnd::incomplete);
   s.onConnecting(true);
   CHECK_FALSE(s.onHead(eventStreamHead()).ended);
   SECTION("a repeated id") {
@@ -117,7 +117,7 @@
   SECTION("a repeated id in the last event, which no blank line ends") {
     c.apply(s.onChunk("id: 10\ndata: b\n"));
     CHECK_FALSE(c.end);
-    c.apply(s.onEnd(true));
+    c.apply(s.onEnd(core::BodyEnd::framed));
   }
   CHECK(c.end == dataplane::UpstreamResult::differentExecution);
   CHECK(c.finished == 0);
@@ -130,7 +130,7 @@
   s.onConnecting(false);
   s.onHead(eventStreamHead());
   s.onChunk("id: 1\ndata: a\n\n");
-  s.onEnd(false);
+  s.onEnd(core::BodyEnd::incomplete);
   s.onConnecting(true);
   SECTION("another status") {
     CHECK(s.onHead({.status = 500, .events = true}).ended == dataplane::UpstreamResult::differentExecution);
@@ -148,11 +148,11 @@
   SECTION("a body shorter than its length") {
     s.onHead({.status = 200, .length = 99, .events = true});
     s.onChunk("id: 2\ndata: b\n\n");
-    CHECK(s.onEnd(true).ended == dataplane::UpstreamResult::connectionLost);
+    CHECK(s.onEnd(core::BodyEnd::framed).ended == dataplane::UpstreamResult::connectionLost);
   }
   SECTION("a complete empty body") {
     s.onHead({.status = 200, .length = 0, .events = true});
-    CHECK(s.onEnd(true).finish);
+    CHECK(s.onEnd(core::BodyEnd::framed).finish);
   }
 }
 
@@ -164,7 +164,7 @@
   dataplane::StreamSteps const first = s.onChunk("data: a\n\n");
   CHECK(first.chunk == "data: a\n\n");
   CHECK(first.firstByte == false);
-  s.onEnd(false);
+  s.onEnd(core::BodyEnd::incomplete);
   s.onConnecting(true);
   CHECK(s.onHead(eventStreamHead()).ended == dataplane::UpstreamResult::differentExecution);
 }
@@ -178,7 +178,7 @@
   CHECK_FALSE(s.resume().resuming);
   s.onHead({.status = 200, .length = 30, .run = "r1", .events = true});
   c.apply(s.onChunk("id: 5\ndata: lost"));
-  c.apply(s.onEnd(false));
+  c.apply(s.onEnd(core::BodyEnd::incomplete));
   CHECK(c.heads == 0);
   s.onConnecting(GENERATE(false, true));
   CHECK_FALSE(s.resume().resuming);
@@ -186,13 +186,13 @@
   SECTION("with an event stream") {
     c.apply(s.onHead(eventStreamHead()));
     c.apply(s.onChunk("id: 5\ndata: a\n\n"));
-    c.apply(s.onEnd(true));
+    c.apply(s.onEnd(core::BodyEnd::framed));
     CHECK(c.received == "id: 5\ndata: a\n\n");
   }
   SECTION("with another kind of response") {
     c.apply(s.onHead({.status = 404, .length = 4}));
     c.apply(s.onChunk("none"));
-    c.apply(s.onEnd(true));
+    c.apply(s.onEnd(core::BodyEnd::framed));
     CHECK(c.received == "none");
     CHECK(c.length == 4);
   }
@@ -215,7 +215,7 @@
   SECTION("no body") {
     c.apply(s.onHead({.status = 200, .length = 7, .bodiless = true}));
   }
-  c.apply(s.onEnd(true));
+  c.apply(s.onEnd(core::BodyEnd::framed));
   CHECK(c.heads == 1);
   CHECK(c.finished == 1);
   CHECK(c.end == dataplane::UpstreamResult::complete);
@@ -242,7 +242,7 @@
   CHECK(out.ended == dataplane::UpstreamResult::connectionLost);
   CHECK(out.closeUpstream);
   CHECK(s.onChunk("ab").chunk.empty());
-  CHECK_FALSE(s.onEnd(true).finish);
+  CHECK_FALSE(s.onEnd(core::BodyEnd::framed).finish);
 }
 
 TEST_CASE(
@@ -270,8 +270,9 @@
       many.apply(inChunks.onChunk(bytes.substr(at, n)));
       at += n;
     }
-    one.apply(atOnce.onEnd(true));
-    many.apply(inChunks.onEnd(true));
+    core::BodyEnd const end = round % 2 == 0 ? core::BodyEnd::framed : core::BodyEnd::connectionClosed;
+    one.apply(atOnce.onEnd(end));
+    many.apply(inChunks.onEnd(end));
     REQUIRE(bytes.rfind(one.received, 0) == 0);
     REQUIRE(bytes.rfind(many.received, 0) == 0);
     REQUIRE(one.end == many.end);
--- a/http/include/corkward/http/upstream_connection.h
+++ b/http/include/corkward/http/upstream_connection.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 
+#include <corkward/core/body_end.h>
 #include <corkward/core/types.h>
 #include <corkward/http/headers.h>
 
@@ -47,10 +48,9 @@
     std::function<void(ReplicaHead)> head;
     /// Bytes of the response's body.
     std::function<void(std::string)> chunk;
-    /// The response has ended. `complete` is true if its end was received as the message framing defines it, and false
-    /// if the connection ended earlier or the response is malformed. KeepAlivePolicy::closeCompletesResponse defines
-    /// the value for a body that ends with the connection.
-    std::function<void(bool complete)> ended;
+    /// The response has ended. BodyEnd::connectionClosed is reported only if KeepAlivePolicy::closeMayEndBody is set;
+    /// otherwise a body that ends with the connection is incomplete.
+    std::function<void(core::BodyEnd)> ended;
   };
   /// Opens a connection that is closed after the request. Throws HttpError if the address is malformed.
   /// @param address ip:port
@@ -110,7 +110,7 @@
   void deliver(std::string& bytes);
   /// Reads everything that was received on a connection that has ended, then finishes the response.
   void readToEnd();
-  void finish(bool complete);
+  void finish(core::BodyEnd end);
   void returnToPool();
 
   Events events_;
--- a/http/include/corkward/http/upstream_pool.h
+++ b/http/include/corkward/http/upstream_pool.h
@@ -23,10 +23,10 @@
   /// Replaces idleTimeout for a request that must not be executed twice and therefore should avoid a stale connection.
   /// If 0, such a request opens a new connection.
   core::Milliseconds avoidStaleIdleTimeout = 0;
-  /// Whether a body that ends with the connection (RFC 9112, section 6.3) is complete if the replica closes the
-  /// connection without a reset. If false, such a response always counts as incomplete, because the operating system
-  /// also closes the connections of a crashed replica process without a reset.
-  bool closeCompletesResponse = false;
+  /// Whether replicas may end a body with the connection (RFC 9112, section 6.3). If true, a connection that is closed
+  /// without a reset ends such a body as BodyEnd::connectionClosed. If false, such a body is always incomplete, because
+  /// the operating system also closes the connections of a crashed replica process without a reset.
+  bool closeMayEndBody = false;
 };
 
 /// Keeps idle connections to replicas for further requests. A connection returns to the pool only if its request was
--- a/http/src/upstream_connection.cpp
+++ b/http/src/upstream_connection.cpp
@@ -301,20 +301,21 @@
   QPointer<UpstreamConnection> const alive(this);
   readResponse();
   if (!alive || state_->isFinished() || state_->paused) return;
-  finish(state_->buffer.isEmpty() && state_->closeObserver.closedWithoutReset());
+  bool const closed = state_->buffer.isEmpty() && state_->closeObserver.closedWithoutReset();
+  finish(closed ? core::BodyEnd::connectionClosed : core::BodyEnd::incomplete);
 }
 
-void UpstreamConnection::finish(bool complete) {
+void UpstreamConnection::finish(core::BodyEnd end) {
   if (state_->isFinished()) return;
   state_->phase = State::Phase::finished;
-  if (complete)
+  if (end == core::BodyEnd::framed)
     returnToPool();
-  else if (state_->pool)
+  else if (end == core::BodyEnd::incomplete && state_->pool)
     state_->pool->closeIdle(address_);
   if (state_->released)
     deleteLater();
   else
-    events_.ended(complete);
+    events_.ended(end);
 }
 
 void UpstreamConnection::returnToPool() {
@@ -334,17 +335,17 @@
     return;
   }
   state_->discardedBytes += chunk.size();
-  if (state_->discardedBytes > maxDiscardedBytes) finish(false);
+  if (state_->discardedBytes > maxDiscardedBytes) finish(core::BodyEnd::incomplete);
 }
 
 bool UpstreamConnection::onHead() {
   if (state_->parser.isUnusable()) {
-    finish(false);
+    finish(core::BodyEnd::incomplete);
     return false;
   }
   state_->keepAliveTimeout = state_->parser.keepAliveTimeout();
-  bool const closeCompletes = state_->pool && state_->pool->policy().closeCompletesResponse;
-  if (closeCompletes && state_->parser.bodyEndsWithConnection()) state_->closeObserver.observe(*socket_);
+  bool const closeMayEndBody = state_->pool && state_->pool->policy().closeMayEndBody;
+  if (closeMayEndBody && state_->parser.bodyEndsWithConnection()) state_->closeObserver.observe(*socket_);
   QPointer<UpstreamConnection> const alive(this);
   events_.head(state_->parser.head());
   return alive && !state_->isFinished();
@@ -368,7 +369,7 @@
     if (outcome == Outcome::headComplete && !onHead()) return;
     if (ends) {
       deliver(body);
-      if (alive) finish(outcome != Outcome::failed);
+      if (alive) finish(outcome == Outcome::failed ? core::BodyEnd::incomplete : core::BodyEnd::framed);
       return;
     }
     if (outcome == Outcome::needsMoreBytes) {
--- a/http/test/http_test.cpp
+++ b/http/test/http_test.cpp
@@ -58,7 +58,7 @@
   e.connectFailed = [&] { received.connectFailed = true; };
   e.head = [&](http::ReplicaHead h) { received.status = h.status; };
   e.chunk = [&](std::string bytes) { received.body += bytes; };
-  e.ended = [&](bool complete) { received.ended = complete ? 1 : 0; };
+  e.ended = [&](core::BodyEnd end) { received.ended = end == core::BodyEnd::framed ? 1 : 0; };
   upstream = new http::UpstreamConnection(address, std::move(e), &owner);
   REQUIRE(waitUntil([&] { return received.connectFailed || received.ended >= 0; }));
   return received;
@@ -113,7 +113,7 @@
       upstream->setPaused(true);
     }
   };
-  e.ended = [&](bool complete) { ended = complete ? 1 : 0; };
+  e.ended = [&](core::BodyEnd end) { ended = end == core::BodyEnd::framed ? 1 : 0; };
   upstream = new http::UpstreamConnection(replica.address(), std::move(e), &owner);
   REQUIRE(waitUntil([&] { return paused; }));
   std::size_t const bytesWhenPaused = receivedBytes;
--- a/http/test/upstream_pool_test.cpp
+++ b/http/test/upstream_pool_test.cpp
@@ -119,7 +119,8 @@
 struct Outcome {
   int status = 0;
   std::string body;
-  /// 1 after a complete response, 0 after an incomplete one, -1 before the end.
+  /// 1 after a response whose framing marked its end, 2 after one that the closed connection ended, 0 after an
+  /// incomplete one, -1 before the end.
   int ended = -1;
   /// Number of `ended` events.
   int endCount = 0;
@@ -145,8 +146,8 @@
       if (releaseAtHead) upstream->release();
     };
     e.chunk = [this](std::string bytes) { outcome.body += bytes; };
-    e.ended = [this](bool complete) {
-      outcome.ended = complete ? 1 : 0;
+    e.ended = [this](core::BodyEnd end) {
+      outcome.ended = end == core::BodyEnd::framed ? 1 : end == core::BodyEnd::connectionClosed ? 2 : 0;
       outcome.stale = upstream->isStale();
       ++outcome.endCount;
     };
@@ -428,9 +429,8 @@
 }
 
 TEST_CASE(
-    "a body that ends with the connection is complete if the connection is closed without a reset, and incomplete "
-    "after "
-    "a reset") {
+    "a body that ends with the connection is reported as such if the connection is closed without a reset, and as "
+    "incomplete after a reset") {
   ensureApplication();
   std::string const head = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
   std::string const body = GENERATE("", "h", "hello");
@@ -444,13 +444,48 @@
   else
     fixture.replica.resetLast();
   Outcome const outcome = request.wait();
-  CHECK(outcome.ended == (closesNormally ? 1 : 0));
+  CHECK(outcome.ended == (closesNormally ? 2 : 0));
   CHECK(outcome.endCount == 1);
   CHECK(outcome.body == body);
   CHECK(fixture.upstreams.idleCount() == 0);
 }
 
-TEST_CASE("a body that ends with the connection and is read after a pause is complete only if there was no reset") {
+TEST_CASE("the end of a body is reported by its framing, or by how the connection ended, at every byte") {
+  // Guards against a cut body being reported as one whose end was received.
+  ensureApplication();
+  struct Framing {
+    std::string head;
+    std::string body;
+    /// The end is reported if the connection is closed after the complete body, and before it.
+    int complete;
+    int closedEarlier;
+  };
+  Framing const framing = GENERATE(values<Framing>({
+      {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", "hello", 1, 0},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n", 1, 0},
+      {"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", "hello", 2, 2},
+      {"HTTP/1.0 200 OK\r\n\r\n", "hello", 2, 2},
+  }));
+  bool const resets = GENERATE(false, true);
+  for (std::size_t cut = 0; cut <= framing.body.size(); ++cut) {
+    PoolFixture fixture({{framing.head + framing.body.substr(0, cut), false}}, {2, 5000, 0, true});
+    PoolRequest request(fixture.upstreams, fixture.replica.address());
+    REQUIRE(waitUntil([&] { return request.outcome.status == 200; }));
+    bool const isFramed = framing.complete == 1 && cut == framing.body.size();
+    if (resets)
+      fixture.replica.resetLast();
+    else
+      fixture.replica.lastSocket->disconnectFromHost();
+    int const expected = isFramed                     ? 1
+                         : resets                     ? 0
+                         : cut == framing.body.size() ? framing.complete
+                                                      : framing.closedEarlier;
+    REQUIRE(request.wait().ended == expected);
+    REQUIRE(request.outcome.endCount == 1);
+  }
+}
+
+TEST_CASE("a body that ends with the connection and is read after a pause is incomplete only after a reset") {
   ensureApplication();
   bool const closesNormally = GENERATE(true, false);
   std::string const body(3 << 20, 'b');
@@ -463,7 +498,7 @@
   REQUIRE(waitUntil([&] { return closesNormally || fixture.replica.closed >= closedBefore; }));
   request.upstream->setPaused(false);
   Outcome const outcome = request.wait();
-  CHECK(outcome.ended == (closesNormally ? 1 : 0));
+  CHECK(outcome.ended == (closesNormally ? 2 : 0));
   CHECK(outcome.endCount == 1);
   CHECK((outcome.body.size() == body.size()) == closesNormally);
 }
@@ -515,7 +550,7 @@
       ++finishedCount;
       (*upstream)->release();
     };
-    e.ended = [this](bool complete) { finishedCount += complete ? 1 : 100; };
+    e.ended = [this](core::BodyEnd end) { finishedCount += end == core::BodyEnd::framed ? 1 : 100; };
     *upstream = upstreams.acquire(replica.address(), false, std::move(e), &owner);
   }
 };
--- a/programs/router/request_relay.cpp
+++ b/programs/router/request_relay.cpp
@@ -51,7 +51,7 @@
   events.connectFailed = [this, id] { onConnectFailed(id); };
   events.head = [this, id](http::ReplicaHead const& head) { onHead(id, head); };
   events.chunk = [this, id](std::string bytes) { onChunk(id, std::move(bytes)); };
-  events.ended = [this, id](bool complete) { onEnded(id, complete); };
+  events.ended = [this, id](core::BodyEnd end) { onEnded(id, end); };
   return events;
 }
 
@@ -145,11 +145,11 @@
   applyBackpressure(id);
 }
 
-void RequestRelay::onEnded(std::uint64_t id, bool complete) {
+void RequestRelay::onEnded(std::uint64_t id, core::BodyEnd end) {
   ActiveRequest* const active = find(id);
   if (active == nullptr) return;
-  bool const stale = !complete && active->upstream != nullptr && active->upstream->isStale();
-  dataplane::StreamSteps steps = active->stream.onEnd(complete);
+  bool const stale = end == core::BodyEnd::incomplete && active->upstream != nullptr && active->upstream->isStale();
+  dataplane::StreamSteps steps = active->stream.onEnd(end);
   if (stale && steps.ended == dataplane::UpstreamResult::connectionLost)
     steps.ended = dataplane::UpstreamResult::staleConnection;
   apply(id, std::move(steps));
--- a/programs/router/request_relay.h
+++ b/programs/router/request_relay.h
@@ -96,7 +96,7 @@
   void onConnectFailed(std::uint64_t id);
   void onHead(std::uint64_t id, http::ReplicaHead const& head);
   void onChunk(std::uint64_t id, std::string bytes);
-  void onEnded(std::uint64_t id, bool complete);
+  void onEnded(std::uint64_t id, core::BodyEnd end);
   void reportProgress(std::uint64_t id);
   /// Pauses reading from the replica if too many bytes wait to be written to the caller.
   void applyBackpressure(std::uint64_t id);
--- a/testing/fleet/traffic.cpp
+++ b/testing/fleet/traffic.cpp
@@ -121,7 +121,7 @@
   events.connectFailed = [this, id] { connectFailed(id); };
   events.head = [this, id](http::ReplicaHead head) { open_.at(id).head = std::move(head); };
   events.chunk = [this, id](std::string const& bytes) { onChunk(open_.at(id), bytes); };
-  events.ended = [this, id](bool complete) { responseEnded(id, complete); };
+  events.ended = [this, id](core::BodyEnd end) { responseEnded(id, end == core::BodyEnd::framed); };
   open.forwarder =
       new http::UpstreamConnection(advertisedAddressOf(nodes[rng_.below(nodes.size())]), std::move(events), this);
 }
--- a/testing/sim/mass_faults.cpp
+++ b/testing/sim/mass_faults.cpp
@@ -36,7 +36,7 @@
     ++result_.counts["reset-streams"];
     to->runs.at(forwarded.run).alive = false;
     sendUpstreamEvent(n.link, n.incarnation, key.second, forwarded.connectionId,
-                      [](dataplane::ResponseStream& st) { return st.onEnd(false); });
+                      [](dataplane::ResponseStream& st) { return st.onEnd(core::BodyEnd::incomplete); });
   }
 }
 
--- a/testing/sim/replicas.cpp
+++ b/testing/sim/replicas.cpp
@@ -125,7 +125,8 @@
       deliverToNode(link, incarnation, [this, link, call, connectionId] {
         auto const still = upstreams_.find({link, call});
         if (still == upstreams_.end() || still->second.connectionId != connectionId) return;
-        processUpstreamEvent(*node(link), call, [](dataplane::ResponseStream& st) { return st.onEnd(false); });
+        processUpstreamEvent(*node(link), call,
+                             [](dataplane::ResponseStream& st) { return st.onEnd(core::BodyEnd::incomplete); });
       });
       return;
     }
@@ -202,7 +203,7 @@
                         [bytes](dataplane::ResponseStream& st) { return st.onChunk(bytes); });
     if (done)
       sendUpstreamEvent(n.link, incarnation, call, forwarded.connectionId,
-                        [](dataplane::ResponseStream& st) { return st.onEnd(true); });
+                        [](dataplane::ResponseStream& st) { return st.onEnd(core::BodyEnd::framed); });
     return;
   }
   countGrey(r);
@@ -278,7 +279,7 @@
   if (b.grey == Grey::dropped) {
     r.runs.erase(b.run);
     sendUpstreamEvent(b.node, b.incarnation, b.call, b.connectionId,
-                      [](dataplane::ResponseStream& st) { return st.onEnd(false); });
+                      [](dataplane::ResponseStream& st) { return st.onEnd(core::BodyEnd::incomplete); });
     return;
   }
   sendUpstreamEvent(b.node, b.incarnation, b.call, b.connectionId, [b](dataplane::ResponseStream& st) {
@@ -287,7 +288,7 @@
   sendUpstreamEvent(b.node, b.incarnation, b.call, b.connectionId,
                     [b](dataplane::ResponseStream& st) { return st.onChunk(b.output); });
   sendUpstreamEvent(b.node, b.incarnation, b.call, b.connectionId,
-                    [](dataplane::ResponseStream& st) { return st.onEnd(true); });
+                    [](dataplane::ResponseStream& st) { return st.onEnd(core::BodyEnd::framed); });
 }
 
 void SimulatedCluster::countGrey(Replica const& r) {
@@ -366,12 +367,12 @@
   if (now.grey == Grey::cut && k == 1 && k < tokens) {
     r.runs.at(name).alive = false;
     sendUpstreamEvent(now.node, now.incarnation, now.call, now.connectionId,
-                      [](dataplane::ResponseStream& st) { return st.onEnd(false); });
+                      [](dataplane::ResponseStream& st) { return st.onEnd(core::BodyEnd::incomplete); });
     return;
   }
   if (k == tokens)
     sendUpstreamEvent(now.node, now.incarnation, now.call, now.connectionId,
-                      [](dataplane::ResponseStream& st) { return st.onEnd(true); });
+                      [](dataplane::ResponseStream& st) { return st.onEnd(core::BodyEnd::framed); });
 }
 
 void SimulatedCluster::sendUpstreamEvent(std::string const& link, std::uint64_t incarnation, std::uint64_t call,
@@ -509,7 +510,7 @@
   for (Run const& run : hit)
     after(1 + static_cast<Milliseconds>(rng_.below(5)), [this, run] {
       sendUpstreamEvent(run.node, run.incarnation, run.call, run.connectionId,
-                        [](dataplane::ResponseStream& st) { return st.onEnd(false); });
+                        [](dataplane::ResponseStream& st) { return st.onEnd(core::BodyEnd::incomplete); });
     });
 }
 
@@ -519,7 +520,7 @@
     execution.alive = false;
     Run const& b = execution;
     sendUpstreamEvent(b.node, b.incarnation, b.call, b.connectionId,
-                      [](dataplane::ResponseStream& st) { return st.onEnd(false); });
+                      [](dataplane::ResponseStream& st) { return st.onEnd(core::BodyEnd::incomplete); });
   }
 }
 
--- a/testing/test/regimes_test.cpp
+++ b/testing/test/regimes_test.cpp
@@ -156,8 +156,8 @@
     e.connectFailed = [this] { ended = true; };
     e.head = [this](http::ReplicaHead const& head) { status = head.status; };
     e.chunk = [this](std::string bytes) { receivedBytes += bytes; };
-    e.ended = [this](bool end) {
-      complete = end;
+    e.ended = [this](core::BodyEnd end) {
+      complete = end == core::BodyEnd::framed;
       ended = true;
     };
     forwarder = std::make_unique<http::UpstreamConnection>(node, std::move(e), nullptr);
