Forward the unfinished last event of a complete stream without judging it as an event

Callers saw: a replica ended a stream by its length or last chunk within a numbered event ("id: 1" after event 10); the connection was cut ahead of these bytes, though the response was complete. A resumed stream was cut too if its last event had no id yet.

Cause: what follows the last blank line was judged as an event, so that a cut id did not rise, and an event of a resumed stream lacked an id. Bytes without a blank line are no event (WHATWG HTML, 9.2.6).

Change: forwardUnfinishedEvent passes them on; only an id on a complete line is compared with the last one, as it would show another execution (the existing test of that case stays).

--- a/dataplane/include/corkward/dataplane/response_stream.h
+++ b/dataplane/include/corkward/dataplane/response_stream.h
@@ -105,6 +105,12 @@
   StreamSteps onEventChunk(std::string const& bytes);
   /// Forwards the event that begins at `start` of the buffer. Returns false if it cannot follow the last forwarded one.
   bool forwardEvent(StreamSteps& out, std::size_t start);
+  /// Forwards what the buffer contains of an event without a blank line, at the end of a complete body. Such bytes are
+  /// no event (WHATWG HTML, section 9.2.6), so they need no id. Returns false if they have one that cannot follow the
+  /// last forwarded one.
+  bool forwardUnfinishedEvent(StreamSteps& out);
+  /// Whether an event with this id cannot follow the last forwarded one.
+  bool isOutOfOrder(std::string const& id) const;
   /// Whether a body that ended in this way is complete.
   bool isComplete(core::BodyEnd end) const;
   /// Whether the last received bytes end an event, and no further event is known to follow.
--- a/dataplane/src/response_stream.cpp
+++ b/dataplane/src/response_stream.cpp
@@ -168,7 +168,7 @@
   Event const event = std::exchange(event_, Event{});
   bool const numbered = isNumber(event.id);
   bool const hasContent = event.data || !event.id.empty();
-  if ((numbered && hasForwardedId_ && !isGreater(event.id, lastEventId_)) || (resuming_ && hasContent && !numbered)) {
+  if (isOutOfOrder(event.id) || (resuming_ && hasContent && !numbered)) {
     endUpstream(out, UpstreamResult::differentExecution);
     return false;
   }
@@ -186,6 +186,23 @@
   return true;
 }
 
+bool ResponseStream::forwardUnfinishedEvent(StreamSteps& out) {
+  if (buffer_.empty()) return true;
+  // A CR ends the last line even if the LF of a CR LF is missing.
+  if (buffer_.back() == '\r') parseLine(lineStart_, buffer_.size() - 1);
+  if (isOutOfOrder(event_.id)) {
+    endUpstream(out, UpstreamResult::differentExecution);
+    return false;
+  }
+  beginResponse(out);
+  out.chunk.append(buffer_);
+  return true;
+}
+
+bool ResponseStream::isOutOfOrder(std::string const& id) const {
+  return isNumber(id) && hasForwardedId_ && !isGreater(id, lastEventId_);
+}
+
 bool ResponseStream::isBetweenEvents() const {
   return buffer_.empty() && !eventOutstanding_;
 }
@@ -209,11 +226,7 @@
   if (ended_) return {};
   if (!isComplete(end)) return endUpstream(UpstreamResult::connectionLost);
   StreamSteps out;
-  if (isEventStream_ && !buffer_.empty()) {
-    if (lineStart_ < buffer_.size()) parseLine(lineStart_, std::max(lineStart_, buffer_.find_last_not_of('\r') + 1));
-    lineStart_ = buffer_.size();
-    if (!forwardEvent(out, 0)) return out;
-  }
+  if (isEventStream_ && !forwardUnfinishedEvent(out)) return out;
   beginResponse(out);
   endUpstream(out, UpstreamResult::complete);
   out.finish = true;
