Fuzzer: the platform's connection policy, line ends, unnumbered events; judge closed streams

A stream without framing counts as complete only after an event, or without one where the request names the last event of its caller; a resumed response has to be the events before and then that replica's own.

--- a/testing/fuzz/caller.cpp
+++ b/testing/fuzz/caller.cpp
@@ -9,13 +9,14 @@
 #include <corkward/http/server.h>
 
 #include "clock.h"
-#include "replica.h"
+#include "socket_reset.h"
 #include "wire.h"
 
 namespace corkward::fuzz {
 
 namespace wire = platform::test::wire;
 namespace beastHttp = boost::beast::http;
+using platform::test::resetSocket;
 
 namespace {
 
--- a/testing/fuzz/oracles.cpp
+++ b/testing/fuzz/oracles.cpp
@@ -117,9 +117,8 @@
   void checkEvents(CallerObservation const& observation, std::vector<Dispatch const*> const& all) {
     bool const own = beginsWith(observation.events, observation.received);
     bool const ends = std::any_of(all.begin(), all.end(), [&](Dispatch const* const d) {
-      return d->framedComplete && observation.received.size() >= d->framed.size() &&
-             observation.received.compare(observation.received.size() - d->framed.size(), std::string::npos,
-                                          d->framed) == 0;
+      std::string const before = eventsOf(observation.attempt, 0, d->eventsBefore, observation.request.eventFormat);
+      return d->framedComplete && observation.received == before + d->framed;
     });
     if (!own)
       violation("own-answer",
--- a/testing/fuzz/plan.cpp
+++ b/testing/fuzz/plan.cpp
@@ -19,6 +19,7 @@
     "stay", "leave", "leave-by-reset", "half-close", "pipeline", "again", "slow-send", "slow-read", "leave-sending"};
 constexpr std::array<char const*, 4> routeNames{"safe", "once", "row", "tell"};
 constexpr std::array<char const*, 3> framingNames{"length", "chunks", "till-end"};
+constexpr std::array<char const*, 3> lineEndNames{"lf", "crlf", "cr"};
 
 constexpr std::uint64_t maxRequests = 16;
 constexpr std::uint64_t lanes = 6;
@@ -91,6 +92,8 @@
   out.startMs = from.value("startMs").toInt();
   out.behaviour = static_cast<CallerBehaviour>(read(behaviourNames, from, "manner"));
   out.leaveMs = from.value("leaveMs").toInt(out.leaveMs);
+  out.eventFormat.lineEnd = static_cast<LineEnd>(read(lineEndNames, from, "lineEnd"));
+  out.eventFormat.numbered = from.value("numbered").toBool(true);
   for (QJsonValue const a : from.value("answers").toArray()) out.responses.push_back(responseFromJson(a.toObject()));
   if (out.responses.empty()) out.responses.emplace_back();
   return out;
@@ -109,11 +112,18 @@
 QJsonObject jsonOf(CallerRequest const& request) {
   QJsonArray responses;
   for (ScriptedResponse const& a : request.responses) responses.append(jsonOf(a));
-  return QJsonObject{{"route", name(request.route)},       {"body", static_cast<int>(request.body)},
-                     {"chunkedBody", request.chunkedBody}, {"expectsContinue", request.expectsContinue},
-                     {"toldMs", request.callerTimeoutMs},  {"lane", static_cast<int>(request.lane)},
-                     {"startMs", request.startMs},         {"manner", name(request.behaviour)},
-                     {"leaveMs", request.leaveMs},         {"answers", responses}};
+  return QJsonObject{{"route", name(request.route)},
+                     {"body", static_cast<int>(request.body)},
+                     {"chunkedBody", request.chunkedBody},
+                     {"expectsContinue", request.expectsContinue},
+                     {"toldMs", request.callerTimeoutMs},
+                     {"lane", static_cast<int>(request.lane)},
+                     {"startMs", request.startMs},
+                     {"manner", name(request.behaviour)},
+                     {"leaveMs", request.leaveMs},
+                     {"lineEnd", lineEndNames[static_cast<std::size_t>(request.eventFormat.lineEnd)]},
+                     {"numbered", request.eventFormat.numbered},
+                     {"answers", responses}};
 }
 
 }  // namespace
@@ -150,6 +160,7 @@
     request.behaviour =
         rng.chance(0.4) ? CallerBehaviour::stay : static_cast<CallerBehaviour>(rng.below(callerBehaviourCount));
     request.leaveMs = static_cast<int>(rng.below(rng.chance(0.5) ? 20 : 400));
+    request.eventFormat = EventFormat{static_cast<LineEnd>(rng.below(lineEndNames.size())), rng.chance(0.8)};
     std::uint64_t const responses = 1 + rng.below(3);
     for (std::uint64_t a = 0; a < responses; ++a) request.responses.push_back(drawResponse(rng, request.route));
     out.requests.push_back(std::move(request));
--- a/testing/fuzz/plan.h
+++ b/testing/fuzz/plan.h
@@ -52,6 +52,16 @@
 /// How the end of a response's body is marked.
 enum class Framing { length, chunks, tillEnd };
 
+/// How the lines of an event stream end.
+enum class LineEnd { lf, crLf, cr };
+
+/// How the events of a stream are written.
+struct EventFormat {
+  LineEnd lineEnd = LineEnd::lf;
+  /// Each event has an id, so that the stream may be resumed after it.
+  bool numbered = true;
+};
+
 /// One response of a replica.
 struct ScriptedResponse {
   Fault fault = Fault::none;
@@ -85,6 +95,7 @@
   int startMs = 0;
   CallerBehaviour behaviour = CallerBehaviour::stay;
   int leaveMs = 100;
+  EventFormat eventFormat;
   std::vector<ScriptedResponse> responses;
 };
 
--- a/testing/fuzz/record.h
+++ b/testing/fuzz/record.h
@@ -39,7 +39,9 @@
   bool slow = false;
   Fault fault = Fault::none;
   int status = 200;
-  /// Body of the response, and whether its framing marks it as complete.
+  /// Number of events that the caller had according to the request.
+  std::size_t eventsBefore = 0;
+  /// Body of the response, and whether the caller may take it as complete.
   std::string framed;
   bool framedComplete = false;
 };
@@ -88,7 +90,7 @@
 std::string pattern(std::string const& tag, std::size_t length);
 
 /// Returns one event of the event stream that answers the attempt.
-std::string eventOf(std::string const& attempt, std::size_t number);
-std::string eventsOf(std::string const& attempt, std::size_t after, std::size_t last);
+std::string eventOf(std::string const& attempt, std::size_t number, EventFormat const& format);
+std::string eventsOf(std::string const& attempt, std::size_t after, std::size_t last, EventFormat const& format);
 
 }  // namespace corkward::fuzz
--- a/testing/fuzz/replica.cpp
+++ b/testing/fuzz/replica.cpp
@@ -4,13 +4,14 @@
 #include <QTcpSocket>
 #include <QTimer>
 #include <algorithm>
-#include <sys/socket.h>
 
 #include "clock.h"
+#include "socket_reset.h"
 
 namespace corkward::fuzz {
 
 namespace beastHttp = boost::beast::http;
+using platform::test::resetSocket;
 
 namespace {
 
@@ -22,12 +23,6 @@
 
 }  // namespace
 
-void resetSocket(QTcpSocket& socket) {
-  linger const now{1, 0};
-  ::setsockopt(static_cast<int>(socket.socketDescriptor()), SOL_SOCKET, SO_LINGER, &now, sizeof now);
-  socket.abort();
-}
-
 struct Replica::Connection {
   using Parser = beastHttp::request_parser<beastHttp::string_body>;
   QTcpSocket* socket = nullptr;
--- a/testing/fuzz/replica.h
+++ b/testing/fuzz/replica.h
@@ -46,7 +46,4 @@
   std::vector<std::shared_ptr<Connection>> connections_;
 };
 
-/// Closes a connection with a reset.
-void resetSocket(QTcpSocket& socket);
-
 }  // namespace corkward::fuzz
--- a/testing/fuzz/scenario.cpp
+++ b/testing/fuzz/scenario.cpp
@@ -48,7 +48,7 @@
   s.listeners = {{address, programs::ListenerRole::callers}};
   s.limits.sendsServerHeader = false;
   s.limits.errorHeaders = {};
-  s.keepAlive = http::KeepAlivePolicy{8, 1000, 250};
+  s.keepAlive = platform::replicaKeepAlive();
   s.seed = seed;
   return s;
 }
@@ -165,7 +165,7 @@
   observation.attempt = attempt;
   observation.target = std::string("/") + name(request.route) + "/" + attempt + "?q=1";
   observation.body = pattern("q" + attempt, request.body);
-  observation.events = eventsOf(attempt, 0, request.responses.front().size);
+  observation.events = eventsOf(attempt, 0, request.responses.front().size, request.eventFormat);
   ++open_;
   record_.callers.push_back(std::move(observation));
   lanes_[request.lane % laneCount]->enqueue(record_.callers.size() - 1);
@@ -223,6 +223,7 @@
     received.isEventStream =
         caller->request.route == Route::resumableEvents || caller->request.route == Route::nonResumableEvents;
     received.events = responses.front().size;
+    received.eventFormat = caller->request.eventFormat;
     received.after = static_cast<std::size_t>(
         std::strtoull(http::headerValue(dispatch.fields, wire::lastEvent).c_str(), nullptr, 10));
   }
@@ -231,6 +232,7 @@
   dispatch.ran = exchange.ran;
   dispatch.slow = exchange.slowReading;
   dispatch.status = exchange.status;
+  dispatch.eventsBefore = received.after;
   dispatch.framed = exchange.framed;
   dispatch.framedComplete = exchange.framedComplete;
   record_.dispatches.push_back(std::move(dispatch));
--- a/testing/fuzz/scripted_exchange.cpp
+++ b/testing/fuzz/scripted_exchange.cpp
@@ -55,6 +55,7 @@
   ScriptedExchange run() {
     begin();
     applyFault();
+    if (response_.framing == Framing::tillEnd && isEventResponse() && !endsBetweenEvents()) markIncomplete();
     return std::move(out_);
   }
 
@@ -62,13 +63,24 @@
   void contents() {
     if (request_.isEventStream) {
       for (std::size_t i = request_.after + 1; i <= request_.events; ++i)
-        bodyParts_.push_back(eventOf(request_.attempt, i));
+        bodyParts_.push_back(eventOf(request_.attempt, i, request_.eventFormat));
     } else {
       bodyParts_ = cut(pattern(request_.attempt + "/" + request_.seal, response_.size), 1 + response_.variant % 5);
     }
     for (std::string const& p : bodyParts_) out_.framed += p;
   }
 
+  bool isEventResponse() const { return request_.isEventStream && out_.status == 200; }
+
+  /// Whether the body of an event stream ends with an event, so that the end of the connection may complete it. A
+  /// request that names the last event of its caller may have no further one.
+  bool endsBetweenEvents() const {
+    std::size_t end = 0;
+    for (std::size_t i = request_.after + 1; i <= request_.events && end < out_.framed.size(); ++i)
+      end += eventOf(request_.attempt, i, request_.eventFormat).size();
+    return end == out_.framed.size() && (end > 0 || request_.after > 0);
+  }
+
   std::string fields(std::string const& attempt, std::string const& seal) const {
     std::string text = wire::attempt + (": " + attempt) + crlf;
     if (!seal.empty()) text += wire::seal + (": " + seal) + crlf;
@@ -294,7 +306,7 @@
       end();
   }
 
-  /// Truncates the last event although the framing marks the body as complete.
+  /// Truncates the last event. The body ends as its framing defines it.
   void truncated() {
     if (bodyParts_.empty()) {
       writeMessage(ownResponse());
--- a/testing/fuzz/scripted_exchange.h
+++ b/testing/fuzz/scripted_exchange.h
@@ -41,6 +41,7 @@
   /// Number of events of the stream, and the last one that the caller already has.
   std::size_t events = 0;
   std::size_t after = 0;
+  EventFormat eventFormat;
   std::size_t bodyLength = 0;
 };
 
@@ -50,7 +51,8 @@
   int status = 200;
   bool ran = true;
   bool slowReading = false;
-  /// Body of the response, and whether its framing marks it as complete.
+  /// Body of the response, and whether the caller may take it as complete: its framing marks its end, or the connection
+  /// is closed where it may end.
   std::string framed;
   bool framedComplete = true;
 };
