Simulator: a third of the event streams have no framing and are closed within an event

Of the event streams one in three ends with the connection, and a crash sends a part of the next event and closes. A close between two events is not drawn, as it looks like the end.

--- a/testing/sim/replicas.cpp
+++ b/testing/sim/replicas.cpp
@@ -223,6 +223,7 @@
   run.connectionId = forwarded.connectionId;
   run.events = tale;
   run.from = lastEventId + (plan_.mutation == Mutation::eventGap && lastEventId > 0 ? 1 : 0);
+  run.nextEvent = run.from + 1;
   if (caller != callers_.end()) {
     run.attempt = caller->second.attempt;
     run.bulk = caller->second.cls == "long";
@@ -345,11 +346,11 @@
   Run& run = r.runs.at(name);
   std::string bytes =
       k < tokens ? tokenText(name, static_cast<std::uint64_t>(k)) : name + " end " + std::to_string(tokens) + "\n";
-  if (run.events)
-    bytes =
-        k < run.from ? "" : "id: " + std::to_string(k + 1) + "\ndata: " + run.id + (k < tokens ? "" : " end") + "\n\n";
+  if (run.events) bytes = k < run.from ? "" : eventText(run, k + 1, k == tokens);
   run.output += bytes;
   run.done = k == tokens;
+  if (!bytes.empty()) run.nextEvent = k + 2;
+  if (!r.poweredOff && run.alive) run.headSent = true;
   Run const now = run;
   if (run.done) {
     --r.running;
@@ -366,13 +367,10 @@
                       [bytes](dataplane::ResponseStream& st) { return st.onChunk(bytes); });
   if (now.grey == Grey::cut && k == 1 && k < tokens) {
     r.runs.at(name).alive = false;
-    sendUpstreamEvent(now.node, now.incarnation, now.call, now.connectionId,
-                      [](dataplane::ResponseStream& st) { return st.onEnd(core::BodyEnd::incomplete); });
+    breakResponse(now);
     return;
   }
-  if (k == tokens)
-    sendUpstreamEvent(now.node, now.incarnation, now.call, now.connectionId,
-                      [](dataplane::ResponseStream& st) { return st.onEnd(core::BodyEnd::framed); });
+  if (k == tokens) completeResponse(now);
 }
 
 void SimulatedCluster::sendUpstreamEvent(std::string const& link, std::uint64_t incarnation, std::uint64_t call,
@@ -507,20 +505,14 @@
     return out;
   }();
   r.runs.clear();
-  for (Run const& run : hit)
-    after(1 + static_cast<Milliseconds>(rng_.below(5)), [this, run] {
-      sendUpstreamEvent(run.node, run.incarnation, run.call, run.connectionId,
-                        [](dataplane::ResponseStream& st) { return st.onEnd(core::BodyEnd::incomplete); });
-    });
+  for (Run const& run : hit) after(1 + static_cast<Milliseconds>(rng_.below(5)), [this, run] { breakResponse(run); });
 }
 
 void SimulatedCluster::breakStreams(Replica& r) {
   for (auto& [name, execution] : r.runs) {
     if (!execution.alive) continue;
     execution.alive = false;
-    Run const& b = execution;
-    sendUpstreamEvent(b.node, b.incarnation, b.call, b.connectionId,
-                      [](dataplane::ResponseStream& st) { return st.onEnd(core::BodyEnd::incomplete); });
+    breakResponse(execution);
   }
 }
 
--- a/testing/sim/simulated_cluster.h
+++ b/testing/sim/simulated_cluster.h
@@ -88,6 +88,10 @@
     bool events = false;
     /// Number of events that the caller already has.
     int from = 0;
+    /// Number of the next event that the replica sends.
+    int nextEvent = 1;
+    /// The head of the response was sent.
+    bool headSent = false;
   };
   struct Replica {
     std::string address;
@@ -243,6 +247,15 @@
                              std::uint64_t connectionId);
   void processUpstreamEvent(Node& n, std::uint64_t call, UpstreamEvent const& event);
   void breakStreams(Replica& r);
+  /// Returns the text of an event of the run's stream.
+  static std::string eventText(Run const& run, int number, bool last);
+  /// Whether the run's response has neither a length nor chunks.
+  static bool endsWithConnection(Run const& run);
+  void sendEnd(Run const& run, core::BodyEnd end);
+  /// Sends the end of the run's complete response.
+  void completeResponse(Run const& run);
+  /// Breaks off the run's response as a crash of its replica does.
+  void breakResponse(Run const& run);
   /// Draws what the replica does with a request. Returns Grey::none if the replica handles it normally.
   Grey drawGreyFailure(Replica const& r);
   void failRun(Replica& r, Run& run);
--- a/testing/test/sim_test.cpp
+++ b/testing/test/sim_test.cpp
@@ -208,7 +208,7 @@
   for (std::uint64_t seed = 1; seed <= 24; ++seed)
     for (auto const& [name, count] : checkPlan(testing::regimes(seed)).counts) counts[name] += count;
   for (char const* checkCounted :
-       {"revoked", "life-denied", "tales-resumed", "tales-served-after-resume", "change-412"}) {
+       {"revoked", "life-denied", "tales-resumed", "tales-served-after-resume", "closed-within-event", "change-412"}) {
     INFO(checkCounted);
     CHECK(counts[checkCounted] >= 20);
   }
