--- a/http/src/upstream_connection.cpp
+++ b/http/src/upstream_connection.cpp
@@ -33,6 +33,11 @@
 /// next request on the connection would wait unread behind it.
 constexpr std::size_t maxReusableBodyBytes = 64U << 10;
 
+/// Returns how the body ended after the parser's last outcome, which is a complete or a malformed response.
+core::BodyEnd bodyEndAfter(ResponseParser::Outcome outcome) {
+  return outcome == ResponseParser::Outcome::failed ? core::BodyEnd::incomplete : core::BodyEnd::framed;
+}
+
 /// Whether the connection is established, has no bytes to read and was not closed by the peer.
 bool isOpenAndIdle(QTcpSocket const& socket) {
   return socket.state() == QAbstractSocket::ConnectedState && socket.bytesAvailable() == 0 &&
@@ -369,7 +374,7 @@
     if (outcome == Outcome::headComplete && !onHead()) return;
     if (ends) {
       deliver(body);
-      if (alive) finish(outcome == Outcome::failed ? core::BodyEnd::incomplete : core::BodyEnd::framed);
+      if (alive) finish(bodyEndAfter(outcome));
       return;
     }
     if (outcome == Outcome::needsMoreBytes) {
