--- a/review/4/case.py
+++ b/review/4/case.py
@@ -42,7 +42,12 @@
 
     traffic = asyncio.ensure_future(clients())
     await asyncio.sleep(4)
-    reader = fleet.list_server.reader()
+    reader = None
+    tries = 0
+    while reader is None and tries < 20:
+        reader = fleet.list_server.reader()
+        tries += 1
+        await asyncio.sleep(0.1)
     if reader is None:
         raise CannotRun("the machine that reads the list was not found")
     killed = [machine for machine in fleet.machines if machine.disk and machine is not reader][:2]
