Link: TCP connections on Qt Network in place of libnng, on the event loop's thread

What callers saw: a process ended by SIGSEGV or SIGABRT within seconds when peers closed their connections while it sent to them; a router's callers lost every stream, a controller its vote.

Cause: libnng 1.5.2 uses connections after it has freed them, in nng_send on our thread and in its own threads ('panic: appending node already on a list or not inited').

Change: Link dials with OutgoingConnection and accepts with MessageListener, both on Qt Network and on the event loop of the thread that creates the link. No thread and no lock are left, a connection never calls its owner, and a socket is freed only after its pending events were processed. The bytes on the wire stay, by a golden test. Queues are bounded in messages (256, as before) and bytes (16 MiB), connections of each direction to a quarter of the descriptors; connections without a header, cut within a frame or silent are closed; accepting goes on after EMFILE. SocketCloser and its test go, since closing a socket of Qt never blocks. Link takes no owner any more. link_restart_test processes events now, since the link has no threads; its bounds are the same. 'tcp://' leaves docs/outer-names.txt: it was the prefix of an address for nng, which nothing outside saw.

--- a/core/include/corkward/core/error.h
+++ b/core/include/corkward/core/error.h
@@ -17,6 +17,13 @@
   using Error::Error;
 };
 
+/// Something that the process needs is held by another process, such as an address to listen at or a locked directory.
+/// The same attempt may succeed later.
+class ResourceBusyError : public Error {
+ public:
+  using Error::Error;
+};
+
 /// A text is not valid JSON, or contains JSON that is not supported.
 class JsonError : public Error {
  public:
--- a/http/include/corkward/http/socket_address.h
+++ b/http/include/corkward/http/socket_address.h
@@ -1,21 +1,15 @@
 #pragma once
 
-#include <cstdint>
-#include <optional>
 #include <string>
 
+#include <corkward/transport/socket_address.h>
+
 class QTcpSocket;
 
 namespace corkward::http {
 
-/// An IP address with a port.
-struct SocketAddress {
-  std::string host;
-  std::uint16_t port = 0;
-};
-
-/// Parses ip:port. Returns std::nullopt if the text is no such address.
-std::optional<SocketAddress> socketAddressOf(std::string const& text);
+using transport::SocketAddress;
+using transport::socketAddressOf;
 
 /// Parses ip:port. Throws HttpError if the text is no such address.
 SocketAddress parseSocketAddress(std::string const& text);
--- a/programs/control/control_daemon.cpp
+++ b/programs/control/control_daemon.cpp
@@ -53,7 +53,7 @@
       reducer_(std::in_place, contactOf(settings, transport::controllerRole), randomId(), settings.seeds,
                settings.founders, randomSeed(), tuning),
       link_(
-          this, settings.link,
+          settings.link,
           [this](transport::Envelope const& envelope) {
             execute(reducer_->onMessage(now(), envelope.from, envelope.message));
           },
--- a/programs/router/router_daemon.cpp
+++ b/programs/router/router_daemon.cpp
@@ -48,7 +48,7 @@
                surface_.seed == 0 ? randomSeed() : surface_.seed, tuning),
       recorder_(this, settings, [this](bool available) { reducer_.setAuditAvailable(available); }),
       link_(
-          this, settings.link,
+          settings.link,
           [this](transport::Envelope const& envelope) {
             execute(reducer_.onMessage(now(), envelope.from, envelope.message));
           },
--- a/testing/fuzz/scenario.cpp
+++ b/testing/fuzz/scenario.cpp
@@ -121,7 +121,7 @@
       routes, addresses, tampers(Tampering::extraAttempts) ? limits.maxAttempts + 2 : limits.maxAttempts,
       limits.deadlineMs);
   std::string const link = settings.link;
-  control_ = std::make_unique<transport::Link>(this, control, [this, update, link](transport::Envelope const&) {
+  control_ = std::make_unique<transport::Link>(control, [this, update, link](transport::Envelope const&) {
     if (!router_->ready()) control_->send(link, update);
   });
   router_ =
--- /dev/null
+++ b/transport/src/incoming_connection.cpp
@@ -0,0 +1,33 @@
+#include "incoming_connection.h"
+
+#include <QTcpSocket>
+
+#include "socket_io.h"
+
+namespace corkward::transport {
+
+IncomingConnection::IncomingConnection(qintptr descriptor, MessageListener::ConnectionId id, MessageListener& listener)
+    : QObject(&listener), id_(id), socket_(new QTcpSocket(this)), lastReceived_(Clock::now()) {
+  QObject::connect(socket_, &QTcpSocket::readyRead, this, [this, &listener] { listener.read(*this); });
+  // Queued, since Qt reports some errors from within the calls that cause them.
+  auto const ended = [this, &listener] { listener.close(id_); };
+  QObject::connect(socket_, &QTcpSocket::disconnected, this, ended, Qt::QueuedConnection);
+  QObject::connect(socket_, &QTcpSocket::errorOccurred, this, ended, Qt::QueuedConnection);
+  // All of the socket's buffer is read at once, so the limit bounds what one connection reads before others have a
+  // turn.
+  socket_->setReadBufferSize(MessageListener::readBufferBytes);
+  isOpen_ = socket_->setSocketDescriptor(descriptor);
+  if (isOpen_) isOpen_ = writeAll(*socket_, {pullHeader.data(), pullHeader.size()});
+}
+
+IncomingConnection::~IncomingConnection() {
+  socket_->disconnect(this);
+  socket_->abort();
+}
+
+bool IncomingConnection::isOverdue(Clock::time_point now) const {
+  auto const timeout = decoder_.isIncomplete() ? MessageListener::incompleteTimeout : MessageListener::silenceTimeout;
+  return now - lastReceived_ > timeout;
+}
+
+}  // namespace corkward::transport
--- /dev/null
+++ b/transport/src/incoming_connection.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <QObject>
+#include <chrono>
+
+#include "frame.h"
+#include "message_listener.h"
+
+class QTcpSocket;
+
+namespace corkward::transport {
+
+/// A connection that a peer has dialled. Owned by its MessageListener.
+class IncomingConnection final : public QObject {
+ public:
+  using Clock = std::chrono::steady_clock;
+
+  /// Takes the descriptor of an accepted connection and sends the header of the pull side. If that fails, isOpen()
+  /// returns false.
+  IncomingConnection(qintptr descriptor, MessageListener::ConnectionId id, MessageListener& listener);
+  ~IncomingConnection() override;
+  IncomingConnection(IncomingConnection const&) = delete;
+  IncomingConnection& operator=(IncomingConnection const&) = delete;
+  IncomingConnection(IncomingConnection&&) = delete;
+  IncomingConnection& operator=(IncomingConnection&&) = delete;
+
+  MessageListener::ConnectionId id() const { return id_; }
+  QTcpSocket& socket() { return *socket_; }
+  FrameDecoder& decoder() { return decoder_; }
+  bool isOpen() const { return isOpen_; }
+  Clock::time_point lastReceived() const { return lastReceived_; }
+  void noteReceived() { lastReceived_ = Clock::now(); }
+  /// Returns whether the connection has been silent for longer than its state allows.
+  bool isOverdue(Clock::time_point now) const;
+
+ private:
+  MessageListener::ConnectionId id_;
+  QTcpSocket* socket_;
+  FrameDecoder decoder_;
+  Clock::time_point lastReceived_;
+  bool isOpen_ = false;
+};
+
+}  // namespace corkward::transport
--- a/transport/src/link.cpp
+++ b/transport/src/link.cpp
@@ -1,135 +1,102 @@
 #include <corkward/transport/link.h>
 
-#include <QMetaObject>
 #include <QRandomGenerator>
 #include <algorithm>
-#include <nng/nng.h>
-#include <nng/protocol/pipeline0/pull.h>
-#include <nng/protocol/pipeline0/push.h>
+#include <exception>
+#include <optional>
+#include <sys/resource.h>
+#include <utility>
 
-#include "socket_closer.h"
+#include "frame.h"
+#include "message_listener.h"
+#include "outgoing_connection.h"
 
 namespace corkward::transport {
 
 namespace {
 
-constexpr std::size_t maxFrameBytes = 16U << 20;
-/// Messages that nng queues per connection.
-constexpr int sendQueueLength = 256;
 /// Time between searches for idle connections.
 constexpr std::chrono::seconds idleSweepInterval{5};
+/// Most connections in each direction, and the fewest that a process with few file descriptors may have.
+constexpr std::size_t maxConnections = 4096;
+constexpr std::size_t minConnections = 16;
+/// Share of the file descriptors that the connections of each direction may take.
+constexpr std::size_t descriptorShare = 4;
 
-void check(int result, char const* what) {
-  if (result != 0) throw TransportError(std::string(what) + ": " + nng_strerror(result));
+core::Milliseconds clockNow() {
+  std::chrono::steady_clock::duration const since = std::chrono::steady_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(since).count();
 }
 
-nng_socket socketOf(std::uint32_t id) {
-  nng_socket s;
-  s.id = id;
-  return s;
+/// Returns the number of connections in each direction that leaves descriptors for the rest of the process.
+std::size_t connectionLimit() {
+  rlimit descriptors{};
+  if (::getrlimit(RLIMIT_NOFILE, &descriptors) != 0) return minConnections;
+  return std::clamp<std::size_t>(descriptors.rlim_cur / descriptorShare, minConnections, maxConnections);
 }
 
-core::Milliseconds clockNow() {
-  std::chrono::steady_clock::duration const since = std::chrono::steady_clock::now().time_since_epoch();
-  return std::chrono::duration_cast<std::chrono::milliseconds>(since).count();
+SocketAddress addressOf(std::string const& text) {
+  std::optional<SocketAddress> address = socketAddressOf(text);
+  if (!address) throw TransportError("not an ip:port address: " + text);
+  return *std::move(address);
 }
 
 }  // namespace
 
-Link::Link(QObject* owner, std::string const& name, std::function<void(Envelope)> onMessage, std::string const& listen)
-    : owner_(owner),
-      address_(name),
+Link::Link(std::string const& name, std::function<void(Envelope)> onMessage, std::string const& listen)
+    : address_(name),
       onMessage_(std::move(onMessage)),
       run_(QRandomGenerator::system()->generate()),
-      lastIdleSweep_(Clock::now()),
-      closer_(std::make_unique<SocketCloser>()) {
-  std::string const address = listen.empty() ? name : listen;
-  nng_socket s;
-  check(nng_pull0_open(&s), "nng pull socket");
-  pull_ = s.id;
-  nng_socket_set_size(s, NNG_OPT_RECVMAXSZ, maxFrameBytes);
-  nng_socket_set_ms(s, NNG_OPT_RECVTIMEO, 200);
-  nng_listener l;
-  check(nng_listener_create(&l, s, ("tcp://" + address).c_str()), "link address");
-  int const result = nng_listener_start(l, 0);
-  if (result != 0) {
-    nng_close(s);
-    throw TransportError("listen at " + address + ": " + nng_strerror(result));
-  }
-  int port = 0;
-  if (listen.empty() && nng_listener_get_int(l, NNG_OPT_TCP_BOUND_PORT, &port) == 0)
-    address_ = address.substr(0, address.rfind(':') + 1) + std::to_string(port);
-  thread_ = std::thread([this] { receive(); });
+      maxConnections_(connectionLimit()),
+      lastIdleSweep_(Clock::now()) {
+  MessageListener::Events events;
+  events.message = [this](std::uint32_t pipe, std::string_view bytes) { onFrame(pipe, bytes); };
+  events.invalidBytes = [this] { ++malformedFrames_; };
+  SocketAddress const address = addressOf(listen.empty() ? name : listen);
+  listener_ = std::make_unique<MessageListener>(address, maxConnections_, std::move(events));
+  if (listen.empty()) address_ = address.host + ":" + std::to_string(listener_->serverPort());
 }
 
-Link::~Link() {
-  stopping_ = true;
-  thread_.join();
-  closer_->close(pull_);
-  for (auto const& [link, connection] : connections_) close(connection);
-}
+Link::~Link() = default;
 
-void Link::receive() {
-  while (!stopping_) {
-    nng_msg* message = nullptr;
-    if (nng_recvmsg(socketOf(pull_), &message, 0) != 0) continue;
-    std::string const bytes(static_cast<char const*>(nng_msg_body(message)), nng_msg_len(message));
-    std::uint32_t const pipe = nng_msg_get_pipe(message).id;
-    nng_msg_free(message);
-    try {
-      Envelope envelope = unpack(bytes);
-      QMetaObject::invokeMethod(
-          owner_,
-          [this, pipe, envelope = std::move(envelope)]() {
-            onReceived(envelope.from, envelope.run, pipe);
-            onMessage_(envelope);
-          },
-          Qt::QueuedConnection);
-    } catch (core::Error const&) {
-      ++malformedFrames_;
-    }
-  }
+std::size_t Link::incomingCount() const {
+  return listener_->connectionCount();
 }
 
-void Link::countEvents(Connection const& connection) {
-  auto const onConnect = [](nng_pipe, nng_pipe_ev, void* counts) {
-    ++static_cast<ConnectionCounts*>(counts)->connects;
-  };
-  auto const onDisconnect = [](nng_pipe, nng_pipe_ev, void* argument) {
-    auto* const counts = static_cast<ConnectionCounts*>(argument);
-    std::scoped_lock const lock(counts->disconnectMutex);
-    ++counts->disconnects;
-  };
-  nng_socket const socket = socketOf(connection.socket);
-  nng_pipe_notify(socket, NNG_PIPE_EV_ADD_POST, onConnect, connection.counts.get());
-  nng_pipe_notify(socket, NNG_PIPE_EV_REM_POST, onDisconnect, connection.counts.get());
+void Link::onFrame(std::uint32_t pipe, std::string_view bytes) {
+  std::optional<Envelope> envelope;
+  try {
+    envelope = unpack(std::string(bytes));
+  } catch (std::exception const&) {
+    ++malformedFrames_;
+    return;
+  }
+  onReceived(envelope->from, envelope->run, pipe);
+  onMessage_(*std::move(envelope));
 }
 
-bool Link::dial(std::string const& to, Connection& connection) {
-  nng_socket s;
-  if (nng_push0_open(&s) != 0) return false;
-  connection.socket = s.id;
-  connection.counts = std::make_shared<ConnectionCounts>();
+Link::Connections::iterator Link::connectionTo(std::string const& to) {
+  auto const found = connections_.find(to);
+  if (found != connections_.end()) return found;
+  std::optional<SocketAddress> const address = socketAddressOf(to);
+  if (!address) return connections_.end();
+  if (connections_.size() >= maxConnections_) closeLeastRecentlyUsed();
+  Connection connection;
+  connection.socket = std::make_unique<OutgoingConnection>(*address);
   connection.health.dialled(clockNow());
-  countEvents(connection);
-  nng_socket_set_int(s, NNG_OPT_SENDBUF, sendQueueLength);
-  nng_socket_set_ms(s, NNG_OPT_RECONNMINT, 50);
-  nng_socket_set_ms(s, NNG_OPT_RECONNMAXT, 500);
-  if (nng_dial(s, ("tcp://" + to).c_str(), nullptr, NNG_FLAG_NONBLOCK) == 0) return true;
-  close(connection);
-  return false;
+  return connections_.emplace(to, std::move(connection)).first;
 }
 
-void Link::close(Connection const& connection) {
-  closer_->close(connection.socket, connection.counts);
+void Link::closeLeastRecentlyUsed() {
+  auto const oldest = std::min_element(connections_.begin(), connections_.end(),
+                                       [](auto const& a, auto const& b) { return a.second.used < b.second.used; });
+  if (oldest != connections_.end()) connections_.erase(oldest);
 }
 
-bool Link::redial(Connections::iterator connection) {
+void Link::redial(Connection& connection) {
   ++redials_;
-  close(connection->second);
-  if (dial(connection->first, connection->second)) return true;
-  connections_.erase(connection);
-  return false;
+  connection.health.dialled(clockNow());
+  connection.socket->redial();
 }
 
 void Link::onReceived(std::string const& from, std::uint64_t run, std::uint32_t pipe) {
@@ -137,40 +104,27 @@
   if (it == connections_.end()) return;
   Connection& connection = it->second;
   connection.used = Clock::now();
-  if (connection.health.staleOnReceive(clockNow(), connection.connected(), connection.counts->connects, run, pipe))
-    redial(it);
+  OutgoingConnection const& socket = *connection.socket;
+  bool const isStale = connection.health.staleOnReceive(clockNow(), socket.connected(), socket.connects(), run, pipe);
+  if (isStale) redial(connection);
 }
 
 void Link::closeIdle(std::chrono::milliseconds idle) {
   lastIdleSweep_ = Clock::now();
-  for (auto it = connections_.begin(); it != connections_.end();) {
-    bool const isIdle = lastIdleSweep_ - it->second.used >= idle;
-    if (isIdle) close(it->second);
-    it = isIdle ? connections_.erase(it) : std::next(it);
-  }
+  std::erase_if(connections_, [&](auto const& entry) { return lastIdleSweep_ - entry.second.used >= idle; });
 }
 
 void Link::send(std::string const& to, Message const& message) {
   Clock::time_point const now = Clock::now();
   if (now - lastIdleSweep_ > idleSweepInterval) closeIdle(idleTimeout);
-  auto const it = connections_.try_emplace(to).first;
-  if (it->second.socket == 0 && !dial(to, it->second)) {
-    connections_.erase(it);
-    return;
-  }
+  auto const it = connectionTo(to);
+  if (it == connections_.end()) return;
   Connection& connection = it->second;
-  bool const isStale = connection.hasEnded() || connection.health.staleOnSend(clockNow(), connection.connected());
-  if (isStale && !redial(it)) return;
+  if (connection.health.staleOnSend(clockNow(), connection.socket->connected())) redial(connection);
   connection.used = now;
-  std::string bytes = pack(Envelope{address_, message, run_});
-  connection.health.sent(clockNow(), expectsReply(message), bytes.size());
-  queue(connection, bytes);
-}
-
-void Link::queue(Connection const& connection, std::string& bytes) {
-  std::scoped_lock const lock(connection.counts->disconnectMutex);
-  if (connection.hasEnded()) return;
-  nng_send(socketOf(connection.socket), bytes.data(), bytes.size(), NNG_FLAG_NONBLOCK);
+  std::string frame = frameOf(pack(Envelope{address_, message, run_}));
+  std::size_t const bytes = frame.size() - lengthBytes;
+  if (connection.socket->send(std::move(frame))) connection.health.sent(clockNow(), expectsReply(message), bytes);
 }
 
 }  // namespace corkward::transport
--- /dev/null
+++ b/transport/src/message_listener.cpp
@@ -0,0 +1,98 @@
+#include "message_listener.h"
+
+#include <QHostAddress>
+#include <QTcpSocket>
+#include <algorithm>
+#include <vector>
+#include <utility>
+
+#include <corkward/transport/message.h>
+
+#include "incoming_connection.h"
+
+namespace corkward::transport {
+
+namespace {
+
+constexpr int listenBacklog = 512;
+/// Pause after an attempt to accept that failed for lack of descriptors or memory.
+constexpr std::chrono::milliseconds acceptRetryInterval{100};
+/// Time between searches for connections that exceed a timeout.
+constexpr std::chrono::milliseconds sweepInterval{5000};
+
+}  // namespace
+
+MessageListener::MessageListener(SocketAddress const& address, std::size_t maxConnections, Events events,
+                                 QObject* parent)
+    : QTcpServer(parent), maxConnections_(maxConnections), events_(std::move(events)) {
+  setListenBacklogSize(listenBacklog);
+  if (!listen(QHostAddress(QString::fromStdString(address.host)), address.port)) throwListenError(address);
+  QObject::connect(this, &QTcpServer::acceptError, this, [this] { resumeAcceptingLater(); });
+  QObject::connect(&sweepTimer_, &QTimer::timeout, this, [this] { closeSilent(IncomingConnection::Clock::now()); });
+  sweepTimer_.start(sweepInterval);
+}
+
+void MessageListener::throwListenError(SocketAddress const& address) const {
+  std::string const text =
+      "cannot listen at " + address.host + ":" + std::to_string(address.port) + ": " + errorString().toStdString();
+  if (serverError() == QAbstractSocket::AddressInUseError) throw core::ResourceBusyError(text);
+  throw TransportError(text);
+}
+
+MessageListener::~MessageListener() {
+  QTcpServer::close();
+  for (auto const& [id, connection] : std::exchange(connections_, {})) delete connection;
+}
+
+void MessageListener::resumeAcceptingLater() {
+  ++failedAccepts_;
+  QTimer::singleShot(acceptRetryInterval, this, [this] { resumeAccepting(); });
+}
+
+void MessageListener::incomingConnection(qintptr descriptor) {
+  if (connections_.size() >= maxConnections_) closeLongestSilent();
+  ConnectionId const id = ++lastId_;
+  auto* const connection = new IncomingConnection(descriptor, id, *this);
+  connections_[id] = connection;
+  if (!connection->isOpen()) close(id);
+}
+
+void MessageListener::read(IncomingConnection& connection) {
+  ConnectionId const id = connection.id();
+  QByteArray const received = connection.socket().readAll();
+  if (received.isEmpty()) return;
+  connection.noteReceived();
+  std::string_view const bytes(received.data(), static_cast<std::size_t>(received.size()));
+  FrameDecoder::Result const result =
+      connection.decoder().decode(bytes, [this, id](std::string_view message) { events_.message(id, message); });
+  if (result == FrameDecoder::Result::ok) return;
+  events_.invalidBytes();
+  close(id);
+}
+
+void MessageListener::close(ConnectionId id) {
+  auto const found = connections_.find(id);
+  if (found == connections_.end()) return;
+  IncomingConnection* const connection = found->second;
+  connections_.erase(found);
+  // Freed later, since this may be called from a signal of the connection's socket.
+  connection->socket().disconnect(connection);
+  connection->socket().abort();
+  connection->deleteLater();
+}
+
+void MessageListener::closeLongestSilent() {
+  auto const longestSilent = std::min_element(
+      connections_.begin(), connections_.end(),
+      [](auto const& a, auto const& b) { return a.second->lastReceived() < b.second->lastReceived(); });
+  if (longestSilent != connections_.end()) close(longestSilent->first);
+}
+
+void MessageListener::closeSilent(IncomingConnection::Clock::time_point now) {
+  std::vector<ConnectionId> overdue;
+  for (auto const& [id, connection] : connections_)
+    if (connection->isOverdue(now)) overdue.push_back(id);
+  for (ConnectionId const id : overdue) close(id);
+}
+
+}  // namespace corkward::transport
--- /dev/null
+++ b/transport/src/message_listener.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <QTcpServer>
+#include <QTimer>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include <corkward/transport/socket_address.h>
+
+class QTcpSocket;
+
+namespace corkward::transport {
+
+class IncomingConnection;
+
+/// Accepts connections of peers and delivers the messages that arrive on them, all on its own thread. The number of
+/// connections is bounded: beyond the bound, the connection that has been silent for longest is closed. A connection
+/// that sends no complete header, or stops in the middle of a message, is closed as well.
+class MessageListener final : public QTcpServer {
+ public:
+  /// Identifies a connection among all that the listener has accepted.
+  using ConnectionId = std::uint32_t;
+  struct Events {
+    std::function<void(ConnectionId connection, std::string_view message)> message;
+    /// A peer sent bytes that are not of the protocol, or announced a message that is too long.
+    std::function<void()> invalidBytes;
+  };
+  /// Time within which a peer's header, and the rest of a message that has begun, must go on arriving.
+  static constexpr std::chrono::milliseconds incompleteTimeout{10000};
+  /// A connection on which nothing arrives for this long is closed. Peers close connections that are idle for
+  /// Link::idleTimeout, so that a longer silence is that of a peer which is gone.
+  static constexpr std::chrono::milliseconds silenceTimeout{60000};
+
+  /// Bytes that are read from one connection before the others have their turn.
+  static constexpr qint64 readBufferBytes = 64 << 10;
+
+  /// Listens; with port 0 the operating system chooses a free port. Throws core::ResourceBusyError if the
+  /// address is in use, and TransportError if listening fails for another reason.
+  /// @param maxConnections connections that may exist at the same time
+  MessageListener(SocketAddress const& address, std::size_t maxConnections, Events events, QObject* parent = nullptr);
+  ~MessageListener() override;
+  MessageListener(MessageListener const&) = delete;
+  MessageListener& operator=(MessageListener const&) = delete;
+  MessageListener(MessageListener&&) = delete;
+  MessageListener& operator=(MessageListener&&) = delete;
+
+  std::size_t connectionCount() const { return connections_.size(); }
+  /// Number of attempts to accept a connection that failed, for instance for lack of descriptors.
+  std::uint64_t failedAccepts() const { return failedAccepts_; }
+  /// Closes the connections that exceed one of the timeouts.
+  /// @param now time at which the timeouts are judged
+  void closeSilent(std::chrono::steady_clock::time_point now);
+
+ protected:
+  void incomingConnection(qintptr descriptor) override;
+
+ private:
+  friend class IncomingConnection;
+  using Connections = std::map<ConnectionId, IncomingConnection*>;
+
+  /// Throws the error of a failed listen().
+  [[noreturn]] void throwListenError(SocketAddress const& address) const;
+  /// Reads what has arrived on a connection and delivers its messages.
+  void read(IncomingConnection& connection);
+  void close(ConnectionId id);
+  void closeLongestSilent();
+  /// Goes on accepting after a pause. Qt stops to accept when an attempt fails.
+  void resumeAcceptingLater();
+
+  std::size_t maxConnections_;
+  Events events_;
+  Connections connections_;
+  ConnectionId lastId_ = 0;
+  std::uint64_t failedAccepts_ = 0;
+  QTimer sweepTimer_;
+};
+
+}  // namespace corkward::transport
--- a/transport/test/link_closing_peers_test.cpp
+++ b/transport/test/link_closing_peers_test.cpp
@@ -17,12 +17,11 @@
 constexpr std::chrono::seconds duration{6};
 constexpr std::chrono::microseconds sendInterval{100};
 
-/// Sends a message to each peer every `sendInterval` and processes the owner's events in between.
+/// Sends a message to each peer every `sendInterval` and processes events in between.
 void sendToClosingPeers(std::size_t count) {
   int argc = 0;
   QCoreApplication const application(argc, nullptr);
-  QObject owner;
-  transport::Link link(&owner, "127.0.0.1:0", [](transport::Envelope const&) {});
+  transport::Link link("127.0.0.1:0", [](transport::Envelope const&) {});
   transport::testing::ClosingPeersOptions options;
   options.peers = count;
   transport::testing::ClosingPeers const peers(options);
--- a/transport/test/link_restart_test.cpp
+++ b/transport/test/link_restart_test.cpp
@@ -16,8 +16,7 @@
 TEST_CASE("peers that reset their connections do not end the process that sends to them") {
   int argc = 0;
   QCoreApplication const application(argc, nullptr);
-  QObject owner;
-  transport::Link link(&owner, "127.0.0.1:0", [](transport::Envelope const&) {});
+  transport::Link link("127.0.0.1:0", [](transport::Envelope const&) {});
   transport::testing::ClosingPeers const peers({.peers = 24,
                                                 .threads = 1,
                                                 .fewestReads = 0,
@@ -29,6 +28,7 @@
   auto const until = std::chrono::steady_clock::now() + std::chrono::seconds(8);
   while (std::chrono::steady_clock::now() < until) {
     for (std::string const& address : peers.addresses()) link.send(address, message);
+    QCoreApplication::processEvents();
     std::this_thread::sleep_for(std::chrono::microseconds(200));
   }
   CHECK(peers.connectionCount() > 500);
--- a/transport/test/transport_test.cpp
+++ b/transport/test/transport_test.cpp
@@ -71,15 +71,14 @@
 TEST_CASE("two links on ephemeral ports exchange messages in both directions") {
   int argc = 0;
   QCoreApplication app(argc, nullptr);
-  QObject owner;
   std::vector<std::uint64_t> got;
   std::unique_ptr<transport::Link> b;
-  transport::Link a(&owner, "127.0.0.1:0", [&](transport::Envelope e) {
+  transport::Link a("127.0.0.1:0", [&](transport::Envelope e) {
     if (!std::holds_alternative<transport::RequestIdReply>(e.message)) return;
     got.push_back(std::get<transport::RequestIdReply>(e.message).token);
     if (got.size() == 10) QCoreApplication::quit();
   });
-  b = std::make_unique<transport::Link>(&owner, "127.0.0.1:0", [&](transport::Envelope e) {
+  b = std::make_unique<transport::Link>("127.0.0.1:0", [&](transport::Envelope e) {
     b->send(e.from, transport::RequestIdReply{
                         std::get<transport::RequestIdQuery>(e.message).token, b->address(), true, false, false, 0, {}});
   });
@@ -136,23 +135,21 @@
 TEST_CASE("a dial that hangs is repeated when a message of the peer arrives, and an unused connection is closed") {
   int argc = 0;
   QCoreApplication app(argc, nullptr);
-  QObject owner;
   UnreachablePort port;
   std::uint64_t got = 0;
   transport::RequestIdQuery const request{1, "x", 2, 0, ""};
-  transport::Link a(&owner, "127.0.0.1:0", [](transport::Envelope) {});
+  transport::Link a("127.0.0.1:0", [](transport::Envelope) {});
   a.send(port.address(), request);
   CHECK(a.connectionCount() == 1);
   transport::Link peer(
-      &owner, port.address(), [](transport::Envelope) {}, "127.0.0.1:0");
+      port.address(), [](transport::Envelope) {}, "127.0.0.1:0");
   waitFor([&] { return a.redials() > 0; }, [&] { peer.send(a.address(), request); });
   port.close();
   std::unique_ptr<transport::Link> b;
   waitFor([&] { return got > 0; },
           [&] {
             try {
-              if (!b)
-                b = std::make_unique<transport::Link>(&owner, port.address(), [&](transport::Envelope) { ++got; });
+              if (!b) b = std::make_unique<transport::Link>(port.address(), [&](transport::Envelope) { ++got; });
             } catch (transport::TransportError const&) {
               return;
             }
@@ -168,11 +165,10 @@
 TEST_CASE("a connection to an earlier run of a process is dialled again exactly once") {
   int argc = 0;
   QCoreApplication app(argc, nullptr);
-  QObject owner;
   std::uint64_t got = 0;
   transport::RequestIdQuery const request{1, "x", 2, 0, ""};
-  transport::Link a(&owner, "127.0.0.1:0", [](transport::Envelope) {});
-  transport::Link earlierRun(&owner, "127.0.0.1:0", [&](transport::Envelope) { ++got; });
+  transport::Link a("127.0.0.1:0", [](transport::Envelope) {});
+  transport::Link earlierRun("127.0.0.1:0", [&](transport::Envelope) { ++got; });
   waitFor([&] { return got > 20; },
           [&] {
             a.send(earlierRun.address(), request);
@@ -180,7 +176,7 @@
           });
   CHECK(a.redials() == 0);
   transport::Link laterRun(
-      &owner, earlierRun.address(), [](transport::Envelope) {}, "127.0.0.1:0");
+      earlierRun.address(), [](transport::Envelope) {}, "127.0.0.1:0");
   waitFor([&] { return a.redials() > 0; }, [&] { laterRun.send(a.address(), request); });
   std::uint64_t const before = got;
   waitFor([&] { return got > before + 50; },
@@ -230,21 +226,19 @@
 TEST_CASE("a dial that hangs is repeated although no message of the peer arrives") {
   int argc = 0;
   QCoreApplication app(argc, nullptr);
-  QObject owner;
   UnreachablePort const port;
   transport::ServingLeaseRequest const request{};
-  transport::Link a(&owner, "127.0.0.1:0", [](transport::Envelope) {});
+  transport::Link a("127.0.0.1:0", [](transport::Envelope) {});
   waitFor([&] { return a.redials() >= 2; }, [&] { a.send(port.address(), request); });
 }
 
 TEST_CASE("a connection that carries nothing after an interruption is replaced, and the new one carries messages") {
   int argc = 0;
   QCoreApplication app(argc, nullptr);
-  QObject owner;
   int got = 0;
   transport::ServingLeaseRequest const request{};
-  transport::Link a(&owner, "127.0.0.1:0", [](transport::Envelope) {});
-  transport::Link b(&owner, "127.0.0.1:0", [&](transport::Envelope) { ++got; });
+  transport::Link a("127.0.0.1:0", [](transport::Envelope) {});
+  transport::Link b("127.0.0.1:0", [&](transport::Envelope) { ++got; });
   InterruptiblePath path(b.address());
   waitFor([&] { return got > 0; }, [&] { a.send(path.address(), request); });
   path.interrupt();
