Addresses that are not ip:port count as unreachable, in place of ending the process

What callers saw: a router that dispatched to a replica which the platform lists with another address than ip:port (a host name, no port, a port beyond 65535), or a controller that probed such a link, ended with code 1: HttpError left connectSocket through the event handler and the event loop. Neither the lists of the platform nor contacts from gossip are checked for it.

Change: UpstreamConnection reports a failure to connect, as for a refused connection, and a probe proves nothing. Test: 'an address that is not ip:port is reported as a failure to connect' (http_test).

--- a/http/src/upstream_connection.cpp
+++ b/http/src/upstream_connection.cpp
@@ -125,6 +125,10 @@
 
 void UpstreamConnection::open() {
   state_->reused = false;
+  if (!socketAddressOf(address_)) {
+    failConnect();
+    return;
+  }
   if (state_->pool) state_->pool->countOpened();
   socket_ = new QTcpSocket(this);
   socket_->setReadBufferSize(readBufferBytes);
--- a/http/test/upstream_pool_test.cpp
+++ b/http/test/upstream_pool_test.cpp
@@ -428,6 +428,20 @@
   CHECK_FALSE(request.outcome.connected);
 }
 
+/// Guards against a router that ends because the platform lists a replica whose address is not ip:port.
+TEST_CASE("an address that is not ip:port is reported as a failure to connect") {
+  ensureApplication();
+  http::UpstreamPool upstreams({2, 5000, 0}, [] { return 1; });
+  for (char const* const address : {"replica.example:80", "127.0.0.1", "127.0.0.1:99999", ":", "x"}) {
+    INFO(address);
+    PoolRequest request(upstreams, address);
+    CHECK_FALSE(request.outcome.connectFailed);
+    request.wait();
+    CHECK(request.outcome.connectFailed);
+    CHECK_FALSE(request.outcome.connected);
+  }
+}
+
 TEST_CASE(
     "a body that ends with the connection is reported as such if the connection is closed without a reset, and as "
     "incomplete after a reset") {
--- a/programs/control/process_probe.cpp
+++ b/programs/control/process_probe.cpp
@@ -20,6 +20,7 @@
 }  // namespace
 
 void probeProcess(QObject* owner, std::string const& address, std::function<void()> refused) {
+  if (!http::socketAddressOf(address)) return;
   auto* const socket = new QTcpSocket(owner);
   QObject::connect(socket, &QTcpSocket::errorOccurred, owner,
                    [socket, refused = std::move(refused)](QAbstractSocket::SocketError error) {
