Write-ahead log: any exception fails a write, also on the writer's thread

Cause: the writer's thread caught StorageError alone, so that std::bad_alloc or another exception ended the process by std::terminate. Had it been caught there alone, the next record would have been written behind an incomplete one and be lost with it at the next start, since the log noted only a StorageError as a failed write.

Change: the log rejects writes after any exception until it is recovered, and the writer and the audit recorder report it as a failed write, which is retried each second as before. Test: 'after any failed write, also one for lack of memory, the log rejects writes until it is recovered' (storage_test).

--- a/programs/control/log_writer.cpp
+++ b/programs/control/log_writer.cpp
@@ -1,6 +1,7 @@
 #include "log_writer.h"
 
 #include <QMetaObject>
+#include <exception>
 #include <utility>
 
 #include <corkward/core/log.h>
@@ -38,7 +39,7 @@
       core::writeLog(core::LogEvent{events::writeAheadLogCorrupt, {{"position", recovered.damage}}});
       startEmptyLog();
     }
-  } catch (storage::StorageError const& error) {
+  } catch (std::exception const& error) {
     // The log rejects every write until the disk is retried. The first write is that of a new member id, so the
     // controller announces no member id before the log could be read.
     core::writeLog(core::LogEvent{events::writeAheadLogReadFailed, {{"error", error.what()}}});
@@ -69,7 +70,7 @@
         log_->write(records);
         written = true;
       }
-    } catch (storage::StorageError const& failure) {
+    } catch (std::exception const& failure) {
       error = failure.what();
     }
     QMetaObject::invokeMethod(
@@ -100,7 +101,7 @@
       if (!recovered.damaged)
         for (auto const& [key, value] : recovered.slots) records.push_back(storage::Record{key, value});
       log_->write(records);
-    } catch (storage::StorageError const&) {
+    } catch (std::exception const&) {
       return;
     }
     ++workerGeneration_;
--- a/programs/router/audit_recorder.cpp
+++ b/programs/router/audit_recorder.cpp
@@ -1,6 +1,7 @@
 #include "audit_recorder.h"
 
 #include <QMetaObject>
+#include <exception>
 #include <utility>
 
 #include <corkward/core/json.h>
@@ -81,7 +82,7 @@
   try {
     step();
     return true;
-  } catch (storage::StorageError const& error) {
+  } catch (std::exception const& error) {
     setAvailable(false, error.what());
     return false;
   }
@@ -120,7 +121,7 @@
     try {
       if (!file.empty()) directory_->sync(file);
       directory_->syncDirectory();
-    } catch (storage::StorageError const& failure) {
+    } catch (std::exception const& failure) {
       error = failure.what();
     }
     QMetaObject::invokeMethod(
--- a/storage/src/write_ahead_log.cpp
+++ b/storage/src/write_ahead_log.cpp
@@ -209,7 +209,7 @@
     segmentSize_ += bytes.size();
     for (Record const& r : records) slots_[r.key] = r.payload;
     if (segmentSize_ >= segmentBytes_) writeSnapshot();
-  } catch (StorageError const&) {
+  } catch (...) {
     failed_ = true;
     throw;
   }
--- a/storage/test/write_ahead_log_test.cpp
+++ b/storage/test/write_ahead_log_test.cpp
@@ -20,6 +20,8 @@
   };
   std::map<std::string, File> files;
   bool failSync = false;
+  /// Makes append fail in the middle for lack of memory.
+  bool failAppend = false;
 
   std::vector<std::string> list() override {
     std::vector<std::string> out;
@@ -27,7 +29,10 @@
     return out;
   }
   std::string read(std::string const& name) override { return files.at(name).bytes; }
-  void append(std::string const& name, std::string const& bytes) override { files[name].bytes += bytes; }
+  void append(std::string const& name, std::string const& bytes) override {
+    files[name].bytes += failAppend ? bytes.substr(0, bytes.size() / 2) : bytes;
+    if (failAppend) throw std::bad_alloc();
+  }
   void sync(std::string const& name) override {
     if (failSync) throw storage::StorageError("sync failed");
     files[name].synced = files[name].bytes.size();
@@ -179,3 +184,21 @@
   CHECK(storage::WriteAheadLog(*directory, 200).recover().slots.at("k1") == "49");
   std::filesystem::remove_all(path);
 }
+
+/// Guards against records that are written behind an incomplete one, and are lost with it at the next start.
+TEST_CASE("after any failed write, also one for lack of memory, the log rejects writes until it is recovered") {
+  LossyDirectory directory;
+  {
+    storage::WriteAheadLog log(directory);
+    log.recover();
+    log.write({{"a", "1"}});
+    directory.failAppend = true;
+    CHECK_THROWS_AS(log.write({{"b", "2"}}), std::bad_alloc);
+    directory.failAppend = false;
+    CHECK_THROWS_AS(log.write({{"c", "3"}}), storage::StorageError);
+  }
+  storage::WriteAheadLog log(directory);
+  storage::RecoveredState const recovered = log.recover();
+  CHECK_FALSE(recovered.damaged);
+  CHECK(recovered.slots == std::map<std::string, std::string>{{"a", "1"}});
+}
