Daemons: starts that wait for held resources, held signals, restarts within the process

What callers saw: a process that did not start, or ended by itself.

Causes, each brought about with real processes by process_ends_test ([ends]): an address or the data directory still held by a predecessor ended the start at once; SIGHUP and SIGPIPE ended a process while the dynamic loader ran, before the handlers were installed; SIGUSR1 and other signals without a handler ended it at any time, and SIGXFSZ when a write went beyond the limit on file size; an exception of an event handler ended it, most kinds without a line.

Change: a start that finds a resource held (core::ResourceBusyError) waits for it for as long as a predecessor may drain and 5 s more, logs start-waiting, ends with one line and code 1 after that, and with code 0 on SIGTERM. A launcher of the daemon's name, which needs the C library alone, blocks SIGHUP, SIGTERM and SIGINT and ignores the signals that no daemon uses, then execs the daemon's program; both survive exec, and blocked signals are delivered once their handlers are installed. The handlers keep errno and never block on a full pipe. DaemonApplication stops the event loop at an exception, and the node is created anew in the same process, at most 5 times a minute. main reports any exception in one line. The test of the audit recorder expects the typed ResourceBusyError for a held lock in place of SettingsError; deferReloads is holdSignals in signals_test.

--- a/http/include/corkward/http/server.h
+++ b/http/include/corkward/http/server.h
@@ -61,7 +61,8 @@
     std::function<void(std::uint64_t id)> writable;
   };
   /// Listens at one or several ip:port addresses, which share the limits. With port 0 the operating system chooses a
-  /// free port. Throws HttpError.
+  /// free port. Throws core::ResourceBusyError if an address is in use, and HttpError if listening fails for another
+  /// reason.
   Server(std::string const& address, ServerLimits limits, Events events, QObject* parent = nullptr);
   Server(std::vector<std::string> const& addresses, ServerLimits limits, Events events, QObject* parent = nullptr);
   ~Server() override;
--- a/http/src/server.cpp
+++ b/http/src/server.cpp
@@ -22,6 +22,13 @@
 /// are closed without a response.
 constexpr int rejectedConnectionsFactor = 2;
 
+/// Throws the error of a failed listen().
+[[noreturn]] void throwListenError(QTcpServer const& listener, std::string const& address) {
+  std::string const text = "cannot listen at " + address + ": " + listener.errorString().toStdString();
+  if (listener.serverError() == QAbstractSocket::AddressInUseError) throw core::ResourceBusyError(text);
+  throw HttpError(text);
+}
+
 }  // namespace
 
 /// Owns the listening sockets, the connections and the pending requests of a server.
@@ -104,8 +111,7 @@
   listeners_.push_back(listener);
   listener->setListenBacklogSize(listenBacklog);
   listener->setMaxPendingConnections(acceptsPerIteration);
-  if (!listener->listen(QHostAddress(QString::fromStdString(host)), port))
-    throw HttpError("cannot listen at " + address + ": " + listener->errorString().toStdString());
+  if (!listener->listen(QHostAddress(QString::fromStdString(host)), port)) throwListenError(*listener, address);
   addresses_.push_back(host + ":" + std::to_string(listener->serverPort()));
   QObject::connect(
       listener, &QTcpServer::newConnection, context_, [this, index] { acceptPending(index); }, Qt::QueuedConnection);
--- a/programs/common/directory_lock.cpp
+++ b/programs/common/directory_lock.cpp
@@ -9,8 +9,9 @@
 
 DirectoryLock::DirectoryLock(char const* setting, std::string const& directory)
     : descriptor_(::open(directory.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC)) {
-  bool const locked = descriptor_.isOpen() && ::flock(descriptor_.get(), LOCK_EX | LOCK_NB) == 0;
-  if (!locked) throw SettingsError(std::string(setting) + ": in use by another process: " + directory);
+  if (!descriptor_.isOpen()) throw SettingsError(std::string(setting) + ": cannot be opened: " + directory);
+  bool const locked = ::flock(descriptor_.get(), LOCK_EX | LOCK_NB) == 0;
+  if (!locked) throw core::ResourceBusyError(std::string(setting) + ": in use by another process: " + directory);
 }
 
 }  // namespace corkward::programs
--- a/programs/common/events.h
+++ b/programs/common/events.h
@@ -32,4 +32,11 @@
 /// The address for the process's own metrics could not be bound. Field: `error`.
 inline constexpr core::EventName metricsUnavailable{"metrics-unavailable"};
 
+/// The start waits for a resource that another process holds: an address or the lock of the data directory. Field:
+/// `error`.
+inline constexpr core::EventName startWaiting{"start-waiting"};
+/// An event handler threw an exception that nothing handled, and the node is started anew in the same process. Field:
+/// `error`.
+inline constexpr core::EventName restartedAfterFault{"restarted-after-fault"};
+
 }  // namespace corkward::programs::events
--- a/programs/common/metrics_server.cpp
+++ b/programs/common/metrics_server.cpp
@@ -29,7 +29,7 @@
   };
   try {
     server_ = std::make_unique<http::Server>(address, limits, std::move(handlers));
-  } catch (http::HttpError const& error) {
+  } catch (core::Error const& error) {
     core::writeWarning(core::LogEvent{events::metricsUnavailable, {{"error", error.what()}}});
   }
 }
--- a/programs/common/process.cpp
+++ b/programs/common/process.cpp
@@ -1,5 +1,8 @@
 #include "process.h"
 
+#include <exception>
+#include <iostream>
+
 #include "clock.h"
 
 namespace corkward::programs {
@@ -18,4 +21,18 @@
   qputenv("QT_NO_GLIB", "1");
 }
 
+int reportError(char const* program) {
+  try {
+    throw;
+  } catch (SettingsError const& error) {
+    std::cerr << program << ": " << error.what() << "\n";
+    return static_cast<int>(DaemonExit::invalidSettings);
+  } catch (std::exception const& error) {
+    std::cerr << program << ": " << error.what() << "\n";
+  } catch (...) {
+    std::cerr << program << ": an exception of unknown type\n";
+  }
+  return static_cast<int>(DaemonExit::error);
+}
+
 }  // namespace corkward::programs
--- a/programs/common/process.h
+++ b/programs/common/process.h
@@ -1,13 +1,14 @@
 #pragma once
 
 #include <QCoreApplication>
-#include <iostream>
 #include <optional>
 
 #include <corkward/core/log.h>
 #include <corkward/transport/message.h>
 
 #include "settings.h"
+#include "signals.h"
+#include "startup.h"
 
 namespace corkward::programs {
 
@@ -21,25 +22,25 @@
 /// Exit codes of the daemons.
 enum class DaemonExit : int { ok = 0, error = 1, invalidSettings = 2 };
 
+/// Reports the exception that is being handled as one line on standard error. Returns the exit code of the process.
+/// Called from a catch block.
+int reportError(char const* program);
+
 /// Main function of a daemon. Reads the settings, starts the log and runs the daemon until its event loop ends.
 /// @tparam Daemon the daemon's class, which is constructed from the settings
 /// @return the exit code of the process
 template <class Daemon>
 int runDaemon(char const* program, Role role, int argc, char** argv) {
+  holdSignals();
   selectQtEventLoop();
-  QCoreApplication const application(argc, argv);
+  DaemonApplication application(argc, argv);
   try {
     std::optional<Settings> const settings = readSettings(argc, argv, role);
     if (!settings) return static_cast<int>(DaemonExit::ok);
     core::startLog(settings->link, settings->logFile, settings->logLevel);
-    Daemon const daemon(*settings);
-    return QCoreApplication::exec();
-  } catch (SettingsError const& error) {
-    std::cerr << program << ": " << error.what() << "\n";
-    return static_cast<int>(DaemonExit::invalidSettings);
-  } catch (core::Error const& error) {
-    std::cerr << program << ": " << error.what() << "\n";
-    return static_cast<int>(DaemonExit::error);
+    return runNode<Daemon>(application, settings->drainLimitMs, *settings);
+  } catch (...) {
+    return reportError(program);
   }
 }
 
--- a/programs/common/signals.cpp
+++ b/programs/common/signals.cpp
@@ -1,9 +1,16 @@
 #include "signals.h"
 
 #include <QSocketNotifier>
+#include <cerrno>
 #include <csignal>
-#include <initializer_list>
+#include <ctime>
+#include <fcntl.h>
 #include <unistd.h>
+#include <vector>
+
+#include <corkward/core/error.h>
+
+#include "held_signals.h"
 
 namespace corkward::programs {
 
@@ -14,40 +21,51 @@
 struct SignalPipe {
   int readEnd = -1;
   int writeEnd = -1;
-  /// Whether an owner reads from the pipe.
-  bool owned = false;
 };
 
+std::vector<int> const terminationSignals{SIGTERM, SIGINT};
+
 SignalPipe terminationPipe;
 SignalPipe reloadPipe;
 
+/// Writes to the pipe of the signal. A full pipe means that the event loop will run the handler in any case.
 void handleSignal(int number) {
+  int const savedError = errno;
   char const byte = 1;
   ssize_t const written = ::write(number == SIGHUP ? reloadPipe.writeEnd : terminationPipe.writeEnd, &byte, 1);
   static_cast<void>(written);
+  errno = savedError;
+}
+
+sigset_t setOf(std::vector<int> const& numbers) {
+  sigset_t signals;
+  sigemptyset(&signals);
+  for (int const number : numbers) sigaddset(&signals, number);
+  return signals;
 }
 
-/// Installs a handler that writes the signals to the pipe. An existing pipe without an owner is reused, so that the
-/// signals buffered in it are delivered. Returns false if no pipe can be created.
-bool routeSignals(SignalPipe& pipe, std::initializer_list<int> numbers) {
-  bool const unclaimed = pipe.readEnd >= 0 && !pipe.owned;
-  if (!unclaimed) {
-    int ends[2] = {-1, -1};
-    if (::pipe(ends) != 0) return false;
-    pipe.readEnd = ends[0];
-    pipe.writeEnd = ends[1];
-  }
-  pipe.owned = false;
+/// Blocks or unblocks the signals for the calling thread.
+void changeMask(int how, std::vector<int> const& numbers) {
+  sigset_t const signals = setOf(numbers);
+  ::pthread_sigmask(how, &signals, nullptr);
+}
+
+/// Installs a handler that writes the signals to a new pipe, and unblocks them.
+void routeSignals(SignalPipe& pipe, std::vector<int> const& numbers) {
+  int ends[2] = {-1, -1};
+  if (::pipe2(ends, O_CLOEXEC | O_NONBLOCK) != 0) throw core::Error("cannot create the pipe of a signal handler");
+  pipe.readEnd = ends[0];
+  pipe.writeEnd = ends[1];
   struct sigaction action {};
   action.sa_handler = handleSignal;
+  action.sa_flags = SA_RESTART;
   for (int const number : numbers) ::sigaction(number, &action, nullptr);
-  return true;
+  changeMask(SIG_UNBLOCK, numbers);
 }
 
-void onSignals(QObject* owner, SignalPipe& pipe, std::initializer_list<int> numbers,
+void onSignals(QObject* owner, SignalPipe& pipe, std::vector<int> const& numbers,
                std::function<void()> const& handler) {
-  if (!routeSignals(pipe, numbers)) return;
-  pipe.owned = true;
+  routeSignals(pipe, numbers);
   int const readEnd = pipe.readEnd;
   int const writeEnd = pipe.writeEnd;
   auto* const notifier = new QSocketNotifier(readEnd, QSocketNotifier::Read, owner);
@@ -56,10 +74,14 @@
     ssize_t const received = ::read(readEnd, &byte, 1);
     if (received == 1) handler();
   });
-  // The descriptors are closed after the notifier, which is the owner's child, has stopped watching them.
+  // The descriptors are closed after the notifier, which is the owner's child, has stopped watching them. Signals that
+  // arrive while there is no owner are held for the next one.
   SignalPipe* const current = &pipe;
-  QObject::connect(notifier, &QObject::destroyed, [readEnd, writeEnd, current] {
-    if (current->writeEnd == writeEnd) *current = SignalPipe();
+  QObject::connect(notifier, &QObject::destroyed, [readEnd, writeEnd, current, numbers] {
+    if (current->writeEnd == writeEnd) {
+      changeMask(SIG_BLOCK, numbers);
+      *current = SignalPipe();
+    }
     ::close(readEnd);
     ::close(writeEnd);
   });
@@ -67,8 +89,15 @@
 
 }  // namespace
 
-void deferReloads() {
-  routeSignals(reloadPipe, {SIGHUP});
+void holdSignals() {
+  blockAndIgnoreSignals();
+}
+
+bool waitForTermination(std::chrono::milliseconds limit) {
+  sigset_t const signals = setOf(terminationSignals);
+  auto const seconds = std::chrono::duration_cast<std::chrono::seconds>(limit);
+  timespec const timeout{seconds.count(), std::chrono::nanoseconds(limit - seconds).count()};
+  return ::sigtimedwait(&signals, nullptr, &timeout) > 0;
 }
 
 void onReload(QObject* owner, std::function<void()> const& handler) {
@@ -77,7 +106,7 @@
 
 void onTermination(QObject* owner, std::function<void()> const& handler) {
   ::signal(SIGPIPE, SIG_IGN);
-  onSignals(owner, terminationPipe, {SIGTERM, SIGINT}, handler);
+  onSignals(owner, terminationPipe, terminationSignals, handler);
 }
 
 }  // namespace corkward::programs
--- a/programs/common/signals.h
+++ b/programs/common/signals.h
@@ -1,18 +1,27 @@
 #pragma once
 
 #include <QObject>
+#include <chrono>
 #include <functional>
 
 namespace corkward::programs {
 
-/// Prevents SIGHUP from ending the process while it starts. A SIGHUP that arrives before onReload is called is
-/// delivered to the handler once onReload has installed it. Must be the first call in main.
-void deferReloads();
+/// Handles the signals that the process can receive from its first moment on, before their handlers are installed.
+/// SIGHUP, SIGTERM and SIGINT are blocked: they stay pending until onReload or onTermination installs their handler.
+/// Signals that a daemon does not use, but whose default action ends a process, are ignored. Must be called before any
+/// thread is started. Both settings survive exec.
+void holdSignals();
 
-/// Calls the handler on the owner's thread when SIGHUP arrives.
+/// Waits until SIGTERM or SIGINT arrives while they are blocked, at most for the given time. Returns true if one of
+/// them arrived; it is taken and not delivered to a handler.
+bool waitForTermination(std::chrono::milliseconds limit);
+
+/// Calls the handler on the owner's thread when SIGHUP arrives, also for one that was held. Throws core::Error if no
+/// handler can be installed.
 void onReload(QObject* owner, std::function<void()> const& handler);
 
-/// Calls the handler on the owner's thread when SIGTERM or SIGINT arrives; SIGPIPE is ignored from this call on.
+/// Calls the handler on the owner's thread when SIGTERM or SIGINT arrives, also for one that was held; SIGPIPE is
+/// ignored from this call on. Throws core::Error if no handler can be installed.
 void onTermination(QObject* owner, std::function<void()> const& handler);
 
 }  // namespace corkward::programs
--- a/programs/test/audit_recorder_test.cpp
+++ b/programs/test/audit_recorder_test.cpp
@@ -78,7 +78,7 @@
     CHECK(fixture.recordedCount() >= 2);
     CHECK(recorder.head()->value("n").toInteger() >= 3);
     CHECK_THROWS_AS(programs::AuditRecorder(&fixture.owner, fixture.settings, fixture.onAvailability()),
-                    programs::SettingsError);
+                    core::ResourceBusyError);
   }
   std::unique_ptr<storage::Directory> const opened = storage::openDirectory(fixture.settings.audit);
   QJsonObject const report = audit::auditReport({audit::readAuditLog(*opened)}, {});
--- a/programs/test/signals_test.cpp
+++ b/programs/test/signals_test.cpp
@@ -26,8 +26,8 @@
 
 TEST_CASE("each owner of a signal handler closes only its own descriptors when it is destroyed") {
   application();
-  bool const deferred = GENERATE(false, true);
-  if (deferred) programs::deferReloads();
+  bool const held = GENERATE(false, true);
+  if (held) programs::holdSignals();
   std::unique_ptr<QObject> first = std::make_unique<QObject>();
   std::unique_ptr<QObject> second = std::make_unique<QObject>();
   for (QObject* const owner : {first.get(), second.get()}) {
@@ -46,7 +46,7 @@
 
 TEST_CASE("a SIGHUP that arrives before onReload is delivered to the handler once") {
   application();
-  programs::deferReloads();
+  programs::holdSignals();
   REQUIRE(::raise(SIGHUP) == 0);
   int reloads = 0;
   QObject owner;
