Log: a line that cannot be written is dropped, in place of ending the process

What callers saw: a controller with a log file on a full disk ended with code 1 and 'IO Exception : status code = 27(File too large)': log4cxx throws from each write, through the event handler and the event loop.

Dropped lines are counted, and log-lines-dropped tells their number once the log can be written again. Test: 'lines that a full disk refuses are dropped, and counted once the log can be written again' (core_test).

--- a/core/src/events.h
+++ b/core/src/events.h
@@ -9,4 +9,7 @@
 /// A guarantee was violated. The process goes on.
 inline constexpr EventName guaranteeViolated{"guarantee-violated"};
 
+/// Lines of the log could not be written before this one. Field: `count`.
+inline constexpr EventName logLinesDropped{"log-lines-dropped"};
+
 }  // namespace corkward::core::events
--- a/core/src/log.cpp
+++ b/core/src/log.cpp
@@ -8,8 +8,12 @@
 #include <log4cxx/patternlayout.h>
 
 #include <array>
+#include <atomic>
+#include <exception>
 #include <string_view>
 
+#include "events.h"
+
 namespace corkward::core {
 
 namespace {
@@ -40,6 +44,28 @@
   return line;
 }
 
+/// Lines that could not be written since the last one that was.
+std::atomic<std::uint64_t> droppedLines{0};
+
+void append(log4cxx::LevelPtr const& level, std::string const& line) {
+  LOG4CXX_LOG(logger(), level, line);
+}
+
+/// Writes the event. A line that cannot be written, as on a full disk, is dropped and counted, since a process must not
+/// fail for its log.
+void write(log4cxx::LevelPtr const& level, LogEvent const& logEvent) {
+  if (!logger()->isEnabledFor(level)) return;
+  try {
+    append(level, lineOf(logEvent));
+    std::uint64_t const dropped = droppedLines.exchange(0);
+    if (dropped > 0)
+      append(log4cxx::Level::getWarn(),
+             lineOf(LogEvent{events::logLinesDropped, {{"count", std::to_string(dropped)}}}));
+  } catch (std::exception const&) {
+    ++droppedLines;
+  }
+}
+
 }  // namespace
 
 std::string_view name(LogLevel level) {
@@ -79,15 +105,15 @@
 }
 
 void writeLog(LogEvent const& logEvent) {
-  LOG4CXX_INFO(logger(), lineOf(logEvent));
+  write(log4cxx::Level::getInfo(), logEvent);
 }
 
 void writeWarning(LogEvent const& logEvent) {
-  LOG4CXX_WARN(logger(), lineOf(logEvent));
+  write(log4cxx::Level::getWarn(), logEvent);
 }
 
 void writeError(LogEvent const& logEvent) {
-  LOG4CXX_ERROR(logger(), lineOf(logEvent));
+  write(log4cxx::Level::getError(), logEvent);
 }
 
 }  // namespace corkward::core
