--- a/testing/fleet/chaos.cpp
+++ b/testing/fleet/chaos.cpp
@@ -33,8 +33,10 @@
     changeTemplate();
     std::size_t const before = served();
     fleet_.until("requests to be served during the faults", [&] { return served() >= before + 60; });
+    checkExits();
   }
   heal();
+  checkExits();
   if (plan_.killAllAtEnd) killEverything();
   fleet_.untilReady(fleet_.routers().size());
   traffic_->stopCalling();
@@ -46,6 +48,7 @@
                      traffic_->describeOpen() + (changePending_ ? ", a change is pending" : "") + "; " +
                      describePendingFaults());
   }
+  checkExits();
   checkResult();
   return std::move(result_);
 }
--- a/testing/fleet/chaos_checks.cpp
+++ b/testing/fleet/chaos_checks.cpp
@@ -78,13 +78,25 @@
                 put.mark + " was acknowledged");
 }
 
+void Chaos::checkExits() {
+  for (std::vector<Node>* const group : {&fleet_.controllers(), &fleet_.routers()})
+    for (Node const& node : *group) {
+      bool const hasEnded = node.process && node.process->state() == QProcess::NotRunning;
+      if (!hasEnded || !reportedExits_.insert(node.name).second) continue;
+      bool const byItself = node.process->exitStatus() == QProcess::NormalExit;
+      violation(node.name + " exited unexpectedly, " + (byItself ? "exit code " : "signal ") +
+                std::to_string(node.process->exitCode()) + "; end of its log: " + fleet_.logTail(node));
+    }
+}
+
 void Chaos::checkGuarantees() {
   for (std::vector<Node>* const group : {&fleet_.controllers(), &fleet_.routers()})
     for (Node const& node : *group) {
       std::ifstream log(fleet_.directory() + "/" + node.name + ".log");
       std::string line;
       while (std::getline(log, line))
-        for (char const* const bad : {"guarantee-violated", "broken invariant", "terminate called", "panic"})
+        for (char const* const bad : {"guarantee-violated", "broken invariant", "terminate called", "panic",
+                                      "restarted-after-fault", "gave up waiting"})
           if (line.find(bad) != std::string::npos) violation(node.name + ": " + line.substr(0, 300));
     }
 }
--- a/testing/fleet/chaos_run.h
+++ b/testing/fleet/chaos_run.h
@@ -118,6 +118,9 @@
   /// Checks that the replica was allowed to get requests at the time of the arrival.
   void checkArrival(Node const& replica, Arrival const& arrival);
 
+  /// Adds a violation for each router and controller that has ended although no fault ended it.
+  void checkExits();
+
   /// Checks the logs of all processes for violated guarantees and invariants.
   void checkGuarantees();
   void checkRuns();
@@ -150,6 +153,8 @@
   std::unique_ptr<Traffic> traffic_;
   std::map<std::string, std::string> states_;
   std::set<std::string> frozen_;
+  /// Processes whose unexpected exit was reported, so that each is reported once.
+  std::set<std::string> reportedExits_;
   std::vector<RestrictedSpan> leaving_;
   std::vector<RestrictedSpan> warmingUp_;
   std::vector<RestrictedSpan> evacuatedZones_;
--- a/testing/fleet/fleet.cpp
+++ b/testing/fleet/fleet.cpp
@@ -113,7 +113,6 @@
   node.process->setStandardOutputFile(core::toQString(directory() + "/" + node.name + ".out"), QIODevice::Append);
   if (fileLimit > 0)
     node.process->setChildProcessModifier([fileLimit] {
-      std::signal(SIGXFSZ, SIG_IGN);
       rlimit const limit{fileLimit, fileLimit};
       ::setrlimit(RLIMIT_FSIZE, &limit);
     });
