--- a/programs/common/startup.h
+++ b/programs/common/startup.h
@@ -1,7 +1,8 @@
 #pragma once
 
-#include <chrono>
+#include <cstddef>
 #include <deque>
+#include <exception>
 #include <memory>
 
 #include <corkward/core/error.h>
@@ -12,9 +13,8 @@
 
 namespace corkward::programs {
 
-/// Waits while a resource that a process needs at its start is held by another process: an address to listen at, the
-/// lock of its data directory, or a thread that the system cannot create. A predecessor that is draining holds its
-/// addresses and its lock until its drain limit.
+/// Waits while a resource that a process needs at its start is held by another process: an address to listen at, or the
+/// lock of its data directory. A predecessor that is draining holds both until its drain limit.
 class StartupRetry {
  public:
   /// @param drainLimit milliseconds for which a predecessor may drain
