--- a/core/src/json.cpp
+++ b/core/src/json.cpp
@@ -11,6 +11,9 @@
 namespace {
 
 constexpr int maxDepth = 32;
+/// Memory of an array or object, and of any other value, once it is parsed.
+constexpr std::uint64_t containerBytes = 128;
+constexpr std::uint64_t valueBytes = 32;
 
 /// Throws JsonError for values that Qt's types cannot represent, or would represent differently.
 void checkRepresentable(simdjson::dom::element const e, int depth) {
@@ -31,7 +34,18 @@
 
 }  // namespace
 
+std::uint64_t estimateJsonMemory(std::string_view text) {
+  std::uint64_t containers = 0;
+  std::uint64_t separators = 0;
+  for (char const c : text) {
+    containers += c == '[' || c == '{' ? 1 : 0;
+    separators += c == ',' || c == ':' ? 1 : 0;
+  }
+  return text.size() + containers * containerBytes + separators * valueBytes;
+}
+
 QJsonValue parseJson(std::string_view text) {
+  if (estimateJsonMemory(text) > maxParsedJsonBytes) throw JsonError("too many values");
   simdjson::dom::parser parser;
   simdjson::dom::element root;
   simdjson::error_code const ec = parser.parse(text.data(), text.size()).get(root);
--- a/http/include/corkward/http/server.h
+++ b/http/include/corkward/http/server.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include <corkward/core/memory_account.h>
 #include <corkward/core/types.h>
 #include <corkward/http/headers.h>
 #include <corkward/http/http_error.h>
@@ -44,6 +45,8 @@
   /// reading the previous response.
   int idleTimeoutMs = 60000;
   bool sendsServerHeader = true;
+  /// Memory that the owner needs for a request that is pending, as a multiple of the length of its body.
+  std::uint64_t bodyCostFactor = 1;
   /// Header fields of the error responses to requests that violate HTTP or these limits.
   HeaderList errorHeaders = {{"corkward-outcome", "not-run"}};
 };
@@ -51,6 +54,13 @@
 /// HTTP/1.1 server for callers, operators and the platform. Boost.Beast parses the messages, and Qt reads and writes
 /// the sockets. Each connection processes one request at a time. A response is written either complete with respond(),
 /// or incrementally with beginResponse(), writeChunk() and finishResponse().
+///
+/// All bytes that connections hold are charged to a memory account: what was read, the bodies of pending requests, and
+/// what callers have not read yet. A body that is longer than a small one is read on only when its whole length can be
+/// reserved; until then its connection is not read. When memory is short, requests and responses that hold much and
+/// move little give way: an incomplete request gets 503, a response that is not read is reset. While many connections
+/// are refused for want of a place, the one that has been without a complete request for longest gives way to a new
+/// one.
 class Server : public QObject {
  public:
   struct Events {
@@ -63,8 +73,11 @@
   /// Listens at one or several ip:port addresses, which share the limits. With port 0 the operating system chooses a
   /// free port. Throws core::ResourceBusyError if an address is in use, and HttpError if listening fails for another
   /// reason.
-  Server(std::string const& address, ServerLimits limits, Events events, QObject* parent = nullptr);
-  Server(std::vector<std::string> const& addresses, ServerLimits limits, Events events, QObject* parent = nullptr);
+  /// @param memory the process's account; null for an account of the server's own without a limit
+  Server(std::string const& address, ServerLimits limits, Events events, QObject* parent = nullptr,
+         std::shared_ptr<core::MemoryAccount> memory = nullptr);
+  Server(std::vector<std::string> const& addresses, ServerLimits limits, Events events, QObject* parent = nullptr,
+         std::shared_ptr<core::MemoryAccount> memory = nullptr);
   ~Server() override;
   Server(Server const&) = delete;
   Server& operator=(Server const&) = delete;
@@ -113,6 +126,12 @@
   std::uint64_t malformedRequests() const;
   /// Returns the number of failed attempts to accept a connection, caused by a lack of file descriptors or memory.
   std::uint64_t failedAccepts() const;
+  /// Returns the number of requests and responses that were given up because memory was short.
+  std::uint64_t shedForMemory() const;
+  /// Returns the number of connections without a complete request that gave way to new connections.
+  std::uint64_t displacedConnections() const;
+  /// Returns the account to which the server charges what it holds.
+  core::MemoryAccount& memory() const;
 
  private:
   class Implementation;
--- a/http/include/corkward/http/upstream_connection.h
+++ b/http/include/corkward/http/upstream_connection.h
@@ -64,7 +64,10 @@
   UpstreamConnection& operator=(UpstreamConnection const&) = delete;
   UpstreamConnection(UpstreamConnection&&) = delete;
   UpstreamConnection& operator=(UpstreamConnection&&) = delete;
-  /// Sends the request. May be called once, after the event `connected`.
+  /// Sends the request. May be called once, after the event `connected`. A long body is written in slices, as the
+  /// replica takes them, so that no second copy of it exists.
+  void send(ReplicaRequest const& request, std::shared_ptr<std::string const> body);
+  /// Sends the request with a copy of the body.
   void send(ReplicaRequest const& request, std::string const& body);
   /// Closes the connection. No event is delivered afterwards.
   void close();
@@ -102,6 +105,8 @@
   void requestIncarnation();
   void readIncarnation();
   void establish();
+  /// Writes the next slice of the body if the socket has taken the one before.
+  void writeBodySlice();
   void failConnect();
   void readResponse();
   /// Handles a complete response head. Returns false if the response must not be read further.
--- a/http/src/request_parser.cpp
+++ b/http/src/request_parser.cpp
@@ -12,6 +12,8 @@
 
 /// HTTP/1.1 in Beast's representation of versions.
 constexpr unsigned http11 = 11;
+/// Memory that a complete body may take beyond its length.
+constexpr std::size_t maxUnusedBytes = 64U << 10;
 
 RequestError errorOf(beast::error_code const& error) {
   core::HttpStatus status = core::HttpStatus::badRequest;
@@ -39,6 +41,7 @@
   parser_->header_limit(limits.headLimitBytes);
   parser_->body_limit(limits.bodyLimitBytes);
   parser_->eager(true);
+  bodyLimit_ = limits.bodyLimitBytes;
   maxHeadBytes_ = static_cast<qsizetype>(limits.headLimitBytes);
   continueReported_ = false;
   readingSince_.start();
@@ -62,6 +65,13 @@
   return result;
 }
 
+std::uint64_t RequestParser::expectedBodyBytes() const {
+  if (!parser_ || !parser_->is_header_done()) return 0;
+  auto const announced = parser_->content_length();
+  if (announced) return *announced;
+  return parser_->chunked() ? bodyLimit_ : 0;
+}
+
 bool RequestParser::takeExpectsContinue() {
   if (!parser_->is_header_done() || continueReported_) return false;
   bool const expects = toLower(std::string(parser_->get()[beast::http::field::expect])) == "100-continue";
@@ -70,7 +80,7 @@
 }
 
 std::variant<IncompleteRequest, ParsedRequest, RequestError> RequestParser::release() {
-  beast::http::request<beast::http::string_body> message = parser_->release();
+  beast::http::request<RequestBody> message = parser_->release();
   parser_.reset();
   if (message.version() != http11)
     return RequestError{core::HttpStatus::httpVersionNotSupported,
@@ -82,6 +92,7 @@
   out.request.target = std::string(message.target());
   out.request.headers = headersOf(message);
   out.request.body = std::move(message.body());
+  if (out.request.body.capacity() - out.request.body.size() > maxUnusedBytes) out.request.body.shrink_to_fit();
   out.request.readDuration = readingSince_.elapsed();
   return out;
 }
--- a/http/src/request_parser.h
+++ b/http/src/request_parser.h
@@ -10,6 +10,8 @@
 #include <corkward/core/http_status.h>
 #include <corkward/http/server.h>
 
+#include "request_body.h"
+
 namespace corkward::http {
 
 /// A complete request, and the properties that its connection needs to write the response.
@@ -47,9 +49,21 @@
   void begin(ServerLimits const& limits);
   /// Consumes the bytes of the request from the front of the buffer. Bytes after the request remain in the buffer.
   ParseResult parse(QByteArray& buffer);
+  /// Returns the length that the body of the request in progress will have: the announced one, or the limit for a body
+  /// in chunks. 0 before the header section is complete.
+  std::uint64_t expectedBodyBytes() const;
+  /// Whether the body of the request in progress arrives in chunks, so that its length is not known.
+  bool isChunked() const { return parser_ && parser_->chunked(); }
+  /// Returns the memory that the body of the request in progress takes.
+  std::uint64_t bodyCapacity() const { return parser_ ? parser_->get().body().capacity() : 0; }
+  std::uint64_t bodySize() const { return parser_ ? parser_->get().body().size() : 0; }
+  /// Allocates memory for the rest of the body.
+  void reserveBody(std::uint64_t bytes) { parser_->get().body().reserve(bytes); }
+  /// Gives the request in progress up.
+  void reset() { parser_.reset(); }
 
  private:
-  using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+  using Parser = boost::beast::http::request_parser<RequestBody>;
 
   /// Whether the request expects a 100 (Continue) response that was not reported yet; marks it as reported.
   bool takeExpectsContinue();
@@ -59,6 +73,7 @@
   /// std::nullopt between two requests.
   std::optional<Parser> parser_;
   qsizetype maxHeadBytes_ = 0;
+  std::uint64_t bodyLimit_ = 0;
   /// Measures the time since the first byte of the request.
   QElapsedTimer readingSince_;
   bool continueReported_ = false;
--- a/http/src/server.cpp
+++ b/http/src/server.cpp
@@ -1,12 +1,15 @@
 #include <corkward/http/server.h>
 
+#include <QElapsedTimer>
 #include <QHostAddress>
 #include <QTcpServer>
 #include <QTcpSocket>
 #include <QTimer>
+#include <sys/socket.h>
 #include <unordered_map>
 #include <utility>
 
+#include "memory_arbiter.h"
 #include "server_connection.h"
 
 namespace corkward::http {
@@ -22,6 +25,22 @@
 /// are closed without a response.
 constexpr int rejectedConnectionsFactor = 2;
 
+/// Sizes of the operating system's buffers of a connection, in bytes. Without them the system lets them grow to
+/// megabytes, which no account sees.
+constexpr int kernelBufferBytes = 32 << 10;
+/// Time without a complete request after which a connection gives way to a new one.
+constexpr std::chrono::milliseconds placeHoldTime{1000};
+/// While more connections than this are refused within a period, connections give way before that time, too.
+constexpr int toleratedRefusals = 8;
+constexpr qint64 refusalPeriodMs = 1000;
+
+/// Bounds the operating system's buffers of the connections that a listening socket accepts.
+void boundKernelBuffers(qintptr listener) {
+  int const bytes = kernelBufferBytes;
+  ::setsockopt(static_cast<int>(listener), SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
+  ::setsockopt(static_cast<int>(listener), SOL_SOCKET, SO_SNDBUF, &bytes, sizeof bytes);
+}
+
 /// Throws the error of a failed listen().
 [[noreturn]] void throwListenError(QTcpServer const& listener, std::string const& address) {
   std::string const text = "cannot listen at " + address + ": " + listener.errorString().toStdString();
@@ -34,7 +53,8 @@
 /// Owns the listening sockets, the connections and the pending requests of a server.
 class Server::Implementation final : public ConnectionHost {
  public:
-  Implementation(QObject* context, std::vector<std::string> const& addresses, ServerLimits limits, Events events);
+  Implementation(QObject* context, std::vector<std::string> const& addresses, ServerLimits limits, Events events,
+                 std::shared_ptr<core::MemoryAccount> memory);
   ~Implementation() override;
   Implementation(Implementation const&) = delete;
   Implementation& operator=(Implementation const&) = delete;
@@ -49,6 +69,11 @@
   void onWritable(std::uint64_t id) override;
   void onMalformed() override { ++malformedRequests_; }
   void onClosed(ServerConnection& connection, std::uint64_t id) override;
+  std::shared_ptr<core::MemoryAccount> const& memory() const override { return memory_; }
+  bool reserveMemory(ServerConnection& connection, std::uint64_t bytes) override {
+    return arbiter_.reserve(connection, bytes);
+  }
+  void onMemoryExceeded() override { arbiter_.onExceeded(); }
 
   void setLimits(ServerLimits limits) { limits_ = std::move(limits); }
   void startDraining() { draining_ = true; }
@@ -59,6 +84,8 @@
   std::size_t connectionCount() const { return connections_.size(); }
   std::uint64_t malformedRequests() const { return malformedRequests_; }
   std::uint64_t failedAccepts() const { return failedAccepts_; }
+  std::uint64_t shedForMemory() const { return arbiter_.shedCount(); }
+  std::uint64_t displacedConnections() const { return displacedConnections_; }
   /// Returns the number of connections that satisfy the predicate.
   template <class Predicate>
   std::size_t countConnections(Predicate const& predicate) const {
@@ -77,6 +104,14 @@
   void accept(QTcpSocket* socket, std::size_t listener);
   /// Accepts all pending connections of a listener. Returns false if there were none.
   bool acceptAllPending(std::size_t listener);
+  /// Whether more connections were refused lately than a short burst explains.
+  bool refusesMany();
+  void countRefusal();
+  /// Closes the connection that has been without a complete request for longest, if that is long enough or many
+  /// connections are refused.
+  void displaceUnfinished();
+  /// Closes the oldest connection that is closing anyway. Returns false if there is none.
+  bool abortClosing();
 
   QObject* context_;
   std::vector<std::string> addresses_;
@@ -84,18 +119,28 @@
   std::vector<QTcpServer*> listeners_;
   ServerLimits limits_;
   Events events_;
+  std::shared_ptr<core::MemoryAccount> memory_;
+  std::uint64_t displacedConnections_ = 0;
+  /// Time since the first refusal of the current period, and the number of refusals in it.
+  QElapsedTimer refusalPeriod_;
+  int refusals_ = 0;
   bool draining_ = false;
   std::uint64_t nextRequestId_ = 1;
   std::uint64_t malformedRequests_ = 0;
   std::uint64_t failedAccepts_ = 0;
-  std::unordered_map<ServerConnection const*, std::shared_ptr<ServerConnection>> connections_;
+  MemoryArbiter::Connections connections_;
   /// Connections with a pending response, by the id of their request.
   std::unordered_map<std::uint64_t, std::shared_ptr<ServerConnection>> byRequest_;
+  MemoryArbiter arbiter_;
 };
 
 Server::Implementation::Implementation(QObject* context, std::vector<std::string> const& addresses, ServerLimits limits,
-                                       Events events)
-    : context_(context), limits_(std::move(limits)), events_(std::move(events)) {
+                                       Events events, std::shared_ptr<core::MemoryAccount> memory)
+    : context_(context),
+      limits_(std::move(limits)),
+      events_(std::move(events)),
+      memory_(memory ? std::move(memory) : std::make_shared<core::MemoryAccount>()),
+      arbiter_(context, *memory_, connections_) {
   for (std::string const& address : addresses) listen(address);
 }
 
@@ -112,6 +157,7 @@
   listener->setListenBacklogSize(listenBacklog);
   listener->setMaxPendingConnections(acceptsPerIteration);
   if (!listener->listen(QHostAddress(QString::fromStdString(host)), port)) throwListenError(*listener, address);
+  boundKernelBuffers(listener->socketDescriptor());
   addresses_.push_back(host + ":" + std::to_string(listener->serverPort()));
   QObject::connect(
       listener, &QTcpServer::newConnection, context_, [this, index] { acceptPending(index); }, Qt::QueuedConnection);
@@ -134,18 +180,60 @@
 }
 
 void Server::Implementation::accept(QTcpSocket* socket, std::size_t listener) {
-  if (static_cast<int>(connections_.size()) >= rejectedConnectionsFactor * limits_.maxConnections) {
+  int const most = rejectedConnectionsFactor * limits_.maxConnections;
+  if (static_cast<int>(connections_.size()) >= most && !abortClosing()) {
     socket->abort();
     socket->deleteLater();
     return;
   }
+  if (static_cast<int>(connections_.size()) >= limits_.maxConnections) displaceUnfinished();
   auto const connection = std::make_shared<ServerConnection>(socket, listener, *this, context_);
   connections_[connection.get()] = connection;
   connection->start();
-  if (static_cast<int>(connections_.size()) > limits_.maxConnections)
-    connection->rejectMalformed(core::HttpStatus::serviceUnavailable, "too many connections");
-  else
+  bool const exceeds = static_cast<int>(connections_.size()) > limits_.maxConnections;
+  auto const isOpen = [](ServerConnection const& each) { return each.isOpen(); };
+  if (!exceeds || static_cast<int>(countConnections(isOpen)) <= limits_.maxConnections) {
     connection->readRequests();
+    return;
+  }
+  countRefusal();
+  connection->rejectMalformed(core::HttpStatus::serviceUnavailable, "too many connections");
+}
+
+bool Server::Implementation::refusesMany() {
+  return refusals_ > toleratedRefusals && refusalPeriod_.isValid() && refusalPeriod_.elapsed() < refusalPeriodMs;
+}
+
+void Server::Implementation::countRefusal() {
+  if (!refusalPeriod_.isValid() || refusalPeriod_.elapsed() >= refusalPeriodMs) {
+    refusalPeriod_.start();
+    refusals_ = 0;
+  }
+  ++refusals_;
+}
+
+void Server::Implementation::displaceUnfinished() {
+  std::shared_ptr<ServerConnection> oldest;
+  auto const givesWayBefore = [](ServerConnection const& a, ServerConnection const& b) {
+    return std::pair(a.isIdle(), a.unfinishedSince()) < std::pair(b.isIdle(), b.unfinishedSince());
+  };
+  for (auto const& [key, connection] : connections_)
+    if (connection->mayGiveWay() && (!oldest || givesWayBefore(*connection, *oldest))) oldest = connection;
+  if (!oldest) return;
+  bool const heldLong = ServerConnection::Clock::now() - oldest->unfinishedSince() >= placeHoldTime;
+  if (!heldLong && !refusesMany()) return;
+  ++displacedConnections_;
+  countRefusal();
+  oldest->giveWay();
+}
+
+bool Server::Implementation::abortClosing() {
+  std::shared_ptr<ServerConnection> oldest;
+  for (auto const& [key, connection] : connections_)
+    if (!connection->isOpen() && (!oldest || connection->unfinishedSince() < oldest->unfinishedSince()))
+      oldest = connection;
+  if (oldest) oldest->close();
+  return oldest != nullptr;
 }
 
 void Server::Implementation::closeListeners() {
@@ -187,12 +275,15 @@
   return found == byRequest_.end() ? nullptr : found->second;
 }
 
-Server::Server(std::string const& address, ServerLimits limits, Events events, QObject* parent)
-    : Server(std::vector<std::string>{address}, std::move(limits), std::move(events), parent) {}
+Server::Server(std::string const& address, ServerLimits limits, Events events, QObject* parent,
+               std::shared_ptr<core::MemoryAccount> memory)
+    : Server(std::vector<std::string>{address}, std::move(limits), std::move(events), parent, std::move(memory)) {}
 
-Server::Server(std::vector<std::string> const& addresses, ServerLimits limits, Events events, QObject* parent)
+Server::Server(std::vector<std::string> const& addresses, ServerLimits limits, Events events, QObject* parent,
+               std::shared_ptr<core::MemoryAccount> memory)
     : QObject(parent),
-      implementation_(std::make_unique<Implementation>(this, addresses, std::move(limits), std::move(events))) {}
+      implementation_(
+          std::make_unique<Implementation>(this, addresses, std::move(limits), std::move(events), std::move(memory))) {}
 
 Server::~Server() = default;
 
@@ -265,4 +356,16 @@
   return implementation_->failedAccepts();
 }
 
+std::uint64_t Server::shedForMemory() const {
+  return implementation_->shedForMemory();
+}
+
+std::uint64_t Server::displacedConnections() const {
+  return implementation_->displacedConnections();
+}
+
+core::MemoryAccount& Server::memory() const {
+  return *implementation_->memory();
+}
+
 }  // namespace corkward::http
--- a/http/src/server_connection.h
+++ b/http/src/server_connection.h
@@ -4,9 +4,11 @@
 #include <QObject>
 #include <QTcpSocket>
 #include <QTimer>
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <utility>
 
 #include <corkward/core/http_status.h>
 #include <corkward/http/server.h>
@@ -40,6 +42,13 @@
   virtual void onWritable(std::uint64_t id) = 0;
   /// A request violated HTTP or the limits, or the connection exceeds the limit of connections.
   virtual void onMalformed() = 0;
+  /// Account to which the connection charges what it holds.
+  virtual std::shared_ptr<core::MemoryAccount> const& memory() const = 0;
+  /// Asks for memory for a long body. Returns whether it is available now. If it is not, the connection either waits
+  /// until ServerConnection::grantMemory() is called, or is rejected when even waiting would take too much memory.
+  virtual bool reserveMemory(ServerConnection& connection, std::uint64_t bytes) = 0;
+  /// The connection's charge has grown, and the account is exceeded.
+  virtual void onMemoryExceeded() = 0;
   /// The connection is closed.
   /// @param id the request whose response was incomplete, or noRequest if there is none
   virtual void onClosed(ServerConnection& connection, std::uint64_t id) = 0;
@@ -48,6 +57,7 @@
 /// A connection of a caller. Reads a request, waits until its response is written, and continues with the next request.
 class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
  public:
+  using Clock = std::chrono::steady_clock;
   static constexpr std::uint64_t noRequest = 0;
 
   /// @param listener index of the server's address at which the connection was accepted
@@ -62,6 +72,15 @@
   /// the connection. Counts as a malformed request.
   void rejectMalformed(core::HttpStatus status, std::string const& reason);
 
+  /// Sends an error response in place of the rest of a request and closes the connection.
+  void reject(core::HttpStatus status, std::string const& reason);
+  /// Gives up what the connection holds, since memory is short: an incomplete request is rejected, and a response that
+  /// is not read ends with the connection.
+  void shed();
+
+  /// Ends a connection without a complete request, so that a new one gets its place.
+  void giveWay();
+
   /// Writes a complete response. Closes the connection immediately if a response to the request has already begun.
   void respond(int status, HeaderList const& headers, std::string const& body);
   /// Writes the status line and header section. Closes the connection immediately if a response has already begun.
@@ -85,6 +104,25 @@
   /// Whether the connection is closed or lost according to the operating system.
   bool isDisconnected() const;
 
+  /// Called when the memory for which the connection waits was reserved for it.
+  void grantMemory(std::uint64_t bytes);
+  bool waitsForMemory() const { return waitsForMemory_; }
+  std::uint64_t chargedBytes() const { return charge_.bytes(); }
+  /// Whether memory is released when the connection is shed: it holds an incomplete request or a response that its
+  /// caller has not read.
+  bool mayShed() const;
+  /// Returns how many bytes were read and written since the last call.
+  std::uint64_t takeMovedBytes() { return std::exchange(movedBytes_, 0); }
+  /// Whether the connection takes a place: it is neither closing nor closed.
+  bool isOpen() const { return state_ == State::open; }
+  /// Whether the connection has an incomplete request or none at all, so that it may give way to a new one.
+  bool mayGiveWay() const { return isOpen() && !hasRequest() && !hasBufferedBytes(); }
+  /// Whether a complete request was read on the connection, and no other has begun since.
+  bool isIdle() const { return hadRequest_ && buffer_.isEmpty() && !parser_.inProgress(); }
+  /// Time since which the connection is without a complete request: that of its begin, of the last response, or of the
+  /// first byte of the incomplete request.
+  Clock::time_point unfinishedSince() const { return unfinishedSince_; }
+
  private:
   /// State of the connection, independent of its current request.
   enum class State {
@@ -94,16 +132,28 @@
     lingering,
     /// An error response was sent for a malformed request; further received bytes are discarded.
     rejected,
+    /// The connection gave its place to a new one before it had sent anything. A request that arrives is rejected.
+    displaced,
     closed,
   };
 
   void onTimeout();
-  void onBytesWritten();
+  void onBytesWritten(qint64 bytes);
   void accept(ParsedRequest&& parsed);
   /// Half-closes the connection (shuts down the sending side) when all bytes are written, so that the caller sees the
   /// end of the last response.
   void linger();
   void onResponseWritten();
+  /// Parses what was read. Returns when a request is complete, more bytes are needed, or the connection is not open.
+  void parseBuffer();
+  /// Asks for memory if the body in progress is longer than a small one. Returns false if the connection must wait.
+  bool ensureBodyMemory();
+  /// Returns the memory that a request with a body of this length takes while it is pending.
+  std::uint64_t pendingCost(std::uint64_t bodyBytes) const;
+  /// Charges what the connection holds now.
+  void updateCharge();
+  /// Releases the memory of the request in progress.
+  void dropRequestBytes();
   /// Returns the head fields of a response, and sets closeAnnounced_.
   ResponseHeadFields headOf(int status, HeaderList const& headers, std::int64_t bodyLength, std::string const& reason);
 
@@ -117,6 +167,16 @@
   QByteArray buffer_;
   RequestParser parser_;
   ResponseWriter writer_;
+  /// Keeps the account of the charge.
+  std::shared_ptr<core::MemoryAccount> memory_;
+  core::MemoryCharge charge_;
+  /// Memory that is reserved for the body in progress; 0 for a small body.
+  std::uint64_t reservedBytes_ = 0;
+  /// Memory that the body of the pending request takes.
+  std::uint64_t pendingBytes_ = 0;
+  std::uint64_t movedBytes_ = 0;
+  Clock::time_point unfinishedSince_;
+  bool waitsForMemory_ = false;
   State state_ = State::open;
   /// Id of the request whose response is incomplete, or noRequest if there is none.
   std::uint64_t requestId_ = noRequest;
--- a/http/src/upstream_connection.cpp
+++ b/http/src/upstream_connection.cpp
@@ -3,6 +3,7 @@
 #include <QPointer>
 #include <QTcpSocket>
 #include <QTimer>
+#include <algorithm>
 #include <utility>
 
 #include <corkward/core/http_method.h>
@@ -21,6 +22,10 @@
 namespace {
 
 constexpr qint64 readBufferBytes = 64 << 10;
+/// Size of the operating system's receive buffer of a connection that is not read, which would grow otherwise.
+constexpr int pausedKernelBufferBytes = 64 << 10;
+/// Bytes of a request's body that wait in the socket's write buffer at most.
+constexpr std::size_t bodySliceBytes = 64U << 10;
 /// After release(), the connection is closed if the rest of the response is longer than this.
 constexpr std::size_t maxDiscardedBytes = 16U << 10;
 /// After release(), the connection is closed if the rest of the response takes longer than this, in milliseconds.
@@ -83,6 +88,10 @@
   /// close() was called: no event is delivered.
   bool closed = false;
   std::size_t discardedBytes = 0;
+  /// Body of the request, and the number of its bytes that were written. Null once it is written completely, or is no
+  /// longer to be written.
+  std::shared_ptr<std::string const> body;
+  std::size_t bodyWritten = 0;
 
   bool isFinished() const { return phase == Phase::finished; }
   bool poolKeepsConnections() const { return pool && pool->policy().maxIdlePerReplica > 0; }
@@ -144,6 +153,7 @@
 void UpstreamConnection::watchSocket() {
   QObject::connect(socket_, &QTcpSocket::readyRead, this, [this] { onReadyRead(); });
   QObject::connect(socket_, &QTcpSocket::disconnected, this, [this] { onDisconnected(); });
+  QObject::connect(socket_, &QTcpSocket::bytesWritten, this, [this] { writeBodySlice(); });
   QObject::connect(socket_, &QTcpSocket::errorOccurred, this, [this](QAbstractSocket::SocketError error) {
     state_->outOfDescriptors = error == QAbstractSocket::SocketResourceError;
     if (!state_->reused && state_->phase == State::Phase::connecting) failConnect();
@@ -237,22 +247,41 @@
 }
 
 void UpstreamConnection::send(ReplicaRequest const& request, std::string const& body) {
+  send(request, std::make_shared<std::string const>(body));
+}
+
+void UpstreamConnection::send(ReplicaRequest const& request, std::shared_ptr<std::string const> body) {
   if (state_->phase != State::Phase::connected) return;
   if (!isOpenAndIdle(*socket_)) {
     failConnect();
     return;
   }
-  RequestFraming const framing{address_, body.size(), state_->poolKeepsConnections()};
+  RequestFraming const framing{address_, body->size(), state_->poolKeepsConnections()};
   state_->parser.begin(request.method == core::name(core::HttpMethod::head));
   state_->phase = State::Phase::sent;
-  state_->hadLongBody = body.size() > maxReusableBodyBytes;
+  state_->hadLongBody = body->size() > maxReusableBodyBytes;
   write(*socket_, requestHead(request, framing));
-  if (!body.empty()) write(*socket_, body);
+  if (body->empty()) return;
+  state_->body = std::move(body);
+  writeBodySlice();
+}
+
+void UpstreamConnection::writeBodySlice() {
+  if (!state_->body || socket_ == nullptr) return;
+  std::string const& body = *state_->body;
+  while (state_->bodyWritten < body.size() && socket_->bytesToWrite() < static_cast<qint64>(bodySliceBytes)) {
+    std::size_t const length = std::min(bodySliceBytes, body.size() - state_->bodyWritten);
+    socket_->write(body.data() + state_->bodyWritten, static_cast<qint64>(length));
+    state_->bodyWritten += length;
+  }
+  if (state_->bodyWritten == body.size()) state_->body.reset();
 }
 
 void UpstreamConnection::setPaused(bool paused) {
   if (state_->paused == paused) return;
   state_->paused = paused;
+  if (paused && socket_ != nullptr)
+    socket_->setSocketOption(QAbstractSocket::ReceiveBufferSizeSocketOption, pausedKernelBufferBytes);
   if (paused || state_->isFinished()) return;
   QMetaObject::invokeMethod(
       this,
@@ -275,6 +304,7 @@
 }
 
 void UpstreamConnection::close() {
+  state_->body.reset();
   state_->phase = State::Phase::finished;
   state_->closed = true;
   state_->closeObserver.stop();
@@ -284,8 +314,8 @@
 }
 
 void UpstreamConnection::release() {
-  bool const reusable =
-      !state_->isFinished() && socket_ != nullptr && state_->poolKeepsConnections() && state_->parser.hasHead();
+  bool const reusable = !state_->body && !state_->isFinished() && socket_ != nullptr &&
+                        state_->poolKeepsConnections() && state_->parser.hasHead();
   if (!reusable) {
     close();
     deleteLater();
@@ -317,6 +347,7 @@
 void UpstreamConnection::finish(core::BodyEnd end) {
   if (state_->isFinished()) return;
   state_->phase = State::Phase::finished;
+  state_->body.reset();
   if (end == core::BodyEnd::framed)
     returnToPool();
   else if (end == core::BodyEnd::incomplete && state_->pool)
--- /dev/null
+++ b/http/test/server_memory_test.cpp
@@ -0,0 +1,172 @@
+#include <catch2/catch.hpp>
+
+#include <QHostAddress>
+#include <QTcpSocket>
+#include <memory>
+#include <vector>
+
+#include <corkward/http/server.h>
+
+#include "event_loop.h"
+
+namespace core = corkward::core;
+namespace http = corkward::http;
+using corkward::http::test::ensureApplication;
+using corkward::http::test::waitUntil;
+
+namespace {
+
+constexpr std::uint64_t megabyte = 1U << 20;
+/// Three bodies of a megabyte fit into the part of this limit that can be reserved.
+constexpr std::uint64_t accountLimit = 5 * megabyte;
+
+struct Caller {
+  explicit Caller(http::Server const& server) {
+    http::SocketAddress const at = http::parseSocketAddress(server.address());
+    socket.connectToHost(QHostAddress(QString::fromStdString(at.host)), at.port);
+  }
+  void begin(std::uint64_t length, std::uint64_t sent) {
+    std::string const head = "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(length) + "\r\n\r\n";
+    socket.write(QByteArray::fromStdString(head + std::string(sent, 'b')));
+  }
+  void send(std::string const& bytes) { socket.write(QByteArray::fromStdString(bytes)); }
+  bool receives(std::string const& text) {
+    return waitUntil([&] {
+      received += socket.readAll().toStdString();
+      return received.find(text) != std::string::npos;
+    });
+  }
+  QTcpSocket socket;
+  std::string received;
+};
+
+/// A server that answers each request with the length of its body.
+struct LimitedServer {
+  explicit LimitedServer(http::ServerLimits limits = {.bodyLimitBytes = 4 * megabyte})
+      : server("127.0.0.1:0", limits, events(), nullptr, account) {}
+  http::Server::Events events() {
+    http::Server::Events out;
+    out.request = [this](http::Request const& request) {
+      if (answers)
+        server.respond(request.id, 200, {}, "got " + std::to_string(request.body.size()));
+      else
+        pending.push_back(request.id);
+    };
+    return out;
+  }
+  std::shared_ptr<core::MemoryAccount> account = std::make_shared<core::MemoryAccount>(accountLimit);
+  bool answers = true;
+  std::vector<std::uint64_t> pending;
+  http::Server server;
+};
+
+}  // namespace
+
+TEST_CASE("a long body is charged as a whole when it begins, and released with the response") {
+  ensureApplication();
+  LimitedServer fixture;
+  Caller caller(fixture.server);
+  caller.begin(megabyte, megabyte - 1);
+  REQUIRE(waitUntil([&] { return fixture.account->used() >= megabyte; }));
+  caller.send("b");
+  CHECK(caller.receives("got 1048576"));
+  CHECK(waitUntil([&] { return fixture.account->used() == 0; }));
+}
+
+TEST_CASE("the body of a pending request stays charged until its response") {
+  ensureApplication();
+  LimitedServer fixture;
+  fixture.answers = false;
+  Caller caller(fixture.server);
+  caller.begin(megabyte, megabyte);
+  REQUIRE(waitUntil([&] { return !fixture.pending.empty(); }));
+  CHECK(fixture.account->used() >= megabyte);
+  fixture.server.respond(fixture.pending.front(), 200, {}, "");
+  CHECK(waitUntil([&] { return fixture.account->used() == 0; }));
+}
+
+// Guards against connections whose bodies are each within the limit and together exceed the memory of the process.
+TEST_CASE("stalled bodies give way to one that waits, and small requests are served meanwhile") {
+  ensureApplication();
+  LimitedServer fixture;
+  std::vector<std::unique_ptr<Caller>> stalled;
+  for (int i = 0; i < 20; ++i) {
+    stalled.push_back(std::make_unique<Caller>(fixture.server));
+    stalled.back()->begin(megabyte, megabyte - 1);
+  }
+  REQUIRE(waitUntil([&] { return fixture.account->used() >= 3 * megabyte; }));
+  Caller small(fixture.server);
+  small.begin(10, 10);
+  CHECK(small.receives("got 10"));
+  Caller whole(fixture.server);
+  whole.begin(megabyte, megabyte);
+  CHECK(whole.receives("got 1048576"));
+  CHECK(fixture.account->peak() <= accountLimit + megabyte);
+  CHECK(fixture.server.shedForMemory() > 0);
+  stalled.clear();
+  CHECK(waitUntil([&] { return fixture.account->used() == 0; }));
+}
+
+TEST_CASE("a body that gave way gets 503 while its caller still writes") {
+  ensureApplication();
+  LimitedServer fixture;
+  std::vector<std::unique_ptr<Caller>> callers;
+  for (int i = 0; i < 4; ++i) {
+    callers.push_back(std::make_unique<Caller>(fixture.server));
+    callers.back()->begin(megabyte, megabyte - 1);
+  }
+  bool const rejected = waitUntil([&] {
+    for (std::unique_ptr<Caller> const& caller : callers) {
+      caller->received += caller->socket.readAll().toStdString();
+      if (caller->received.find(" 503 ") != std::string::npos) return true;
+    }
+    return false;
+  });
+  CHECK(rejected);
+}
+
+TEST_CASE("responses that callers do not read are charged, and give way when the account is exceeded") {
+  ensureApplication();
+  LimitedServer fixture;
+  fixture.answers = false;
+  Caller idle(fixture.server);
+  idle.begin(2, 2);
+  REQUIRE(waitUntil([&] { return !fixture.pending.empty(); }));
+  fixture.server.respond(fixture.pending.front(), 200, {}, std::string(4 * megabyte, 'r'));
+  CHECK(fixture.account->used() > 3 * megabyte);
+  fixture.account->setLimit(megabyte);
+  Caller other(fixture.server);
+  other.begin(2, 1);
+  CHECK(waitUntil([&] { return fixture.account->used() < megabyte; }));
+  CHECK(fixture.server.shedForMemory() == 1);
+}
+
+// Guards against callers who get no place because connections without a complete request hold all of them.
+TEST_CASE("while many connections are refused, the oldest without a complete request gives way") {
+  ensureApplication();
+  LimitedServer fixture({.maxConnections = 4});
+  std::vector<std::unique_ptr<Caller>> unfinished;
+  for (int i = 0; i < 40; ++i) {
+    unfinished.push_back(std::make_unique<Caller>(fixture.server));
+    unfinished.back()->send("POST /a HTTP/1.1\r\n");
+  }
+  REQUIRE(waitUntil([&] { return fixture.server.displacedConnections() > 0; }));
+  Caller ordinary(fixture.server);
+  ordinary.begin(3, 3);
+  CHECK(ordinary.receives("got 3"));
+  CHECK(fixture.server.connectionCount() <= 8);
+}
+
+TEST_CASE("a connection whose request is pending never gives way") {
+  ensureApplication();
+  LimitedServer fixture({.maxConnections = 1});
+  fixture.answers = false;
+  Caller pending(fixture.server);
+  pending.begin(2, 2);
+  REQUIRE(waitUntil([&] { return fixture.pending.size() == 1; }));
+  std::vector<std::unique_ptr<Caller>> others;
+  for (int i = 0; i < 20; ++i) others.push_back(std::make_unique<Caller>(fixture.server));
+  REQUIRE(waitUntil([&] { return fixture.server.malformedRequests() >= 1; }));
+  fixture.server.respond(fixture.pending.front(), 200, {}, "late answer");
+  CHECK(pending.receives("late answer"));
+}
--- a/programs/common/events.h
+++ b/programs/common/events.h
@@ -32,6 +32,9 @@
 /// The address for the process's own metrics could not be bound. Field: `error`.
 inline constexpr core::EventName metricsUnavailable{"metrics-unavailable"};
 
+/// More than half of the memory for clients, operators and peers is in use. Fields: `used`, `limit`, in bytes.
+inline constexpr core::EventName memoryBusy{"memory-busy"};
+
 /// The start waits for a resource that another process holds: an address or the lock of the data directory. Field:
 /// `error`.
 inline constexpr core::EventName startWaiting{"start-waiting"};
--- a/programs/common/metrics_server.cpp
+++ b/programs/common/metrics_server.cpp
@@ -12,6 +12,7 @@
 
 constexpr int maxConnections = 8;
 constexpr int idleTimeoutMs = 10000;
+constexpr std::uint64_t requestBodyLimit = 4096;
 
 }  // namespace
 
@@ -21,6 +22,7 @@
   http::ServerLimits limits;
   limits.maxConnections = maxConnections;
   limits.idleTimeoutMs = idleTimeoutMs;
+  limits.bodyLimitBytes = requestBodyLimit;
   http::Server::Events handlers;
   handlers.request = [this](http::Request const& request) {
     auto const alwaysReady = [] { return true; };
--- a/programs/common/process.h
+++ b/programs/common/process.h
@@ -6,6 +6,7 @@
 #include <corkward/core/log.h>
 #include <corkward/transport/message.h>
 
+#include "process_memory.h"
 #include "settings.h"
 #include "signals.h"
 #include "startup.h"
@@ -32,6 +33,7 @@
 template <class Daemon>
 int runDaemon(char const* program, Role role, int argc, char** argv) {
   holdSignals();
+  returnFreedBuffers();
   selectQtEventLoop();
   DaemonApplication application(argc, argv);
   try {
--- /dev/null
+++ b/programs/common/process_memory.cpp
@@ -0,0 +1,65 @@
+#include "process_memory.h"
+
+#include <malloc.h>
+
+#include <corkward/core/log.h>
+
+#include "clock.h"
+#include "events.h"
+#include "metrics_text.h"
+
+namespace corkward::programs {
+
+namespace {
+
+/// Part of a process's memory that the account may use.
+constexpr std::uint64_t accountParts = 2;
+/// Buffers from this length on have a mapping of their own, which goes back when they are freed. Without the fixed
+/// value the allocator raises its threshold when the first long buffer is freed, and keeps those that follow.
+constexpr int mappedBufferBytes = 128 << 10;
+/// The account counts as calm again below this part of its limit.
+constexpr std::uint64_t calmParts = 8;
+/// Milliseconds between two lines about a busy account.
+constexpr core::Milliseconds logInterval = 10000;
+
+}  // namespace
+
+std::uint64_t accountLimit(std::uint64_t processBytes) {
+  return (processBytes == 0 ? defaultProcessBytes : processBytes) / accountParts;
+}
+
+std::shared_ptr<core::MemoryAccount> makeMemoryAccount(std::uint64_t processBytes) {
+  return std::make_shared<core::MemoryAccount>(accountLimit(processBytes));
+}
+
+void returnFreedBuffers() {
+  // No other thread runs yet.
+  ::mallopt(M_MMAP_THRESHOLD, mappedBufferBytes);  // NOLINT(concurrency-mt-unsafe)
+  ::mallopt(M_TRIM_THRESHOLD, mappedBufferBytes);  // NOLINT(concurrency-mt-unsafe)
+}
+
+void MemoryMonitor::onTimer() {
+  if (account_->isBusy() && !wasBusy_) {
+    wasBusy_ = true;
+    ++busyTimes_;
+    if (now() < nextLogAt_) return;
+    nextLogAt_ = now() + logInterval;
+    core::writeWarning(
+        core::LogEvent{events::memoryBusy,
+                       {{"used", std::to_string(account_->used())}, {"limit", std::to_string(account_->limit())}}});
+    return;
+  }
+  if (!wasBusy_ || account_->used() > account_->limit() / calmParts) return;
+  wasBusy_ = false;
+  ::malloc_trim(0);
+}
+
+std::string MemoryMonitor::metrics() const {
+  using enum MetricType;
+  return metricText("corkward_memory_account_bytes", gauge, account_->used()) +
+         metricText("corkward_memory_account_limit_bytes", gauge, account_->limit()) +
+         metricText("corkward_memory_account_peak_bytes", gauge, account_->peak()) +
+         metricText("corkward_memory_account_busy_total", counter, busyTimes_);
+}
+
+}  // namespace corkward::programs
--- a/programs/common/settings.h
+++ b/programs/common/settings.h
@@ -36,6 +36,8 @@
   core::LogLevel logLevel = core::LogLevel::info;
   /// Milliseconds after SIGTERM before requests in progress are abandoned.
   core::Milliseconds drainLimitMs = 60000;
+  /// Memory that the process may take in bytes; 0 for a default. No setting of the settings file.
+  std::uint64_t processMemoryBytes = 0;
 };
 
 /// A setting is unknown, missing or out of range. The error text names the setting.
--- a/programs/control/control_daemon.cpp
+++ b/programs/control/control_daemon.cpp
@@ -30,6 +30,15 @@
   return out;
 }
 
+/// Copies of an operator's body that exist while its call is pending: the request, the parsed JSON, the translated call
+/// and its text.
+constexpr std::uint64_t operatorBodyCopies = 4;
+
+http::ServerLimits operatorLimits(http::ServerLimits limits) {
+  limits.bodyCostFactor = operatorBodyCopies;
+  return limits;
+}
+
 /// Response to a call that was pending when the disk failed. Its outcome is unknown.
 control::OperatorResponse diskFailureResponse(std::uint64_t token) {
   return {token,
@@ -42,6 +51,8 @@
 ControlDaemon::ControlDaemon(Settings const& settings, control::ControllerTuning const& tuning,
                              http::OperatorMapping const& mapping, ControllerSurface surface)
     : settings_(settings),
+      memory_(makeMemoryAccount(settings.processMemoryBytes)),
+      memoryMonitor_(memory_),
       tuning_(tuning),
       mapping_(mapping),
       surface_(std::move(surface)),
@@ -57,9 +68,9 @@
           [this](transport::Envelope const& envelope) {
             execute(reducer_->onMessage(now(), envelope.from, envelope.message));
           },
-          settings.listen),
+          settings.listen, memory_),
       server_(surface_.addresses.empty() ? std::vector<std::string>{settings.http} : surface_.addresses,
-              surface_.limits, serverEvents()) {
+              operatorLimits(surface_.limits), serverEvents(), nullptr, memory_) {
   storage::RecoveredState const recovered = log_.recoverAtStart();
   execute(reducer_->restore(recovered.slots, recovered.damaged, now()));
   QObject::connect(&timer_, &QTimer::timeout, this, [this] { onTimer(); });
@@ -109,6 +120,12 @@
   execute(reducer_->onOperatorCall(now(), call));
 }
 
+std::string ControlDaemon::memoryMetrics() const {
+  using enum MetricType;
+  return memoryMonitor_.metrics() + metricText("corkward_memory_shed_total", counter, server_.shedForMemory()) +
+         metricText("corkward_displaced_connections_total", counter, server_.displacedConnections());
+}
+
 bool ControlDaemon::ready() const {
   return reducer_->ready(now());
 }
@@ -156,6 +173,7 @@
 }
 
 void ControlDaemon::onTimer() {
+  memoryMonitor_.onTimer();
   reducer_->setWallTime(wallClock());
   execute(reducer_->onTimer(now()));
   std::size_t const handovers = draining_ && !reducer_->handoverComplete(now()) ? 1 : 0;
--- a/programs/control/control_daemon.h
+++ b/programs/control/control_daemon.h
@@ -4,6 +4,7 @@
 #include <QTimer>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -18,6 +19,7 @@
 #include "graceful_shutdown.h"
 #include "log_writer.h"
 #include "process.h"
+#include "process_memory.h"
 #include "settings.h"
 
 namespace corkward::programs {
@@ -54,6 +56,10 @@
   bool isEndpointListReader() const;
   /// Replaces the addresses of the processes through which this one joins the fleet.
   void updateSeeds(std::vector<std::string> const& seeds);
+  /// Replaces the memory that the process may take, in bytes; 0 for a default.
+  void setProcessMemory(std::uint64_t bytes) { memory_->setLimit(accountLimit(bytes)); }
+  /// Returns the figures of the memory that is held for operators and peers, in the Prometheus text format.
+  std::string memoryMetrics() const;
   /// Starts a graceful shutdown, as SIGTERM does.
   void drain();
 
@@ -70,6 +76,8 @@
   void onTimer();
 
   Settings settings_;
+  std::shared_ptr<core::MemoryAccount> memory_;
+  MemoryMonitor memoryMonitor_;
   control::ControllerTuning tuning_;
   http::OperatorMapping const& mapping_;
   ControllerSurface surface_;
--- a/programs/router/request_relay.cpp
+++ b/programs/router/request_relay.cpp
@@ -9,10 +9,13 @@
 
 namespace {
 
-/// If more bytes than this wait to be written to a caller, reading from its replica pauses.
-constexpr std::int64_t callerBufferLimit = 256 << 10;
-/// If fewer bytes than this wait to be written to the caller, reading from its replica resumes.
-constexpr std::int64_t callerBufferResume = callerBufferLimit / 2;
+/// If more bytes than this wait to be written to a caller, reading from its replica pauses. It resumes when half of
+/// them are left.
+constexpr std::int64_t maxCallerBuffer = 256 << 10;
+/// The same while the process's memory is short.
+constexpr std::int64_t maxCallerBufferWhenBusy = 32 << 10;
+/// Bytes of a response that wait in this process and in the operating system while reading from the replica is paused.
+constexpr std::uint64_t pausedResponseBytes = 192U << 10;
 /// Minimum milliseconds between two progress reports of a request, and between two checks for stalled callers.
 constexpr core::Milliseconds progressInterval = 1000;
 /// Milliseconds for which reading from the replica may stay paused because of a slow caller. After that, the caller is
@@ -36,11 +39,12 @@
 }
 
 void RequestRelay::add(http::Request request, http::CallerRequest caller) {
-  ActiveRequest& active = requests_[request.id];
+  ActiveRequest& active = requests_.try_emplace(request.id, server_.memory()).first->second;
   if (caller.isEventStream)
     active.stream.expectEvents(std::move(caller.lastEventId));
   else
     active.lastEventId = std::move(caller.lastEventId);
+  active.body = std::make_shared<std::string const>(std::exchange(request.body, {}));
   active.request = std::move(request);
   active.caller = std::move(*caller.request);
 }
@@ -61,6 +65,7 @@
   closeUpstream(command.call);
   active->path = command.path;
   active->pausedSince = 0;
+  active->pausedBytes.set(0);
   if (command.events && !active->everConnected) active->stream.expectEvents(std::move(active->lastEventId));
   active->everConnected = true;
   active->stream.onConnecting(command.resume);
@@ -95,7 +100,7 @@
   }
   dataplane::Resume const resume = active->stream.resume();
   http::Dispatch const dispatch{active->request, active->caller, active->path, command, resume};
-  active->upstream->send(mapping_.replicaRequest(dispatch), active->request.body);
+  active->upstream->send(mapping_.replicaRequest(dispatch), active->body);
 }
 
 void RequestRelay::execute(dataplane::CloseUpstream const& command) {
@@ -182,16 +187,22 @@
 void RequestRelay::applyBackpressure(std::uint64_t id) {
   ActiveRequest* const active = find(id);
   bool const reads = active != nullptr && active->upstream != nullptr && active->pausedSince == 0;
-  if (!reads || server_.bufferedBytes(id) <= callerBufferLimit) return;
+  if (!reads || server_.bufferedBytes(id) <= callerBufferLimit()) return;
   active->pausedSince = now();
+  active->pausedBytes.set(pausedResponseBytes);
   active->upstream->setPaused(true);
 }
 
+std::int64_t RequestRelay::callerBufferLimit() const {
+  return server_.memory().isBusy() ? maxCallerBufferWhenBusy : maxCallerBuffer;
+}
+
 void RequestRelay::onCallerWritable(std::uint64_t id) {
   ActiveRequest* const active = find(id);
   bool const paused = active != nullptr && active->pausedSince != 0 && active->upstream != nullptr;
-  if (!paused || server_.bufferedBytes(id) >= callerBufferResume) return;
+  if (!paused || server_.bufferedBytes(id) >= callerBufferLimit() / 2) return;
   active->pausedSince = 0;
+  active->pausedBytes.set(0);
   active->upstream->setPaused(false);
 }
 
--- a/programs/router/request_relay.h
+++ b/programs/router/request_relay.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <unordered_map>
 
+#include <corkward/core/memory_account.h>
 #include <corkward/dataplane/request_router.h>
 #include <corkward/dataplane/response_stream.h>
 #include <corkward/http/mapping.h>
@@ -69,9 +70,12 @@
 
  private:
   struct ActiveRequest {
+    explicit ActiveRequest(core::MemoryAccount& memory) : pausedBytes(memory) {}
     /// Null while the request has no connection. Owned by its QObject parent, the relay's owner.
     http::UpstreamConnection* upstream = nullptr;
+    /// The request without its body.
     http::Request request;
+    std::shared_ptr<std::string const> body;
     dataplane::Request caller;
     /// Path of the request at the replica, from the reducer's newest Connect command.
     std::string path;
@@ -85,6 +89,8 @@
     core::Milliseconds progressAt = 0;
     /// Time since which reading from the replica is paused because the caller is slow; 0 if it is not paused.
     core::Milliseconds pausedSince = 0;
+    /// Bytes of the response that wait unread while reading from the replica is paused.
+    core::MemoryCharge pausedBytes;
     /// Whether the newest audit record of the request could not be written.
     bool unrecorded = false;
   };
@@ -100,6 +106,8 @@
   void reportProgress(std::uint64_t id);
   /// Pauses reading from the replica if too many bytes wait to be written to the caller.
   void applyBackpressure(std::uint64_t id);
+  /// Returns how many bytes may wait to be written to a caller before reading from its replica pauses.
+  std::int64_t callerBufferLimit() const;
   void apply(std::uint64_t id, dataplane::StreamSteps&& steps);
 
   QObject* owner_;
--- a/programs/router/router_daemon.cpp
+++ b/programs/router/router_daemon.cpp
@@ -41,6 +41,8 @@
 RouterDaemon::RouterDaemon(Settings const& settings, dataplane::RouterTuning const& tuning,
                            http::Mapping const& mapping, RouterSurface surface)
     : settings_(settings),
+      memory_(makeMemoryAccount(settings.processMemoryBytes)),
+      memoryMonitor_(memory_),
       mapping_(mapping),
       surface_(withListeners(std::move(surface), settings)),
       shutdown_(settings.drainLimitMs, tuning.drainAcceptPeriod),
@@ -52,9 +54,9 @@
           [this](transport::Envelope const& envelope) {
             execute(reducer_.onMessage(now(), envelope.from, envelope.message));
           },
-          settings.listen),
+          settings.listen, memory_),
       upstreams_(surface_.keepAlive, [] { return now(); }),
-      server_(addressesOf(surface_.listeners), surface_.limits, serverEvents()),
+      server_(addressesOf(surface_.listeners), surface_.limits, serverEvents(), nullptr, memory_),
       relay_(this, server_, upstreams_, mapping, recorder_, relayEvents()) {
   execute(reducer_.started(now()));
   QObject::connect(&timer_, &QTimer::timeout, this, [this] { onTimer(); });
@@ -100,6 +102,12 @@
          core::guaranteeMetrics();
 }
 
+std::string RouterDaemon::memoryMetrics() const {
+  using enum MetricType;
+  return memoryMonitor_.metrics() + metricText("corkward_memory_shed_total", counter, server_.shedForMemory()) +
+         metricText("corkward_displaced_connections_total", counter, server_.displacedConnections());
+}
+
 bool RouterDaemon::serveNativeEndpoint(http::Request const& request) {
   bool const served = serveStandardEndpoint(
       server_, request, [this] { return ready(); }, [this] { return metrics(); });
@@ -190,6 +198,7 @@
 
 void RouterDaemon::onTimer() {
   relay_.onTimer();
+  memoryMonitor_.onTimer();
   reducer_.setWallTime(now(), wallClock());
   execute(reducer_.onTimer(now()));
   recorder_.onTimer();
--- a/programs/router/router_daemon.h
+++ b/programs/router/router_daemon.h
@@ -4,6 +4,7 @@
 #include <QTimer>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,7 @@
 #include "audit_recorder.h"
 #include "graceful_shutdown.h"
 #include "process.h"
+#include "process_memory.h"
 #include "request_relay.h"
 #include "settings.h"
 
@@ -76,6 +78,10 @@
   void updateEndpointList(std::string const& pool, std::string const& body);
   /// Replaces the tuning parameters and the seeds.
   void retune(dataplane::RouterTuning const& tuning, std::vector<std::string> const& seeds);
+  /// Replaces the memory that the process may take, in bytes; 0 for a default.
+  void setProcessMemory(std::uint64_t bytes) { memory_->setLimit(accountLimit(bytes)); }
+  /// Returns the figures of the memory that is held for callers and peers, in the Prometheus text format.
+  std::string memoryMetrics() const;
   /// Starts a graceful shutdown, as SIGTERM does.
   void drain();
 
@@ -100,6 +106,8 @@
   void onTimer();
 
   Settings settings_;
+  std::shared_ptr<core::MemoryAccount> memory_;
+  MemoryMonitor memoryMonitor_;
   http::Mapping const& mapping_;
   http::NativeOperatorMapping operatorMapping_;
   RouterSurface surface_;
--- a/transport/include/corkward/transport/link.h
+++ b/transport/include/corkward/transport/link.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 
+#include <corkward/core/memory_account.h>
 #include <corkward/transport/connection_health.h>
 #include <corkward/transport/message.h>
 
@@ -30,7 +31,9 @@
   ///   port 0 chooses a free port
   /// @param onMessage receives each message; must not destroy the link
   /// @param listen ip:port to listen at if it differs from `name`; empty if it does not
-  Link(std::string const& name, std::function<void(Envelope)> onMessage, std::string const& listen = "");
+  /// @param memory the process's account, to which messages that have arrived in part are charged; null for none
+  Link(std::string const& name, std::function<void(Envelope)> onMessage, std::string const& listen = "",
+       std::shared_ptr<core::MemoryAccount> memory = nullptr);
   ~Link();
   Link(Link const&) = delete;
   Link& operator=(Link const&) = delete;
--- a/transport/src/frame.cpp
+++ b/transport/src/frame.cpp
@@ -37,9 +37,16 @@
     incomplete_ = std::move(joined);
   else
     incomplete_.assign(all.substr(consumed));
+  reserveIncomplete();
   return result;
 }
 
+void FrameDecoder::reserveIncomplete() {
+  if (!hasProtocolHeader_ || incomplete_.size() < lengthBytes) return;
+  auto const length = qFromBigEndian<std::uint64_t>(incomplete_.data());
+  incomplete_.reserve(lengthBytes + length);
+}
+
 FrameDecoder::Result FrameDecoder::decodeMessages(std::string_view bytes, std::size_t& consumed,
                                                   MessageHandler const& onMessage) {
   if (!hasProtocolHeader_) {
--- a/transport/src/frame.h
+++ b/transport/src/frame.h
@@ -48,12 +48,17 @@
   /// Returns whether the peer's header has arrived.
   bool hasProtocolHeader() const { return hasProtocolHeader_; }
   /// Returns whether a header or message has arrived only in part.
+  /// Returns the memory that is allocated for a header or message that has arrived only in part.
+  std::uint64_t incompleteBytes() const { return incomplete_.empty() ? 0 : incomplete_.capacity(); }
   bool isIncomplete() const { return !hasProtocolHeader_ || !incomplete_.empty(); }
 
  private:
   /// Delivers the complete messages at the beginning of the bytes and adds their length to `consumed`.
   Result decodeMessages(std::string_view bytes, std::size_t& consumed, MessageHandler const& onMessage);
 
+  /// Allocates memory for all of a message that has begun.
+  void reserveIncomplete();
+
   bool hasProtocolHeader_ = false;
   /// Received bytes of a header or message that is not complete.
   std::string incomplete_;
--- a/transport/src/incoming_connection.cpp
+++ b/transport/src/incoming_connection.cpp
@@ -7,7 +7,11 @@
 namespace corkward::transport {
 
 IncomingConnection::IncomingConnection(qintptr descriptor, MessageListener::ConnectionId id, MessageListener& listener)
-    : QObject(&listener), id_(id), socket_(new QTcpSocket(this)), lastReceived_(Clock::now()) {
+    : QObject(&listener),
+      id_(id),
+      socket_(new QTcpSocket(this)),
+      charge_(listener.memory()),
+      lastReceived_(Clock::now()) {
   QObject::connect(socket_, &QTcpSocket::readyRead, this, [this, &listener] { listener.read(*this); });
   // Queued, since Qt reports some errors from within the calls that cause them.
   auto const ended = [this, &listener] { listener.close(id_); };
--- a/transport/src/link.cpp
+++ b/transport/src/link.cpp
@@ -43,7 +43,8 @@
 
 }  // namespace
 
-Link::Link(std::string const& name, std::function<void(Envelope)> onMessage, std::string const& listen)
+Link::Link(std::string const& name, std::function<void(Envelope)> onMessage, std::string const& listen,
+           std::shared_ptr<core::MemoryAccount> memory)
     : address_(name),
       onMessage_(std::move(onMessage)),
       run_(QRandomGenerator::system()->generate()),
@@ -53,7 +54,8 @@
   events.message = [this](std::uint32_t pipe, std::string_view bytes) { onFrame(pipe, bytes); };
   events.invalidBytes = [this] { ++malformedFrames_; };
   SocketAddress const address = addressOf(listen.empty() ? name : listen);
-  listener_ = std::make_unique<MessageListener>(address, maxConnections_, std::move(events));
+  listener_ =
+      std::make_unique<MessageListener>(address, maxConnections_, std::move(events), nullptr, std::move(memory));
   if (listen.empty()) address_ = address.host + ":" + std::to_string(listener_->serverPort());
 }
 
--- a/transport/src/message_listener.cpp
+++ b/transport/src/message_listener.cpp
@@ -17,14 +17,19 @@
 constexpr int listenBacklog = 512;
 /// Pause after an attempt to accept that failed for lack of descriptors or memory.
 constexpr std::chrono::milliseconds acceptRetryInterval{100};
+/// Part of the memory account that incomplete messages may take.
+constexpr std::uint64_t incompleteParts = 4;
 /// Time between searches for connections that exceed a timeout.
 constexpr std::chrono::milliseconds sweepInterval{5000};
 
 }  // namespace
 
 MessageListener::MessageListener(SocketAddress const& address, std::size_t maxConnections, Events events,
-                                 QObject* parent)
-    : QTcpServer(parent), maxConnections_(maxConnections), events_(std::move(events)) {
+                                 QObject* parent, std::shared_ptr<core::MemoryAccount> memory)
+    : QTcpServer(parent),
+      maxConnections_(maxConnections),
+      events_(std::move(events)),
+      memory_(memory ? std::move(memory) : std::make_shared<core::MemoryAccount>()) {
   setListenBacklogSize(listenBacklog);
   if (!listen(QHostAddress(QString::fromStdString(address.host)), address.port)) throwListenError(address);
   QObject::connect(this, &QTcpServer::acceptError, this, [this] { resumeAcceptingLater(); });
@@ -65,9 +70,29 @@
   std::string_view const bytes(received.data(), static_cast<std::size_t>(received.size()));
   FrameDecoder::Result const result =
       connection.decoder().decode(bytes, [this, id](std::string_view message) { events_.message(id, message); });
-  if (result == FrameDecoder::Result::ok) return;
-  events_.invalidBytes();
-  close(id);
+  if (result == FrameDecoder::Result::invalid) {
+    events_.invalidBytes();
+    close(id);
+    return;
+  }
+  connection.chargeIncomplete();
+  if (connection.decoder().isIncomplete()) boundIncomplete();
+}
+
+std::uint64_t MessageListener::maxIncompleteBytes() const {
+  return std::max(memory_->limit() / incompleteParts, maxFrameBytes + lengthBytes);
+}
+
+void MessageListener::boundIncomplete() {
+  std::uint64_t sum = 0;
+  for (auto const& [id, connection] : connections_) sum += connection->incompleteBytes();
+  while (sum > maxIncompleteBytes()) {
+    auto const longest = std::max_element(connections_.begin(), connections_.end(), [](auto const& a, auto const& b) {
+      return a.second->incompleteBytes() < b.second->incompleteBytes();
+    });
+    sum -= longest->second->incompleteBytes();
+    close(longest->first);
+  }
 }
 
 void MessageListener::close(ConnectionId id) {
@@ -75,6 +100,7 @@
   if (found == connections_.end()) return;
   IncomingConnection* const connection = found->second;
   connections_.erase(found);
+  connection->releaseIncomplete();
   // Freed later, since this may be called from a signal of the connection's socket.
   connection->socket().disconnect(connection);
   connection->socket().abort();
--- a/transport/src/message_listener.h
+++ b/transport/src/message_listener.h
@@ -7,9 +7,11 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 #include <string_view>
 
+#include <corkward/core/memory_account.h>
 #include <corkward/transport/socket_address.h>
 
 class QTcpSocket;
@@ -20,7 +22,8 @@
 
 /// Accepts connections of peers and delivers the messages that arrive on them, all on its own thread. The number of
 /// connections is bounded: beyond the bound, the connection that has been silent for longest is closed. A connection
-/// that sends no complete header, or stops in the middle of a message, is closed as well.
+/// that sends no complete header, or stops in the middle of a message, is closed as well. Messages that have arrived in
+/// part are charged to a memory account; together they take a quarter of it, or one message of the largest size.
 class MessageListener final : public QTcpServer {
  public:
   /// Identifies a connection among all that the listener has accepted.
@@ -42,13 +45,17 @@
   /// Listens; with port 0 the operating system chooses a free port. Throws core::ResourceBusyError if the
   /// address is in use, and TransportError if listening fails for another reason.
   /// @param maxConnections connections that may exist at the same time
-  MessageListener(SocketAddress const& address, std::size_t maxConnections, Events events, QObject* parent = nullptr);
+  /// @param memory account of the messages that have arrived in part; null for one of the listener's own without a
+  /// limit
+  MessageListener(SocketAddress const& address, std::size_t maxConnections, Events events, QObject* parent = nullptr,
+                  std::shared_ptr<core::MemoryAccount> memory = nullptr);
   ~MessageListener() override;
   MessageListener(MessageListener const&) = delete;
   MessageListener& operator=(MessageListener const&) = delete;
   MessageListener(MessageListener&&) = delete;
   MessageListener& operator=(MessageListener&&) = delete;
 
+  core::MemoryAccount& memory() const { return *memory_; }
   std::size_t connectionCount() const { return connections_.size(); }
   /// Number of attempts to accept a connection that failed, for instance for lack of descriptors.
   std::uint64_t failedAccepts() const { return failedAccepts_; }
@@ -69,11 +76,16 @@
   void read(IncomingConnection& connection);
   void close(ConnectionId id);
   void closeLongestSilent();
+  /// Closes connections with the longest incomplete messages until their sum is within its bound.
+  void boundIncomplete();
+  /// Returns the most that incomplete messages may take together.
+  std::uint64_t maxIncompleteBytes() const;
   /// Goes on accepting after a pause. Qt stops to accept when an attempt fails.
   void resumeAcceptingLater();
 
   std::size_t maxConnections_;
   Events events_;
+  std::shared_ptr<core::MemoryAccount> memory_;
   Connections connections_;
   ConnectionId lastId_ = 0;
   std::uint64_t failedAccepts_ = 0;
