--- a/http/src/request_parser.cpp
+++ b/http/src/request_parser.cpp
@@ -1,5 +1,6 @@
 #include "request_parser.h"
 
+#include <new>
 #include <utility>
 
 #include <corkward/http/headers.h>
@@ -48,6 +49,15 @@
 }
 
 ParseResult RequestParser::parse(QByteArray& buffer) {
+  try {
+    return parseBytes(buffer);
+  } catch (std::bad_alloc const&) {
+    parser_.reset();
+    return {.outcome = RequestError{core::HttpStatus::serviceUnavailable, "out of memory"}};
+  }
+}
+
+ParseResult RequestParser::parseBytes(QByteArray& buffer) {
   beast::error_code error;
   std::size_t const used =
       parser_->put(boost::asio::buffer(buffer.constData(), static_cast<std::size_t>(buffer.size())), error);
--- a/http/src/request_parser.h
+++ b/http/src/request_parser.h
@@ -48,6 +48,7 @@
   /// Prepares to parse the next request. Must be called when its first byte has arrived.
   void begin(ServerLimits const& limits);
   /// Consumes the bytes of the request from the front of the buffer. Bytes after the request remain in the buffer.
+  /// A request for which no memory can be allocated is an error with status 503.
   ParseResult parse(QByteArray& buffer);
   /// Returns the length that the body of the request in progress will have: the announced one, or the limit for a body
   /// in chunks. 0 before the header section is complete.
@@ -65,6 +66,7 @@
  private:
   using Parser = boost::beast::http::request_parser<RequestBody>;
 
+  ParseResult parseBytes(QByteArray& buffer);
   /// Whether the request expects a 100 (Continue) response that was not reported yet; marks it as reported.
   bool takeExpectsContinue();
   /// Returns the complete request or its error, and ends the parsing of the request.
--- a/http/src/server_connection.cpp
+++ b/http/src/server_connection.cpp
@@ -1,6 +1,7 @@
 #include "server_connection.h"
 
 #include <algorithm>
+#include <new>
 #include <sys/socket.h>
 #include <utility>
 
@@ -125,7 +126,12 @@
   bool const resumes = waitsForMemory_;
   waitsForMemory_ = false;
   reservedBytes_ = bytes;
-  parser_.reserveBody(parser_.expectedBodyBytes());
+  try {
+    parser_.reserveBody(parser_.expectedBodyBytes());
+  } catch (std::bad_alloc const&) {
+    shed();
+    return;
+  }
   socket_->setReadBufferSize(longBodyReadBufferBytes);
   updateCharge();
   if (!resumes) return;
