fleet_regimes: the crashed replica is selected before the crash

Seen once: ./check on beside soaks, the stream ended after 16 events and the next round was rejected. Traced by reading and a trial: the loop crashed each certified replica whose record has the request, and looked at the second one after the first had crashed; by then the stream could have gone on there, so that both were crashed. The checks are the same, and one more: that there is a holder.

--- a/testing/test/regimes_test.cpp
+++ b/testing/test/regimes_test.cpp
@@ -284,6 +284,18 @@
   CHECK(fleet.runProgram("corkward", arguments).code == 1);
 }
 
+namespace {
+
+/// Returns the running replica that has recorded the request; null if there is none.
+testing::Node* runningHolderOf(std::string const& id, std::vector<testing::Node*> const& replicas) {
+  for (testing::Node* const replica : replicas)
+    for (RecordLine const& line : recordOf(replica->record))
+      if (line.id == id && replica->process) return replica;
+  return nullptr;
+}
+
+}  // namespace
+
 TEST_CASE("an event stream under a regime is resumed once at another certified replica and otherwise ends truncated",
           "[regimes]") {
   application();
@@ -299,9 +311,10 @@
     caller.begin(fleet.routers().front().http, id);
     fleet.until("some events", [&] { return caller.receivedBytes.size() > 300 || caller.ended; });
     REQUIRE_FALSE(caller.ended);
-    for (testing::Node* const r : certified)
-      for (RecordLine const& l : recordOf(r->record))
-        if (l.id == id && r->process) fleet.crash(*r);
+    // Selected before the crash: after it the stream goes on at the other replica, whose record then has it, too.
+    testing::Node* const holder = runningHolderOf(id, certified);
+    REQUIRE(holder != nullptr);
+    fleet.crash(*holder);
     fleet.until("the end", [&] { return caller.ended; });
     CHECK(caller.complete == (round == 0));
     if (round == 0) CHECK(caller.receivedBytes == eventsOf(id, 60));
