--- a/dataplane/include/corkward/dataplane/request_router.h
+++ b/dataplane/include/corkward/dataplane/request_router.h
@@ -25,6 +25,7 @@
 #include <corkward/dataplane/router_tuning.h>
 #include <corkward/dataplane/serving_lease.h>
 #include <corkward/dataplane/service_times.h>
+#include <corkward/dataplane/stall_detector.h>
 #include <corkward/dataplane/tenants.h>
 #include <corkward/dataplane/wall_clock.h>
 #include <corkward/dataplane/warmup_leases.h>
@@ -217,6 +218,7 @@
     /// that bulk requests are not starved.
     unsigned classTurn = 0;
     scaling::CompletionRate completions;
+    StallDetector stall;
     std::size_t queuedCount() const { return waiting[0].size() + waiting[1].size() + waiting[2].size(); }
   };
   /// Whether this router may work for a regime. An empty string means that there is no such reason.
@@ -369,6 +371,8 @@
   void releaseSlot(RouterCommands& out, Milliseconds now, Call& call);
   void reject(RouterCommands& out, Milliseconds now, CallId id, int status, std::string reason, bool notExecuted,
               double retryAfter);
+  /// Rejects a call that its queue has no capacity for, and logs if the queue is stalled.
+  void rejectForCapacity(RouterCommands& out, Milliseconds now, CallId id, std::string reason);
   void removeCall(Milliseconds now, CallId id);
   void dropCall(RouterCommands& out, Milliseconds now, CallId id);
   std::string const& addressOf(NameIndex replica) const;
--- a/dataplane/src/admission.cpp
+++ b/dataplane/src/admission.cpp
@@ -3,6 +3,7 @@
 
 #include <corkward/core/guarantees.h>
 
+#include "events.h"
 #include "internal.h"
 
 namespace corkward::dataplane {
@@ -205,11 +206,7 @@
   bool const allSlow =
       queue.scaler.areAllSlow() && ahead >= static_cast<std::size_t>(std::max(1.0, queue.scaler.cap()));
   if (noReplica || ahead >= maxQueued || tooLate || allSlow) {
-    reject(out, now, id, 503,
-           noReplica ? "no replica"
-           : allSlow ? "all replicas slow"
-                     : "too much held",
-           true, retryAfter(queue, route.path.requestClass));
+    rejectForCapacity(out, now, id, noReplica ? "no replica" : allSlow ? "all replicas slow" : "too much held");
     return;
   }
   queue.waiting[classIndex(route.path.requestClass)].push_back(id);
@@ -217,6 +214,24 @@
   dispatchQueued(out, now, key);
 }
 
+void RequestRouter::rejectForCapacity(RouterCommands& out, Milliseconds now, CallId id, std::string reason) {
+  Call const& call = calls_.at(id);
+  Route const& route = routes_[call.path];
+  QueueKey const key{call.pool, route.instance};
+  AdmissionQueue& queue = queues_.at(key);
+  bool const couldBeSent =
+      queue.scaler.inFlight() == 0 && chooseReplica(now, call, usableCandidates(now, queue, true)) >= 0;
+  if (queue.stall.onRejected(now, couldBeSent)) {
+    countMetric(now, std::string(events::requestsStalled.metricLabel()), poolNames_.name(key.first));
+    out.failures.push_back(core::LogEvent{events::requestsStalled,
+                                          {{"pool", poolNames_.name(key.first)},
+                                           {"instance", instanceNames_.name(key.second)},
+                                           {"cap", std::to_string(queue.scaler.cap())},
+                                           {"reason", reason}}});
+  }
+  reject(out, now, id, 503, std::move(reason), true, retryAfter(queue, route.path.requestClass));
+}
+
 void RequestRouter::dequeue(CallId id) {
   Call const& call = calls_.at(id);
   if (call.phase != Phase::queued) return;
--- a/dataplane/src/admission_queues.cpp
+++ b/dataplane/src/admission_queues.cpp
@@ -62,7 +62,7 @@
   scaling::Scaler scaler(seed_ ^ core::stableHash(partialView_.self().link + instanceNames_.name(key.second)),
                          tuning_.scalerParameters);
   scaler.setCandidates(candidatesOf(pools_[key.first], regimePolicy_.regimeOf(key.second)));
-  it = queues_.emplace(key, AdmissionQueue{std::move(scaler), {}, 0, {}}).first;
+  it = queues_.emplace(key, AdmissionQueue{std::move(scaler), {}, 0, {}, {}}).first;
   activeQueues_.insert(key);
   return it->second;
 }
--- a/dataplane/src/dispatch.cpp
+++ b/dataplane/src/dispatch.cpp
@@ -34,7 +34,9 @@
   call.phaseSince = now;
   call.replica = replica;
   call.holdsSlot = true;
-  queues_.at({call.pool, route.instance}).scaler.onSent(replica, route.path.requestClass == config::RequestClass::bulk);
+  AdmissionQueue& queue = queues_.at({call.pool, route.instance});
+  queue.scaler.onSent(replica, route.path.requestClass == config::RequestClass::bulk);
+  queue.stall.onSent();
   ++replicas_[replica].inFlight;
   out.calls.push_back(Connect{id, addressOf(replica), route.path.path, false, !route.path.idempotent,
                               regimeOf(call).empty() ? "" : replicas_[replica].id, isInstanceEventStream(route.path)});
--- a/dataplane/src/events.h
+++ b/dataplane/src/events.h
@@ -35,6 +35,8 @@
 /// The subset of a pool's replicas that an instance uses has grown or shrunk.
 inline constexpr core::EventName subsetGrown{"widened"};
 inline constexpr core::EventName subsetShrunk{"gave-back"};
+/// Requests to a pool are rejected for lack of capacity although nothing is in flight and a replica could be used.
+inline constexpr core::EventName requestsStalled{"requests-stalled"};
 /// A request failed; see FailureLog.
 inline constexpr core::EventName requestFailed{"request-failed"};
 
--- a/dataplane/src/request_router.cpp
+++ b/dataplane/src/request_router.cpp
@@ -147,12 +147,9 @@
     case Phase::awaitingQuota:
       reject(out, now, id, 503, "deadline passed", true, tuning_.defaultRetryAfter);
       break;
-    case Phase::queued: {
-      Route const& route = routes_[call.path];
-      reject(out, now, id, 503, "held too long", true,
-             retryAfter(queues_.at({call.pool, route.instance}), route.path.requestClass));
+    case Phase::queued:
+      rejectForCapacity(out, now, id, "held too long");
       break;
-    }
     case Phase::connecting:
       out.calls.push_back(CloseUpstream{id});
       append(out, onConnectFailure(now, id));
--- a/testing/fleet/chaos.cpp
+++ b/testing/fleet/chaos.cpp
@@ -39,6 +39,7 @@
   checkExits();
   if (plan_.killAllAtEnd) killEverything();
   fleet_.untilReady(fleet_.routers().size());
+  checkServing();
   traffic_->stopCalling();
   try {
     fleet_.until(
--- a/testing/fleet/chaos_checks.cpp
+++ b/testing/fleet/chaos_checks.cpp
@@ -19,6 +19,10 @@
 constexpr Milliseconds evacuationAppliedMs = 5000;
 /// Time within which an acknowledged configuration change is applied, in ms.
 constexpr Milliseconds changeAppliedMs = 2000;
+/// Time within which every router serves again after all faults, in ms.
+constexpr int recoveryMs = 12000;
+/// The same where no time limits are checked, since the machine may be slow.
+constexpr int laxRecoveryMs = 40000;
 
 }  // namespace
 
@@ -89,14 +93,33 @@
     }
 }
 
+void Chaos::checkServing() {
+  int const limitMs = plan_.checkTimeLimits ? recoveryMs : laxRecoveryMs;
+  for (Node const& router : fleet_.routers())
+    if (!servesWithin(router, limitMs))
+      violation(router.name + " serves nothing for " + std::to_string(limitMs) +
+                " ms; end of its log: " + fleet_.logTail(router));
+}
+
+bool Chaos::servesWithin(Node const& router, int limitMs) {
+  constexpr int pauseMs = 50;
+  std::string const path = "/v1/" + fleet_.instances()[0] + "/" + fleet_.deployment().shortPath;
+  Milliseconds const end = programs::now() + limitMs;
+  while (programs::now() < end) {
+    if (fleet_.call(router, "POST", path, "{}").status == 200) return true;
+    fleet_.runFor(pauseMs);
+  }
+  return false;
+}
+
 void Chaos::checkGuarantees() {
   for (std::vector<Node>* const group : {&fleet_.controllers(), &fleet_.routers()})
     for (Node const& node : *group) {
       std::ifstream log(fleet_.directory() + "/" + node.name + ".log");
       std::string line;
       while (std::getline(log, line))
-        for (char const* const bad : {"guarantee-violated", "broken invariant", "terminate called", "panic",
-                                      "restarted-after-fault", "gave up waiting"})
+        for (char const* const bad : {"guarantee-violated", "requests-stalled", "broken invariant", "terminate called",
+                                      "panic", "restarted-after-fault", "gave up waiting"})
           if (line.find(bad) != std::string::npos) violation(node.name + ": " + line.substr(0, 300));
     }
 }
--- a/testing/fleet/chaos_faults.cpp
+++ b/testing/fleet/chaos_faults.cpp
@@ -30,11 +30,12 @@
   evacuateZone,
   isolateController,
   partitionControllers,
-  stopTogether
+  stopTogether,
+  freezeModels
 };
 
 constexpr std::uint64_t singleFaults = static_cast<std::uint64_t>(ChaosFault::isolateController);
-constexpr std::uint64_t overlappingFaults = static_cast<std::uint64_t>(ChaosFault::stopTogether) + 1;
+constexpr std::uint64_t overlappingFaults = static_cast<std::uint64_t>(ChaosFault::freezeModels) + 1;
 /// Size limit of every file that a controller with a full disk writes, in bytes.
 constexpr std::uint64_t fullDiskBytes = 4000;
 /// Minimum time for which a controller's disk is full, in ms.
@@ -117,6 +118,9 @@
     case ChaosFault::stopTogether:
       stopTogether(router, controller);
       break;
+    case ChaosFault::freezeModels:
+      freezeModels(durationMs);
+      break;
   }
 }
 
@@ -239,6 +243,12 @@
   });
 }
 
+void Chaos::freezeModels(int durationMs) {
+  for (Node& replica : fleet_.replicas())
+    if (replica.pool == "model" && replica.process && frozen_.count(replica.name) == 0)
+      freezeAndResume(replica, durationMs);
+}
+
 void Chaos::truncateNewestFile(Node const& controller) {
   QDir const dir(core::toQString(controller.data));
   QStringList const files = dir.entryList({"*log*", "*segment*"}, QDir::Files, QDir::Time);
--- a/testing/fleet/chaos_run.h
+++ b/testing/fleet/chaos_run.h
@@ -97,6 +97,8 @@
   /// Stops a router and a controller at the same time and restarts them after both have exited.
   void stopTogether(Node& router, Node& controller);
   void crashAndRestart(Node& node, int durationMs);
+  /// Freezes all replicas of the model pool, so that they respond late.
+  void freezeModels(int durationMs);
   void freezeAndResume(Node& node, int durationMs);
   bool allControllersVote();
   /// Truncates the newest file of the write-ahead log by up to 60 bytes.
@@ -121,6 +123,11 @@
   /// Adds a violation for each router and controller that has ended although no fault ended it.
   void checkExits();
 
+  /// Checks that every router serves requests by itself. Faults must be over.
+  void checkServing();
+  /// Returns whether the router serves a request within the limit.
+  bool servesWithin(Node const& router, int limitMs);
+
   /// Checks the logs of all processes for violated guarantees and invariants.
   void checkGuarantees();
   void checkRuns();
--- a/testing/sim/oracles.cpp
+++ b/testing/sim/oracles.cpp
@@ -56,11 +56,19 @@
       ++result_.subsetSamples;
       result_.counts["held-most"] = std::max(result_.counts["held-most"], part.second);
     }
+    checkStalls(link, node);
     ++result_.counts["standing-looks"];
     if (node.data->servingLease(local(node))) ++result_.counts["standing-held"];
   }
 }
 
+void SimulatedCluster::checkStalls(std::string const& link, Node const& node) {
+  std::map<std::string, std::uint64_t> const& counts = node.data->journal().counts();
+  auto const stalls = counts.find("requests-stalled");
+  if (stalls != counts.end() && stalls->second > 0)
+    violation(link + " rejects every request with nothing in flight, although a replica is usable");
+}
+
 void SimulatedCluster::checkFinalState() {
   std::map<std::pair<std::string, std::string>, std::string> accepted;
   std::uint64_t newest = 0;
--- a/testing/sim/plan.cpp
+++ b/testing/sim/plan.cpp
@@ -11,6 +11,11 @@
   plan.listReader = rng.chance(0.35);
 }
 
+void drawFractionalLimits(Plan& plan) {
+  core::RandomGenerator rng(plan.seed ^ 0xF7AC);
+  plan.fractionalLimits = rng.chance(0.4);
+}
+
 }  // namespace
 
 Plan only(std::uint64_t seed, std::vector<Fault> faults) {
@@ -40,7 +45,10 @@
   for (FaultName const& f : faultTable)
     if (withLaterFaults && f.fault > Fault::longAbsence && f.fault < Fault::reuseAddress && rng.chance(0.35))
       p.faults.push_back(f.fault);
-  if (withLaterFaults) drawLateOrdersAndReaders(p);
+  if (withLaterFaults) {
+    drawLateOrdersAndReaders(p);
+    drawFractionalLimits(p);
+  }
   return p;
 }
 
--- a/testing/sim/plan.h
+++ b/testing/sim/plan.h
@@ -286,6 +286,8 @@
   bool lateOrders = false;
   /// A controller reads the endpoint lists from the platform, and is cut off from the others now and then.
   bool listReader = false;
+  /// A router's limit of requests in flight at a replica may fall below one, as where many routers share few replicas.
+  bool fractionalLimits = false;
   Bounds bounds;
   /// Serializes each message, and counts messages and bytes by kind and by role of the sender. This makes the run
   /// slower.
--- a/testing/sim/simulated_cluster.cpp
+++ b/testing/sim/simulated_cluster.cpp
@@ -112,6 +112,18 @@
     t.connectFailureBackoff = 1000;
     t.defaultRetryAfter = 0.2;
   }
+  if (plan_.fractionalLimits) {
+    t.maxQueueTargets = 0.12;
+    t.minQueueLength = 64;
+    t.nodeLimitPerReplica = 1000;
+    t.scalerParameters.excessPerReplica = 0.005;
+    t.scalerParameters.initialLimit = 1.0;
+    t.scalerParameters.minLimit = 0.05;
+    t.scalerParameters.maxLimit = 1000;
+    t.scalerParameters.limitRaiseLatencyRatio = 0.7;
+    t.scalerParameters.limitDecay = 0.9;
+    t.scalerParameters.bulkFraction = 0.9;
+  }
   if (plan_.plain) {
     t.scalerParameters.initialSubset = 1000;
     t.scalerParameters.cooldown = 1000000000;
--- a/testing/sim/simulated_cluster.h
+++ b/testing/sim/simulated_cluster.h
@@ -212,6 +212,8 @@
 
   void at(Milliseconds when, std::function<void()> act);
   void after(Milliseconds delay, std::function<void()> act) { at(now_ + delay, std::move(act)); }
+  /// Checks that the router has not rejected all requests for long although it could have sent one.
+  void checkStalls(std::string const& link, Node const& node);
   Milliseconds local(Node const& n) const;
   Node* node(std::string const& link);
   Node const* node(std::string const& link) const;
--- a/testing/test/sim_test.cpp
+++ b/testing/test/sim_test.cpp
@@ -114,6 +114,16 @@
     for (std::uint64_t seed = 1; seed <= 2; ++seed) checkPlan(testing::only(seed, {f}));
 }
 
+// Guards against routers that send nothing any more once late responses have lowered their limit below one request.
+TEST_CASE("routers whose limit may fall below one request go on after all replicas were slow", "[replicas]") {
+  for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+    testing::Plan plan = testing::only(seed, {Fault::allSlow});
+    plan.fractionalLimits = true;
+    plan.fenced = seed % 2 == 0;
+    checkPlan(plan);
+  }
+}
+
 TEST_CASE("no rule is broken while many replicas fail at once and callers retry aggressively", "[replicas]") {
   for (Fault const f : {Fault::crashManyReplicas, Fault::breakStreams})
     for (std::uint64_t seed = 1; seed <= 3; ++seed) {
