--- a/dataplane/src/admission_queues.cpp
+++ b/dataplane/src/admission_queues.cpp
@@ -99,9 +99,9 @@
   if (change > 0) dispatchQueued(out, now, key);
 }
 
-bool RequestRouter::mayAttempt(Milliseconds, AdmissionQueue& queue, QueueKey key, Call const& call) const {
+bool RequestRouter::mayAttempt(Milliseconds now, AdmissionQueue& queue, QueueKey key, Call const& call) const {
   bool const bulk = routes_[call.path].path.requestClass == config::RequestClass::bulk;
-  if (!queue.scaler.raiseLimitFor(bulk)) return false;
+  if (!queue.scaler.raiseLimitFor(bulk) && !queue.scaler.isProbeDue(now)) return false;
   std::string const& regime = regimePolicy_.regimeOf(key.second);
   std::size_t const replicas = regime.empty() ? pools_[key.first].replicas.size() : queue.scaler.candidateCount();
   double const poolCap = tuning_.nodeLimitPerReplica * static_cast<double>(std::max<std::size_t>(replicas, 1));
--- a/dataplane/src/dispatch.cpp
+++ b/dataplane/src/dispatch.cpp
@@ -22,6 +22,8 @@
   if (replicas_[replica].state == config::ReplicaState::warmingUp) {
     bool const acquired = warmupLeases_.takeToken(now, replica, slowStartRate(call.pool));
     CORKWARD_INVARIANT(acquired);
+  } else if (!queue.scaler.hasCapacity(route.path.requestClass == config::RequestClass::bulk)) {
+    countMetric(now, "probed");
   }
   connectTo(out, now, id, replica);
   return true;
@@ -35,7 +37,7 @@
   call.replica = replica;
   call.holdsSlot = true;
   AdmissionQueue& queue = queues_.at({call.pool, route.instance});
-  queue.scaler.onSent(replica, route.path.requestClass == config::RequestClass::bulk);
+  queue.scaler.onSent(now, replica, route.path.requestClass == config::RequestClass::bulk);
   queue.stall.onSent();
   ++replicas_[replica].inFlight;
   out.calls.push_back(Connect{id, addressOf(replica), route.path.path, false, !route.path.idempotent,
@@ -224,7 +226,7 @@
   if (replicas_[call.replica].state == config::ReplicaState::warmingUp &&
       !warmupLeases_.takeToken(now, call.replica, slowStartRate(call.pool)))
     return false;
-  queue.scaler.onSent(call.replica, route.path.requestClass == config::RequestClass::bulk);
+  queue.scaler.onSent(now, call.replica, route.path.requestClass == config::RequestClass::bulk);
   ++replicas_[call.replica].inFlight;
   call.holdsSlot = true;
   call.phase = Phase::dispatched;
--- a/dataplane/test/request_router_test.cpp
+++ b/dataplane/test/request_router_test.cpp
@@ -1060,7 +1060,7 @@
     core::NameIndex const replica = static_cast<core::NameIndex>(connect->address[7] - '0');
     corkward::scaling::Scaler& s = scaler(instance);
     REQUIRE(s.raiseLimitFor(false));
-    s.onSent(replica, false);
+    s.onSent(now, replica, false);
     s.evaluate(now, 0);
     reducer.onConnected(now, call);
     inProgress[call] = Call{instance, replica, now};
--- a/scaling/include/corkward/scaling/scaler.h
+++ b/scaling/include/corkward/scaling/scaler.h
@@ -3,7 +3,9 @@
 /// Controls how many replicas of a pool one router uses, and how many requests it has in flight at each. It reads no
 /// clock: the time is a parameter of each call.
 
+#include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <unordered_map>
 #include <vector>
 
@@ -42,6 +44,10 @@
   bool hasCapacity(bool bulk) const;
   /// The same as hasCapacity, but raises the limit to make capacity while responses are well within the latency target.
   bool raiseLimitFor(bool bulk);
+  /// Returns true if one request may be sent beyond the cap, to find out whether the replicas have recovered. While the
+  /// limit is below one request per replica, such probes are sent one after the other as long as their responses are
+  /// within the latency target, and otherwise at most once per probeInterval.
+  bool isProbeDue(Milliseconds now) const;
   std::vector<Candidate> const& subset() const { return subset_; }
   /// Number of replicas that the subset may have.
   std::size_t candidateCount() const { return candidates_.size(); }
@@ -60,7 +66,7 @@
   /// Removes the measurements of a replica that has been removed from the pool and has no request in flight.
   void forget(NameIndex replica) { firstByteTimes_.erase(replica); }
   /// Records that a request was dispatched to the replica.
-  void onSent(NameIndex replica, bool bulk);
+  void onSent(Milliseconds now, NameIndex replica, bool bulk);
   /// Records that the first byte of a response arrived.
   /// @param took milliseconds since the request was dispatched
   /// @param latencyTarget latency target of the request's class, in milliseconds
@@ -71,6 +77,8 @@
  private:
   /// Number of requests beyond low demand: in-flight requests above lowDemandFraction of the cap, and queued ones.
   double excessDemand(std::size_t queued) const;
+  /// Number of the subset's members that are not warming up.
+  std::ptrdiff_t readyCount() const;
   /// Adds the next candidates in this router's order until the subset has `size` members or there are no more
   /// candidates.
   void growSubset(std::size_t size);
@@ -94,6 +102,10 @@
   /// Concurrency limit per replica.
   double limit_;
   Milliseconds limitCutAt_ = 0;
+  /// Time of the newest dispatch, or long ago if there was none.
+  Milliseconds sentAt_ = std::numeric_limits<Milliseconds>::min() / 2;
+  /// A response came since the newest dispatch, and the newest one was within its latency target.
+  bool respondedInTime_ = false;
   /// Since when demand has been low without a change of the subset, or -1 if it is not low.
   Milliseconds lowDemandSince_ = -1;
   double meanFirstByte_ = 0;
--- a/scaling/include/corkward/scaling/scaler_parameters.h
+++ b/scaling/include/corkward/scaling/scaler_parameters.h
@@ -40,6 +40,9 @@
   /// demand.
   double limitDecay = 1.0;
   double decayBelowUtilization = 0.85;
+  /// With a limit below one request per replica, one request may be sent beyond the cap when none was sent for this
+  /// long. Only a response can show that the replicas have recovered.
+  Milliseconds probeInterval = 1000;
   /// Cost of one request in flight when a replica is chosen, in tokens that the replica has to read.
   double inFlightTokens = 300.0;
   /// Cost of a token of a shared segment that the replica would have to read because it does not have it cached.
--- a/scaling/src/scaler.cpp
+++ b/scaling/src/scaler.cpp
@@ -48,10 +48,12 @@
          (parameters_.limitDecay >= 1.0 || limit_ <= parameters_.minLimit);
 }
 
+std::ptrdiff_t Scaler::readyCount() const {
+  return std::count_if(subset_.begin(), subset_.end(), [](Candidate const& c) { return !c.warmingUp; });
+}
+
 double Scaler::cap() const {
-  std::ptrdiff_t const ready =
-      std::count_if(subset_.begin(), subset_.end(), [](Candidate const& c) { return !c.warmingUp; });
-  return static_cast<double>(ready) * limit_;
+  return static_cast<double>(readyCount()) * limit_;
 }
 
 bool Scaler::hasCapacity(bool bulk) const {
@@ -62,8 +64,7 @@
 
 bool Scaler::raiseLimitFor(bool bulk) {
   if (hasCapacity(bulk)) return true;
-  std::ptrdiff_t const ready =
-      std::count_if(subset_.begin(), subset_.end(), [](Candidate const& c) { return !c.warmingUp; });
+  std::ptrdiff_t const ready = readyCount();
   if (ready == 0 || allSlow_ || latencyRatio_ >= parameters_.limitRaiseLatencyRatio) return false;
   double const needed = std::max(inFlight_ + 1.0, bulk ? (bulkInFlight_ + 1.0) / parameters_.bulkFraction : 0.0);
   double const raised = needed / static_cast<double>(ready) + 1e-9;
@@ -72,6 +73,12 @@
   return hasCapacity(bulk);
 }
 
+bool Scaler::isProbeDue(Milliseconds now) const {
+  if (limit_ >= 1.0 || inFlight_ >= readyCount()) return false;
+  bool const haveRecovered = inFlight_ == 0 && respondedInTime_;
+  return haveRecovered || now - sentAt_ >= parameters_.probeInterval;
+}
+
 int Scaler::inFlightAt(NameIndex replica) const {
   auto const it = inFlightAt_.find(replica);
   return it == inFlightAt_.end() ? 0 : it->second;
@@ -113,8 +120,7 @@
     lowDemandSince_ = -1;
     return 0;
   }
-  std::ptrdiff_t const ready =
-      std::count_if(subset_.begin(), subset_.end(), [](Candidate const& c) { return !c.warmingUp; });
+  std::ptrdiff_t const ready = readyCount();
   bool const hasWarmingUp = ready < static_cast<std::ptrdiff_t>(size);
   double const capWithOneFewer = static_cast<double>(hasWarmingUp ? ready : ready - 1) * limit_;
   bool const lowDemand = queued == 0 && (inFlight_ == 0 || inFlight_ < parameters_.lowDemandFraction * capWithOneFewer);
@@ -134,7 +140,9 @@
   return -1;
 }
 
-void Scaler::onSent(NameIndex replica, bool bulk) {
+void Scaler::onSent(Milliseconds now, NameIndex replica, bool bulk) {
+  sentAt_ = now;
+  respondedInTime_ = false;
   ++inFlight_;
   ++inFlightAt_[replica];
   if (bulk) ++bulkInFlight_;
@@ -155,7 +163,8 @@
   latencyRatio_ +=
       parameters_.meanWeight *
       (static_cast<double>(took) / static_cast<double>(std::max<Milliseconds>(latencyTarget, 1)) - latencyRatio_);
-  if (took > latencyTarget) {
+  respondedInTime_ = took <= latencyTarget;
+  if (!respondedInTime_) {
     if (now - limitCutAt_ >= parameters_.limitCutInterval) {
       limit_ = std::max(parameters_.minLimit, limit_ * parameters_.limitCutFactor);
       limitCutAt_ = now;
--- a/scaling/test/scaling_test.cpp
+++ b/scaling/test/scaling_test.cpp
@@ -104,7 +104,7 @@
     now += 100;
     s.evaluate(now, 50);
     for (scaling::Candidate const& c : std::vector<scaling::Candidate>(s.subset())) {
-      s.onSent(c.replica, false);
+      s.onSent(0, c.replica, false);
       s.onFirstByte(now, c.replica, 5000, 800);
       s.onEnded(c.replica, false);
     }
@@ -114,7 +114,7 @@
   CHECK(s.limit() < before);
   for (int i = 0; i < 60; ++i)
     for (scaling::Candidate const& c : std::vector<scaling::Candidate>(s.subset())) {
-      s.onSent(c.replica, false);
+      s.onSent(0, c.replica, false);
       s.onFirstByte(now, c.replica, 100, 800);
       s.onEnded(c.replica, false);
     }
@@ -136,9 +136,9 @@
   s.evaluate(0, 9);
   std::vector<scaling::Candidate> const usable = s.subset();
   CHECK(scaling::chooseReplica(s, usable, 99, 2) == 2);
-  for (int i = 0; i < scaling::defaultScalerParameters.prefixSlack; ++i) s.onSent(2, false);
+  for (int i = 0; i < scaling::defaultScalerParameters.prefixSlack; ++i) s.onSent(0, 2, false);
   CHECK(scaling::chooseReplica(s, usable, 99, 2) == 2);
-  s.onSent(2, false);
+  s.onSent(0, 2, false);
   CHECK(scaling::chooseReplica(s, usable, 99, 2) != 2);
   CHECK(scaling::chooseReplica(s, {}, 99, 2) == -1);
 }
@@ -201,6 +201,65 @@
   CHECK(retries <= 4);
 }
 
+namespace {
+
+/// A scaler whose replicas were late until its limit allowed no request at all.
+scaling::Scaler scalerWithoutCapacity(core::Milliseconds& now) {
+  scaling::ScalerParameters parameters;
+  parameters.minLimit = 0.05;
+  parameters.limitDecay = 0.9;
+  parameters.limitRaiseLatencyRatio = 0.7;
+  scaling::Scaler scaler(3, parameters);
+  scaler.setCandidates(readyCandidates(3));
+  while (scaler.hasCapacity(false)) {
+    core::NameIndex const replica = scaler.subset().front().replica;
+    now += parameters.limitCutInterval;
+    scaler.onSent(now, replica, false);
+    scaler.onFirstByte(now, replica, 5000, 800);
+    scaler.onEnded(replica, false);
+    scaler.evaluate(now, 0);
+  }
+  REQUIRE(scaler.limit() < 1.0);
+  REQUIRE_FALSE(scaler.raiseLimitFor(false));
+  return scaler;
+}
+
+}  // namespace
+
+// Guards against a limit below one request that only a response can raise, and that lets no request through.
+TEST_CASE("a limit that allows no request lets one probe through at each interval") {
+  core::Milliseconds now = 0;
+  scaling::Scaler scaler = scalerWithoutCapacity(now);
+  core::Milliseconds const interval = scaler.parameters().probeInterval;
+  core::NameIndex const replica = scaler.subset().front().replica;
+  CHECK_FALSE(scaler.isProbeDue(now));
+  CHECK(scaler.isProbeDue(now + interval));
+
+  scaler.onSent(now + interval, replica, false);
+  scaler.onFirstByte(now + interval, replica, 900, 800);
+  scaler.onEnded(replica, false);
+  CHECK_FALSE(scaler.isProbeDue(now + 2 * interval - 1));
+  CHECK(scaler.isProbeDue(now + 2 * interval));
+}
+
+TEST_CASE("a probe whose response is in time is followed by the next request at once") {
+  core::Milliseconds now = 0;
+  scaling::Scaler scaler = scalerWithoutCapacity(now);
+  core::NameIndex const replica = scaler.subset().front().replica;
+  now += scaler.parameters().probeInterval;
+  scaler.onSent(now, replica, false);
+  scaler.onFirstByte(now, replica, 20, 800);
+  scaler.onEnded(replica, false);
+  CHECK((scaler.hasCapacity(false) || scaler.isProbeDue(now)));
+}
+
+TEST_CASE("a limit of one request or more per replica allows no probes beyond it") {
+  scaling::Scaler scaler(3);
+  scaler.setCandidates(readyCandidates(1));
+  while (scaler.hasCapacity(false)) scaler.onSent(0, scaler.subset().front().replica, false);
+  CHECK_FALSE(scaler.isProbeDue(1000000));
+}
+
 TEST_CASE("a slow start bucket starts empty and never exceeds its rate") {
   scaling::SlowStartBucket b(1000);
   int granted = 0;
@@ -242,12 +301,12 @@
       if (busy && rng.chance(0.4)) {
         if (skipping) rateSkipped.catchUp(now);
         skipping = false;
-        bool const hasCapacity = evaluated.raiseLimitFor(false);
-        REQUIRE(skipped.raiseLimitFor(false) == hasCapacity);
+        bool const hasCapacity = evaluated.raiseLimitFor(false) || evaluated.isProbeDue(now);
+        REQUIRE((skipped.raiseLimitFor(false) || skipped.isProbeDue(now)) == hasCapacity);
         if (hasCapacity && !evaluated.subset().empty()) {
           core::NameIndex const r = evaluated.subset()[rng.below(evaluated.subset().size())].replica;
-          evaluated.onSent(r, false);
-          skipped.onSent(r, false);
+          evaluated.onSent(now, r, false);
+          skipped.onSent(now, r, false);
           sent.push_back(r);
         }
       }
