--- a/core/src/json.cpp
+++ b/core/src/json.cpp
@@ -37,7 +37,14 @@
 std::uint64_t estimateJsonMemory(std::string_view text) {
   std::uint64_t containers = 0;
   std::uint64_t separators = 0;
-  for (char const c : text) {
+  bool inString = false;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    char const c = text[i];
+    if (c == '"') inString = !inString;
+    if (inString) {
+      if (c == '\\') ++i;
+      continue;
+    }
     containers += c == '[' || c == '{' ? 1 : 0;
     separators += c == ',' || c == ':' ? 1 : 0;
   }
--- a/core/test/core_test.cpp
+++ b/core/test/core_test.cpp
@@ -57,6 +57,23 @@
   CHECK_THROWS_AS(core::parseJson(std::string(34, '[') + std::string(34, ']')), core::JsonError);
 }
 
+// Guards against large texts being rejected as too many values, because commas and colons within strings were counted.
+TEST_CASE("separators within strings do not count as values") {
+  std::string const separators(2000000, ',');
+  CHECK(core::parseJson("[\"" + separators + "\"]").toArray().first().toString().size() == 2000000);
+  std::string escapes;
+  for (int i = 0; i < 1000000; ++i) escapes += "\\\",";
+  CHECK(core::parseJson("[\"" + escapes + "\"]").toArray().first().toString().size() == 2000000);
+  std::string const endsWithBackslash = "[1,\"a,b\\\\\",2]";
+  std::string const threeNumbers = "[1,2,3]";
+  CHECK(core::estimateJsonMemory(endsWithBackslash) - endsWithBackslash.size() ==
+        core::estimateJsonMemory(threeNumbers) - threeNumbers.size());
+
+  std::string values = "[1";
+  for (int i = 0; i < 2000000; ++i) values += ",1";
+  CHECK_THROWS_AS(core::parseJson(values + "]"), core::JsonError);
+}
+
 TEST_CASE("names get dense indices, and the journal keeps a bounded number of entries") {
   core::InternedNames names;
   CHECK(names.intern("a") == 0);
