--- a/testing/sim/plan.h
+++ b/testing/sim/plan.h
@@ -197,7 +197,8 @@
   dropSnapshotChunks,
   delayResponses,
   directorySkipsSync,
-  distinctHosts
+  distinctHosts,
+  noProbes
 };
 
 /// Behaviour of the operators of the fleet configuration. They send one change at a time, each based on the newest
--- a/testing/sim/simulated_cluster.cpp
+++ b/testing/sim/simulated_cluster.cpp
@@ -124,6 +124,7 @@
     t.scalerParameters.limitDecay = 0.9;
     t.scalerParameters.bulkFraction = 0.9;
   }
+  if (plan_.mutation == Mutation::noProbes) t.scalerParameters.probeInterval = 1000000000;
   if (plan_.plain) {
     t.scalerParameters.initialSubset = 1000;
     t.scalerParameters.cooldown = 1000000000;
--- a/testing/test/sim_test.cpp
+++ b/testing/test/sim_test.cpp
@@ -516,12 +516,14 @@
       {Mutation::dropOnRestart, {Fault::restartRouter}, "a planned restart dropped"},
       {Mutation::controllersStayDown, {Fault::killAll}, "service was not back"},
       {Mutation::fixedMembership, {Fault::addController}, "disks vote after all was healed"},
-      {Mutation::ignoreFailures, {Fault::greyReplicas}, "grey replicas still received requests"}};
+      {Mutation::ignoreFailures, {Fault::greyReplicas}, "grey replicas still received requests"},
+      {Mutation::noProbes, {Fault::allSlow}, "rejects every request with nothing in flight"}};
   for (Case const& testCase : cases) {
     bool found = false;
     for (std::uint64_t seed = 1; seed <= 24 && !found; ++seed) {
       testing::Plan plan = testing::only(seed, testCase.faults);
       plan.mutation = testCase.mutation;
+      plan.fractionalLimits = testCase.mutation == Mutation::noProbes;
       plan.faultInterval = testCase.faultInterval;
       plan.demand = testCase.demand;
       std::vector<std::string> violations;
