--- a/dataplane/include/corkward/dataplane/request_router.h
+++ b/dataplane/include/corkward/dataplane/request_router.h
@@ -354,7 +354,8 @@
   void decideRequestId(RouterCommands& out, Milliseconds now, CallId id, bool timedOut);
   std::vector<std::string> controllers(Milliseconds now) const;
   AdmissionQueue& queueFor(RouterCommands& out, Milliseconds now, QueueKey const& key);
-  /// Whether the limits of the queue and of the pool allow one more request, or a probe beyond the queue's limit is due.
+  /// Whether the limits of the queue and of the pool allow one more request, or a probe beyond the queue's limit is
+  /// due.
   bool mayAttempt(Milliseconds now, AdmissionQueue& queue, QueueKey key, Call const& call) const;
   /// Replicas of the queue's subset that may get a request now.
   /// @param hasCapacity whether the limits allow a request. Replicas that are warming up have a limit of their own.
--- a/scaling/test/scaling_test.cpp
+++ b/scaling/test/scaling_test.cpp
@@ -209,6 +209,7 @@
   parameters.minLimit = 0.05;
   parameters.limitDecay = 0.9;
   parameters.limitRaiseLatencyRatio = 0.7;
+  parameters.initialSubset = 3;
   scaling::Scaler scaler(3, parameters);
   scaler.setCandidates(readyCandidates(3));
   while (scaler.hasCapacity(false)) {
@@ -242,6 +243,16 @@
   CHECK(scaler.isProbeDue(now + 2 * interval));
 }
 
+TEST_CASE("a probe that gets no response does not keep the next one back") {
+  core::Milliseconds now = 0;
+  scaling::Scaler scaler = scalerWithoutCapacity(now);
+  core::Milliseconds const interval = scaler.parameters().probeInterval;
+  now += interval;
+  scaler.onSent(now, scaler.subset().front().replica, false);
+  CHECK_FALSE(scaler.isProbeDue(now + interval - 1));
+  CHECK(scaler.isProbeDue(now + interval));
+}
+
 TEST_CASE("a probe whose response is in time is followed by the next request at once") {
   core::Milliseconds now = 0;
   scaling::Scaler scaler = scalerWithoutCapacity(now);
