--- a/dataplane/test/prefix_affinity_test.cpp
+++ b/dataplane/test/prefix_affinity_test.cpp
@@ -26,12 +26,7 @@
     dataplane::RouterTuning t;
     t.leaseRequired = false;
     t.startupGracePeriod = 0;
-    t.scalerParameters.excessPerReplica = 0.005;
-    t.scalerParameters.initialLimit = 1.0;
-    t.scalerParameters.minLimit = 0.05;
-    t.scalerParameters.maxLimit = 1000;
-    t.scalerParameters.limitRaiseLatencyRatio = 0.7;
-    t.scalerParameters.limitDecay = 0.9;
+    t.scalerParameters = corkward::scaling::sharedReplicasParameters;
     return t;
   }
 
--- a/dataplane/test/stalled_queue_test.cpp
+++ b/dataplane/test/stalled_queue_test.cpp
@@ -25,13 +25,7 @@
   tuning.minQueueLength = 64;
   tuning.defaultRetryAfter = 0.2;
   tuning.nodeLimitPerReplica = 1000;
-  tuning.scalerParameters.excessPerReplica = 0.005;
-  tuning.scalerParameters.initialLimit = 1.0;
-  tuning.scalerParameters.minLimit = 0.05;
-  tuning.scalerParameters.maxLimit = 1000;
-  tuning.scalerParameters.limitRaiseLatencyRatio = 0.7;
-  tuning.scalerParameters.limitDecay = 0.9;
-  tuning.scalerParameters.bulkFraction = 0.9;
+  tuning.scalerParameters = corkward::scaling::sharedReplicasParameters;
   return tuning;
 }
 
--- a/scaling/include/corkward/scaling/scaler_parameters.h
+++ b/scaling/include/corkward/scaling/scaler_parameters.h
@@ -93,4 +93,14 @@
 
 inline constexpr ScalerParameters defaultScalerParameters{};
 
+/// Parameters for many routers before few replicas: a router's limit may fall below one request per replica, and is
+/// raised on demand while responses are well within their latency target.
+inline constexpr ScalerParameters sharedReplicasParameters{.excessPerReplica = 0.005,
+                                                           .initialLimit = 1.0,
+                                                           .minLimit = 0.05,
+                                                           .maxLimit = 1000,
+                                                           .limitRaiseLatencyRatio = 0.7,
+                                                           .limitDecay = 0.9,
+                                                           .bulkFraction = 0.9};
+
 }  // namespace corkward::scaling
--- a/testing/sim/simulated_cluster.cpp
+++ b/testing/sim/simulated_cluster.cpp
@@ -101,7 +101,7 @@
     t.servingLeaseDuration = 1000000000;
   if (plan_.mutation == Mutation::confirmNotExecutedTooSoon) t.ageMargin = -1000000000;
   if (plan_.mutation == Mutation::overlongWarmupLease) t.warmupLeaseDuration = 1000000000;
-  t.scalerParameters = plan_.scalerParameters;
+  t.scalerParameters = plan_.fractionalLimits ? scaling::sharedReplicasParameters : plan_.scalerParameters;
   if (plan_.mutation == Mutation::ignoreFailures) t.scalerParameters.minFailures = 1e9;
   t.auditRecordsAvailable = plan_.regimes;
   if (!plan_.fenced) {
@@ -116,13 +116,6 @@
     t.maxQueueTargets = 0.12;
     t.minQueueLength = 64;
     t.nodeLimitPerReplica = 1000;
-    t.scalerParameters.excessPerReplica = 0.005;
-    t.scalerParameters.initialLimit = 1.0;
-    t.scalerParameters.minLimit = 0.05;
-    t.scalerParameters.maxLimit = 1000;
-    t.scalerParameters.limitRaiseLatencyRatio = 0.7;
-    t.scalerParameters.limitDecay = 0.9;
-    t.scalerParameters.bulkFraction = 0.9;
   }
   if (plan_.mutation == Mutation::noProbes) t.scalerParameters.probeInterval = 1000000000;
   if (plan_.plain) {
