--- a/scaling/test/scaling_test.cpp
+++ b/scaling/test/scaling_test.cpp
@@ -312,9 +312,11 @@
       if (busy && rng.chance(0.4)) {
         if (skipping) rateSkipped.catchUp(now);
         skipping = false;
-        bool const hasCapacity = evaluated.raiseLimitFor(false) || evaluated.isProbeDue(now);
-        REQUIRE((skipped.raiseLimitFor(false) || skipped.isProbeDue(now)) == hasCapacity);
-        if (hasCapacity && !evaluated.subset().empty()) {
+        bool const hasCapacity = evaluated.raiseLimitFor(false);
+        REQUIRE(skipped.raiseLimitFor(false) == hasCapacity);
+        bool const probeDue = evaluated.isProbeDue(now);
+        REQUIRE(skipped.isProbeDue(now) == probeDue);
+        if ((hasCapacity || probeDue) && !evaluated.subset().empty()) {
           core::NameIndex const r = evaluated.subset()[rng.below(evaluated.subset().size())].replica;
           evaluated.onSent(now, r, false);
           skipped.onSent(now, r, false);
