--- a/core/include/corkward/core/memory_account.h
+++ b/core/include/corkward/core/memory_account.h
@@ -1,16 +1,22 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <utility>
+#include <vector>
 
 namespace corkward::core {
 
+/// Size of something that an account is to hold: a request with a body that is read at once, one with a small body, or
+/// one that takes much.
+enum class HoldingSize { tiny, small, large };
+
 /// The bytes that a process holds for others: what clients, operators and peers have sent and what waits to be sent to
 /// them. One account is shared by all connections of a process, so that the sum is bounded, not only each part. Used on
 /// one thread.
 ///
-/// Two thresholds bound what is held. Holdings that are announced before they arrive (reservations) are accepted only
-/// up to `reservableBytes()`, so that small requests always have room. Above `limit()`, holders must give bytes up.
+/// What is held together with a new holding stays within a part of the limit that depends on the size of the new one,
+/// so that smaller requests always have room. Above `limit()`, holders must give bytes up.
 class MemoryAccount {
  public:
   static constexpr std::uint64_t unlimited = UINT64_MAX;
@@ -24,32 +30,66 @@
   std::uint64_t used() const { return used_; }
   /// The most that was held at a time.
   std::uint64_t peak() const { return peak_; }
-  /// The most that may be in use together with a new reservation.
-  std::uint64_t reservableBytes() const { return limit_ / reservableParts * (reservableParts - 1); }
-  /// Returns whether the bytes can be reserved now.
-  bool canReserve(std::uint64_t bytes) const {
-    return used_ <= reservableBytes() && bytes <= reservableBytes() - used_;
+  /// The most that may be in use together with a new holding of that size: seven eighths of the limit for a small one,
+  /// three quarters for a large one.
+  std::uint64_t boundOf(HoldingSize size) const {
+    switch (size) {
+      case HoldingSize::tiny:
+        return limit_;
+      case HoldingSize::small:
+        return limit_ - limit_ / keptParts;
+      case HoldingSize::large:
+        return limit_ - limit_ / keptParts * 2;
+    }
+    return 0;
+  }
+  /// The most that may be in use together with a new large holding.
+  std::uint64_t reservableBytes() const { return boundOf(HoldingSize::large); }
+  /// Returns whether the bytes can be charged without exceeding the bound of a holding of that size.
+  bool hasRoomFor(std::uint64_t bytes, HoldingSize size = HoldingSize::tiny) const {
+    return used_ <= boundOf(size) && bytes <= boundOf(size) - used_;
+  }
+  /// Returns whether a large holding can be reserved now.
+  bool canReserve(std::uint64_t bytes) const { return hasRoomFor(bytes, HoldingSize::large); }
+  /// Adds a handler that is called each time that something is charged while the limit is exceeded. It may be called
+  /// from anywhere, so that it must not change what is held.
+  /// @param owner identifies the handler
+  void addExceededHandler(void const* owner, std::function<void()> handler) {
+    exceededHandlers_.emplace_back(owner, std::move(handler));
+  }
+  void removeExceededHandler(void const* owner) {
+    std::erase_if(exceededHandlers_, [owner](auto const& entry) { return entry.first == owner; });
+  }
+  /// Returns how much less is in use than at the most since the last call that returned at least `least`; 0 if it is
+  /// less than that.
+  std::uint64_t takeFall(std::uint64_t least) {
+    std::uint64_t const fall = recentPeak_ - used_;
+    if (fall < least) return 0;
+    recentPeak_ = used_;
+    return fall;
   }
-  /// Returns whether the bytes can be charged without exceeding the limit.
-  bool hasRoomFor(std::uint64_t bytes) const { return used_ <= limit_ && bytes <= limit_ - used_; }
   /// Returns whether less than half of the limit is left, so that buffers should be kept short.
   bool isBusy() const { return used_ > limit_ / 2; }
   bool isExceeded() const { return used_ > limit_; }
 
  private:
   friend class MemoryCharge;
-  /// A quarter of the limit is kept for small requests.
-  static constexpr std::uint64_t reservableParts = 4;
+  static constexpr std::uint64_t keptParts = 8;
 
   void add(std::uint64_t bytes) {
     used_ += bytes;
     peak_ = used_ > peak_ ? used_ : peak_;
+    recentPeak_ = used_ > recentPeak_ ? used_ : recentPeak_;
+    if (!isExceeded()) return;
+    for (auto const& [owner, handler] : exceededHandlers_) handler();
   }
   void remove(std::uint64_t bytes) { used_ -= bytes; }
 
   std::uint64_t limit_;
   std::uint64_t used_ = 0;
   std::uint64_t peak_ = 0;
+  std::uint64_t recentPeak_ = 0;
+  std::vector<std::pair<void const*, std::function<void()>>> exceededHandlers_;
 };
 
 /// The bytes that one holder has charged to an account. They are released when the charge is destroyed, so that the
--- a/core/test/memory_account_test.cpp
+++ b/core/test/memory_account_test.cpp
@@ -52,3 +52,28 @@
   CHECK_FALSE(account.isExceeded());
   CHECK(account.used() == 200);
 }
+
+TEST_CASE("smaller holdings have more of the limit") {
+  core::MemoryAccount account(800);
+  core::MemoryCharge charge(account);
+  charge.set(600);
+  CHECK_FALSE(account.hasRoomFor(1, core::HoldingSize::large));
+  CHECK(account.hasRoomFor(100, core::HoldingSize::small));
+  CHECK_FALSE(account.hasRoomFor(101, core::HoldingSize::small));
+  CHECK(account.hasRoomFor(200, core::HoldingSize::tiny));
+  CHECK_FALSE(account.hasRoomFor(201, core::HoldingSize::tiny));
+}
+
+TEST_CASE("a fall of what is held is reported once, from the most since the last report") {
+  core::MemoryAccount account(1000);
+  core::MemoryCharge charge(account);
+  charge.set(700);
+  charge.set(650);
+  CHECK(account.takeFall(100) == 0);
+  charge.set(500);
+  CHECK(account.takeFall(100) == 200);
+  CHECK(account.takeFall(100) == 0);
+  charge.set(550);
+  charge.set(440);
+  CHECK(account.takeFall(100) == 110);
+}
--- a/http/src/memory_arbiter.h
+++ b/http/src/memory_arbiter.h
@@ -15,27 +15,35 @@
 
 namespace corkward::http {
 
-/// Shares the memory of an account among the connections of a server. Long bodies get it in the order in which they
-/// asked for it. While some wait, or while the account is exceeded, connections that hold much and move little are
-/// shed. It does nothing while memory is not short.
+/// Shares the memory of an account among the connections of a server. Bodies get it in the order in which they asked
+/// for it, small ones before long ones. While some wait, or while the account is exceeded, connections that hold much
+/// and move little are shed. It does nothing while memory is not short.
 class MemoryArbiter {
  public:
   using Connections = std::unordered_map<ServerConnection const*, std::shared_ptr<ServerConnection>>;
 
   /// @param context receiver of the timer's events; must outlive the arbiter, as must the connections' container
   MemoryArbiter(QObject* context, core::MemoryAccount& account, Connections const& connections);
+  ~MemoryArbiter();
+  MemoryArbiter(MemoryArbiter const&) = delete;
+  MemoryArbiter& operator=(MemoryArbiter const&) = delete;
+  MemoryArbiter(MemoryArbiter&&) = delete;
+  MemoryArbiter& operator=(MemoryArbiter&&) = delete;
 
   /// Asks for memory for a connection; see ConnectionHost::reserveMemory.
-  bool reserve(ServerConnection& connection, std::uint64_t bytes);
-  /// The account is exceeded: connections give way in the next iteration of the event loop.
-  void onExceeded();
+  bool reserve(ServerConnection& connection, MemoryRequest const& wanted);
+  /// Returns whether the account has room for a complete request; sheds incomplete ones for it.
+  bool admit(std::uint64_t bytes, core::HoldingSize size);
+  /// Sheds incomplete requests until the account is well below its limit.
+  void relieve();
   std::uint64_t shedCount() const { return shedCount_; }
 
  private:
   struct Waiting {
     std::weak_ptr<ServerConnection> connection;
-    std::uint64_t bytes = 0;
+    MemoryRequest wanted;
   };
+  using Queue = std::deque<Waiting>;
   struct Watched {
     std::uint64_t recentBytes = 0;
     int intervals = 0;
@@ -46,14 +54,27 @@
   };
 
   void onTimer();
+  Queue& queueOf(core::HoldingSize size) { return size == core::HoldingSize::large ? waitingLarge_ : waitingSmall_; }
   /// Grants memory to those that wait, in their order, as far as it goes.
   void grantWaiting();
-  /// Drops those that no longer wait from the front of the queue.
-  void dropFinishedWaiting();
+  void grantWaiting(Queue& queue);
+  /// Drops those that no longer wait.
+  static void dropFinished(Queue& queue);
+  bool hasWaiting() const { return !waitingSmall_.empty() || !waitingLarge_.empty(); }
+  /// Whether the connection is the next one of its queue to be granted memory.
+  bool isNext(ServerConnection const& connection) const;
   std::uint64_t waitingBytes() const;
   /// Updates what connections moved in the last interval.
   void watch();
   std::vector<Candidate> candidates() const;
+  /// Returns the connections that may be shed at once, whether they were watched before or not: those with incomplete
+  /// requests.
+  std::vector<Candidate> incomplete() const;
+  /// The account was exceeded, by these connections or by others that share it: holders give way soon.
+  void onExceeded();
+  Candidate candidateOf(std::shared_ptr<ServerConnection> const& connection) const;
+  /// Sheds incomplete requests until the account holds less by that much.
+  void shedIncomplete(std::uint64_t bytes);
   static std::vector<Holding> holdingsOf(std::vector<Candidate> const& candidates);
   void shedStalled();
   void shedExcess();
@@ -61,10 +82,13 @@
 
   core::MemoryAccount& account_;
   Connections const& connections_;
-  std::deque<Waiting> waiting_;
+  /// Small and long bodies that wait for memory.
+  Queue waitingSmall_;
+  Queue waitingLarge_;
   std::unordered_map<ServerConnection const*, Watched> watched_;
   std::uint64_t shedCount_ = 0;
   QTimer timer_;
+  QTimer reliefTimer_;
 };
 
 }  // namespace corkward::http
--- a/http/src/request_parser.cpp
+++ b/http/src/request_parser.cpp
@@ -1,6 +1,7 @@
 #include "request_parser.h"
 
 #include <new>
+#include <tuple>
 #include <utility>
 
 #include <corkward/http/headers.h>
@@ -25,7 +26,8 @@
 
 /// Returns the header fields by name in lower case. The values of a repeated field are joined with commas (RFC 9110,
 /// section 5.3), those of Cookie with semicolons (RFC 6265, section 5.4).
-HeaderMap headersOf(beast::http::fields const& fields) {
+template <class Fields>
+HeaderMap headersOf(Fields const& fields) {
   HeaderMap out;
   for (auto const& field : fields) {
     std::string const name = toLower(std::string(field.name_string()));
@@ -38,7 +40,7 @@
 }  // namespace
 
 void RequestParser::begin(ServerLimits const& limits) {
-  parser_.emplace();
+  parser_.emplace(std::piecewise_construct, std::tuple<>(), std::tuple(CountingAllocator<char>(fieldBytes_)));
   parser_->header_limit(limits.headLimitBytes);
   parser_->body_limit(limits.bodyLimitBytes);
   parser_->eager(true);
@@ -90,7 +92,7 @@
 }
 
 std::variant<IncompleteRequest, ParsedRequest, RequestError> RequestParser::release() {
-  beast::http::request<RequestBody> message = parser_->release();
+  Parser::value_type message = parser_->release();
   parser_.reset();
   if (message.version() != http11)
     return RequestError{core::HttpStatus::httpVersionNotSupported,
--- a/http/src/request_parser.h
+++ b/http/src/request_parser.h
@@ -10,6 +10,7 @@
 #include <corkward/core/http_status.h>
 #include <corkward/http/server.h>
 
+#include "counting_allocator.h"
 #include "request_body.h"
 
 namespace corkward::http {
@@ -43,6 +44,12 @@
 /// Parses the successive requests of one connection, and enforces the server's limits.
 class RequestParser {
  public:
+  RequestParser() = default;
+  ~RequestParser() = default;
+  RequestParser(RequestParser const&) = delete;
+  RequestParser& operator=(RequestParser const&) = delete;
+  RequestParser(RequestParser&&) = delete;
+  RequestParser& operator=(RequestParser&&) = delete;
   /// Whether a request has begun and is not complete yet.
   bool inProgress() const { return parser_.has_value(); }
   /// Prepares to parse the next request. Must be called when its first byte has arrived.
@@ -57,6 +64,8 @@
   bool isChunked() const { return parser_ && parser_->chunked(); }
   /// Returns the memory that the body of the request in progress takes.
   std::uint64_t bodyCapacity() const { return parser_ ? parser_->get().body().capacity() : 0; }
+  /// Returns the memory that the parsed header and trailer fields of the request in progress take.
+  std::uint64_t fieldBytes() const { return fieldBytes_; }
   std::uint64_t bodySize() const { return parser_ ? parser_->get().body().size() : 0; }
   /// Allocates memory for the rest of the body.
   void reserveBody(std::uint64_t bytes) { parser_->get().body().reserve(bytes); }
@@ -64,7 +73,7 @@
   void reset() { parser_.reset(); }
 
  private:
-  using Parser = boost::beast::http::request_parser<RequestBody>;
+  using Parser = boost::beast::http::request_parser<RequestBody, CountingAllocator<char>>;
 
   ParseResult parseBytes(QByteArray& buffer);
   /// Whether the request expects a 100 (Continue) response that was not reported yet; marks it as reported.
@@ -72,6 +81,8 @@
   /// Returns the complete request or its error, and ends the parsing of the request.
   std::variant<IncompleteRequest, ParsedRequest, RequestError> release();
 
+  /// Counts the allocations of the parser's fields.
+  std::uint64_t fieldBytes_ = 0;
   /// std::nullopt between two requests.
   std::optional<Parser> parser_;
   qsizetype maxHeadBytes_ = 0;
--- a/http/src/server.cpp
+++ b/http/src/server.cpp
@@ -5,11 +5,13 @@
 #include <QTcpServer>
 #include <QTcpSocket>
 #include <QTimer>
-#include <sys/socket.h>
 #include <unordered_map>
 #include <utility>
 
+#include <corkward/transport/kernel_buffers.h>
+
 #include "memory_arbiter.h"
+#include "memory_cost.h"
 #include "server_connection.h"
 
 namespace corkward::http {
@@ -25,22 +27,12 @@
 /// are closed without a response.
 constexpr int rejectedConnectionsFactor = 2;
 
-/// Sizes of the operating system's buffers of a connection, in bytes. Without them the system lets them grow to
-/// megabytes, which no account sees.
-constexpr int kernelBufferBytes = 32 << 10;
 /// Time without a complete request after which a connection gives way to a new one.
 constexpr std::chrono::milliseconds placeHoldTime{1000};
 /// While more connections than this are refused within a period, connections give way before that time, too.
 constexpr int toleratedRefusals = 8;
 constexpr qint64 refusalPeriodMs = 1000;
 
-/// Bounds the operating system's buffers of the connections that a listening socket accepts.
-void boundKernelBuffers(qintptr listener) {
-  int const bytes = kernelBufferBytes;
-  ::setsockopt(static_cast<int>(listener), SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
-  ::setsockopt(static_cast<int>(listener), SOL_SOCKET, SO_SNDBUF, &bytes, sizeof bytes);
-}
-
 /// Throws the error of a failed listen().
 [[noreturn]] void throwListenError(QTcpServer const& listener, std::string const& address) {
   std::string const text = "cannot listen at " + address + ": " + listener.errorString().toStdString();
@@ -70,10 +62,11 @@
   void onMalformed() override { ++malformedRequests_; }
   void onClosed(ServerConnection& connection, std::uint64_t id) override;
   std::shared_ptr<core::MemoryAccount> const& memory() const override { return memory_; }
-  bool reserveMemory(ServerConnection& connection, std::uint64_t bytes) override {
-    return arbiter_.reserve(connection, bytes);
+  bool reserveMemory(ServerConnection& connection, MemoryRequest const& wanted) override {
+    return arbiter_.reserve(connection, wanted);
   }
-  void onMemoryExceeded() override { arbiter_.onExceeded(); }
+  bool admitRequest(std::uint64_t bytes, core::HoldingSize size) override { return arbiter_.admit(bytes, size); }
+  void relieveMemory() override { arbiter_.relieve(); }
 
   void setLimits(ServerLimits limits) { limits_ = std::move(limits); }
   void startDraining() { draining_ = true; }
@@ -96,6 +89,8 @@
   }
 
  private:
+  /// Returns how many connections may be open: the limit, or fewer if the account has no room for their fixed cost.
+  int places() const;
   void listen(std::string const& address);
   /// Accepts up to acceptsPerIteration pending connections of a listener.
   void acceptPending(std::size_t listener);
@@ -157,7 +152,8 @@
   listener->setListenBacklogSize(listenBacklog);
   listener->setMaxPendingConnections(acceptsPerIteration);
   if (!listener->listen(QHostAddress(QString::fromStdString(host)), port)) throwListenError(*listener, address);
-  boundKernelBuffers(listener->socketDescriptor());
+  transport::setReceiveBuffer(listener->socketDescriptor(), idleReceiveBufferBytes);
+  transport::setSendBuffer(listener->socketDescriptor(), sendBufferBytes);
   addresses_.push_back(host + ":" + std::to_string(listener->serverPort()));
   QObject::connect(
       listener, &QTcpServer::newConnection, context_, [this, index] { acceptPending(index); }, Qt::QueuedConnection);
@@ -179,20 +175,25 @@
   }
 }
 
+int Server::Implementation::places() const {
+  return std::min(limits_.maxConnections, static_cast<int>(placesWithin(memory_->limit())));
+}
+
 void Server::Implementation::accept(QTcpSocket* socket, std::size_t listener) {
-  int const most = rejectedConnectionsFactor * limits_.maxConnections;
+  int const limit = places();
+  int const most = rejectedConnectionsFactor * limit;
   if (static_cast<int>(connections_.size()) >= most && !abortClosing()) {
     socket->abort();
     socket->deleteLater();
     return;
   }
-  if (static_cast<int>(connections_.size()) >= limits_.maxConnections) displaceUnfinished();
+  if (static_cast<int>(connections_.size()) >= limit) displaceUnfinished();
   auto const connection = std::make_shared<ServerConnection>(socket, listener, *this, context_);
   connections_[connection.get()] = connection;
   connection->start();
-  bool const exceeds = static_cast<int>(connections_.size()) > limits_.maxConnections;
+  bool const exceeds = static_cast<int>(connections_.size()) > limit;
   auto const isOpen = [](ServerConnection const& each) { return each.isOpen(); };
-  if (!exceeds || static_cast<int>(countConnections(isOpen)) <= limits_.maxConnections) {
+  if (!exceeds || static_cast<int>(countConnections(isOpen)) <= limit) {
     connection->readRequests();
     return;
   }
--- a/http/src/server_connection.cpp
+++ b/http/src/server_connection.cpp
@@ -6,7 +6,9 @@
 #include <utility>
 
 #include <corkward/core/guarantees.h>
+#include <corkward/transport/kernel_buffers.h>
 
+#include "memory_cost.h"
 #include "message_text.h"
 #include "socket_peek.h"
 
@@ -14,21 +16,16 @@
 
 namespace {
 
-/// Bytes that are read from a connection before the others have a turn, and those of a connection with a long body for
-/// which memory is reserved.
-constexpr qint64 readBufferBytes = 16 << 10;
-constexpr qint64 longBodyReadBufferBytes = 64 << 10;
-/// Bodies up to this length need no reservation.
-constexpr std::uint64_t smallBodyBytes = 128U << 10;
-/// Bytes that may wait in the operating system for a connection that is not read, or is not read by its caller.
-constexpr std::uint64_t kernelBufferBytes = 64U << 10;
-/// Memory of an incomplete header section, in multiples of its bytes: the text and the parsed fields.
-constexpr std::uint64_t headCostFactor = 2;
+/// Bytes that are read at once from a connection with a long body for which memory is reserved.
+constexpr std::uint64_t longBodyReadBufferBytes = 64U << 10;
+/// A single request of a legal size is always served, also where it costs more than this part of the account.
+constexpr std::uint64_t maxRequestParts = 2;
 /// Milliseconds that a connection which is to be closed stays open, so that the caller can close it first.
 constexpr int lingerTimeoutMs = 1000;
 constexpr char const* continueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr char const* overloadRetrySeconds = "1";
 constexpr char const* displacedReason = "gave way to another connection";
+constexpr char const* outOfMemoryReason = "out of memory";
 
 }  // namespace
 
@@ -43,7 +40,7 @@
       charge_(*memory_),
       unfinishedSince_(Clock::now()) {
   socket_->setParent(context_);
-  socket_->setReadBufferSize(readBufferBytes);
+  setReadBuffer(readBufferBytes);
   socket_->setSocketOption(QAbstractSocket::LowDelayOption, 1);
   timer_->setSingleShot(true);
 }
@@ -63,6 +60,7 @@
     if (auto const connection = weak.lock()) connection->onBytesWritten(bytes);
   });
   timer_->start(host_.limits().headTimeoutMs);
+  charge();
 }
 
 void ServerConnection::onTimeout() {
@@ -82,68 +80,89 @@
 void ServerConnection::onBytesWritten(qint64 bytes) {
   wroteBytes_ = true;
   movedBytes_ += static_cast<std::uint64_t>(bytes);
-  updateCharge();
+  charge();
   if (state_ == State::lingering) linger();
   if (hasRequest() && responseBegun_) host_.onWritable(requestId_);
 }
 
-void ServerConnection::updateCharge() {
-  auto const unread = static_cast<std::uint64_t>(socket_->bytesAvailable());
+void ServerConnection::setReadBuffer(std::uint64_t bytes) {
+  socket_->setReadBufferSize(static_cast<qint64>(bytes));
+}
+
+void ServerConnection::sizeBuffers() {
+  bool const isReserved = reservedBytes_ > 0;
+  bool const isLong = sizeOfBody(reservedBodyBytes_) == core::HoldingSize::large;
+  setReadBuffer(isLong ? longBodyReadBufferBytes : readBufferBytes);
+  transport::setReceiveBuffer(socket_->socketDescriptor(),
+                              isReserved ? bodyReceiveBufferBytes : idleReceiveBufferBytes);
+}
+
+std::uint64_t ServerConnection::requestBytes() const {
   auto const unwritten = static_cast<std::uint64_t>(socket_->bytesToWrite());
-  std::uint64_t const input = static_cast<std::uint64_t>(buffer_.size()) + unread;
-  bool const isReadSlowly = unread >= static_cast<std::uint64_t>(readBufferBytes);
-  std::uint64_t bytes = pendingBytes_ + headCostFactor * input + unwritten;
+  std::uint64_t bytes = static_cast<std::uint64_t>(buffer_.capacity()) + parser_.fieldBytes() + pendingBytes_;
   bytes += std::max(reservedBytes_, parser_.bodyCapacity());
-  if (isReadSlowly || waitsForMemory_) bytes += kernelBufferBytes;
-  if (unwritten > 0) bytes += kernelBufferBytes;
-  bool const grows = bytes > charge_.bytes();
-  charge_.set(bytes);
-  if (grows && memory_->isExceeded()) host_.onMemoryExceeded();
+  if (reservedBytes_ > 0) bytes += kernelBufferBytes;
+  if (sizeOfBody(reservedBodyBytes_) == core::HoldingSize::large) bytes += longBodyReadBufferBytes;
+  bytes += unwritten;
+  if (unwritten > readBufferBytes) bytes += readBufferBytes + kernelBufferBytes;
+  return bytes;
 }
 
-std::uint64_t ServerConnection::pendingCost(std::uint64_t bodyBytes) const {
-  // A single request of a legal size is always served, also where it costs more than may be reserved.
-  return std::min(bodyBytes * host_.limits().bodyCostFactor, memory_->reservableBytes());
+void ServerConnection::charge() {
+  charge_.set((isOpen() ? connectionBytes : closingConnectionBytes) + requestBytes());
 }
 
-bool ServerConnection::ensureBodyMemory() {
+std::uint64_t ServerConnection::bodyCost(std::uint64_t bodyBytes) const {
+  return std::min(bodyBytes * host_.limits().bodyCostFactor, memory_->limit() / maxRequestParts);
+}
+
+std::uint64_t ServerConnection::bodyBytesToReserve() const {
   std::uint64_t const expected = parser_.expectedBodyBytes();
-  if (expected <= smallBodyBytes || reservedBytes_ > 0) return true;
-  // The length of a body in chunks is not known; one that stays small needs no reservation.
-  bool const isSmall = parser_.isChunked() && parser_.bodySize() + longBodyReadBufferBytes <= smallBodyBytes;
-  if (isSmall) return true;
-  std::uint64_t const wanted = pendingCost(expected);
+  if (!parser_.isChunked()) return expected <= unreservedBodyBytes ? 0 : expected;
+  // The length of a body in chunks is not known, so that more is reserved as it grows.
+  std::uint64_t const size = parser_.bodySize();
+  if (size <= unreservedBodyBytes) return 0;
+  return size + readBufferBytes <= smallBodyBytes ? std::min(expected, smallBodyBytes) : expected;
+}
+
+void ServerConnection::ensureBodyMemory() {
+  std::uint64_t const wantedBody = bodyBytesToReserve();
+  if (waitsForMemory_ || wantedBody <= reservedBodyBytes_) return;
+  MemoryRequest const wanted{wantedBody, bodyCost(wantedBody), sizeOfBody(wantedBody)};
   waitsForMemory_ = true;
-  updateCharge();
-  if (host_.reserveMemory(*this, wanted)) {
-    grantMemory(wanted);
-    return true;
-  }
-  return false;
+  charge();
+  if (host_.reserveMemory(*this, wanted)) grantMemory(wanted);
 }
 
-void ServerConnection::grantMemory(std::uint64_t bytes) {
-  bool const resumes = waitsForMemory_;
+void ServerConnection::grantMemory(MemoryRequest const& granted) {
   waitsForMemory_ = false;
-  reservedBytes_ = bytes;
+  reservedBytes_ = granted.bytes;
+  reservedBodyBytes_ = granted.bodyBytes;
   try {
-    parser_.reserveBody(parser_.expectedBodyBytes());
+    parser_.reserveBody(granted.bodyBytes);
   } catch (std::bad_alloc const&) {
     shed();
     return;
   }
-  socket_->setReadBufferSize(longBodyReadBufferBytes);
-  updateCharge();
-  if (!resumes) return;
+  sizeBuffers();
+  charge();
+}
+
+void ServerConnection::resumeReading() {
   QTimer::singleShot(0, context_, [weak = weak_from_this()] {
     if (auto const connection = weak.lock()) connection->readRequests();
   });
 }
 
 void ServerConnection::dropRequestBytes() {
-  buffer_.clear();
+  buffer_ = QByteArray();
   parser_.reset();
+  releaseReservation();
+}
+
+void ServerConnection::releaseReservation() {
   reservedBytes_ = 0;
+  reservedBodyBytes_ = 0;
   waitsForMemory_ = false;
 }
 
@@ -155,17 +174,27 @@
     socket_->readAll();
     return;
   }
-  if (!hasRequest() && !waitsForMemory_) {
-    QByteArray const received = socket_->readAll();
-    movedBytes_ += static_cast<std::uint64_t>(received.size());
+  if (!hasRequest() && !waitsForMemory_) readAvailable();
+  if (state_ == State::closed) return;
+  charge();
+  if (memory_->isExceeded()) host_.relieveMemory();
+}
+
+void ServerConnection::readAvailable() {
+  // Further requests that arrived with the last one come first, so that the buffer does not grow by each.
+  if (!parser_.inProgress()) parseBuffer();
+  if (hasRequest() || waitsForMemory_ || state_ != State::open) return;
+  QByteArray const received = socket_->readAll();
+  movedBytes_ += static_cast<std::uint64_t>(received.size());
+  if (buffer_.isEmpty())
+    buffer_ = received;
+  else
     buffer_ += received;
-    parseBuffer();
-  }
-  if (state_ != State::closed) updateCharge();
+  parseBuffer();
 }
 
 void ServerConnection::parseBuffer() {
-  while (!buffer_.isEmpty() && !hasRequest() && state_ == State::open) {
+  while (!buffer_.isEmpty() && !hasRequest() && !waitsForMemory_ && state_ == State::open) {
     if (!parser_.inProgress()) {
       parser_.begin(host_.limits());
       unfinishedSince_ = Clock::now();
@@ -181,19 +210,35 @@
     auto* const parsed = std::get_if<ParsedRequest>(&result.outcome);
     if (parsed == nullptr) {
       ensureBodyMemory();
-      return;
+      break;
     }
     accept(std::move(*parsed));
   }
+  // Its capacity would stay with an idle connection.
+  if (buffer_.isEmpty()) buffer_ = QByteArray();
+}
+
+bool ServerConnection::admit(Request const& request) {
+  bool const wasReserved = reservedBytes_ > 0;
+  std::uint64_t const bytes = pendingBytesWithoutBody(request) + bodyCost(request.body.capacity());
+  releaseReservation();
+  if (wasReserved) sizeBuffers();
+  charge();
+  // What was reserved has been admitted before.
+  core::HoldingSize const size = wasReserved ? core::HoldingSize::tiny : sizeOfRequest(bytes);
+  bool const admitted = host_.admitRequest(bytes, size) && state_ == State::open;
+  if (admitted) pendingBytes_ = bytes;
+  return admitted;
 }
 
 void ServerConnection::accept(ParsedRequest&& parsed) {
   keepAlive_ = parsed.keepAlive;
   hadRequest_ = true;
-  reservedBytes_ = 0;
-  pendingBytes_ = pendingCost(parsed.request.body.capacity());
-  socket_->setReadBufferSize(readBufferBytes);
-  updateCharge();
+  if (!admit(parsed.request)) {
+    if (state_ == State::open) reject(core::HttpStatus::serviceUnavailable, outOfMemoryReason);
+    return;
+  }
+  charge();
   responseBegun_ = false;
   writer_.reset(parsed.isHead);
   requestId_ = host_.addRequest(shared_from_this());
@@ -220,7 +265,7 @@
   writer_.writeHead(headOf(core::code(status), headers, static_cast<std::int64_t>(body.size()), {}));
   write(*socket_, body);
   timer_->start(lingerTimeoutMs);
-  updateCharge();
+  charge();
   // What the caller goes on sending is read and dropped, so that the response is not lost by a reset.
   socket_->readAll();
 }
@@ -234,7 +279,7 @@
   if (hasBufferedBytes())
     close();
   else if (isOpen() && !hasRequest())
-    reject(core::HttpStatus::serviceUnavailable, "out of memory");
+    reject(core::HttpStatus::serviceUnavailable, outOfMemoryReason);
 }
 
 void ServerConnection::giveWay() {
@@ -277,12 +322,12 @@
   }
   responseBegun_ = true;
   writer_.writeHead(headOf(status, headers, bodyLength, reason));
-  updateCharge();
+  charge();
 }
 
 void ServerConnection::writeChunk(std::string const& bytes) {
   writer_.writeBody(bytes);
-  updateCharge();
+  charge();
 }
 
 void ServerConnection::finishResponse() {
@@ -304,17 +349,15 @@
   pendingBytes_ = 0;
   unfinishedSince_ = Clock::now();
   timer_->start(host_.limits().idleTimeoutMs);
-  updateCharge();
+  charge();
   if (closeAnnounced_) {
     state_ = State::lingering;
-    buffer_.clear();
+    buffer_ = QByteArray();
     linger();
     return;
   }
   // Bytes that the caller sent in the meantime are parsed in a separate iteration of the event loop.
-  QTimer::singleShot(0, context_, [weak = weak_from_this()] {
-    if (auto const connection = weak.lock()) connection->readRequests();
-  });
+  resumeReading();
 }
 
 void ServerConnection::linger() {
--- a/http/src/server_connection.h
+++ b/http/src/server_connection.h
@@ -20,6 +20,15 @@
 
 class ServerConnection;
 
+/// Memory that a connection asks for, so that the body of its request may be read on.
+struct MemoryRequest {
+  /// Length of the body up to which it may be read.
+  std::uint64_t bodyBytes = 0;
+  /// What is charged for that.
+  std::uint64_t bytes = 0;
+  core::HoldingSize size = core::HoldingSize::large;
+};
+
 /// Interface of the server for its connections.
 class ConnectionHost {
  public:
@@ -44,11 +53,13 @@
   virtual void onMalformed() = 0;
   /// Account to which the connection charges what it holds.
   virtual std::shared_ptr<core::MemoryAccount> const& memory() const = 0;
-  /// Asks for memory for a long body. Returns whether it is available now. If it is not, the connection either waits
-  /// until ServerConnection::grantMemory() is called, or is rejected when even waiting would take too much memory.
-  virtual bool reserveMemory(ServerConnection& connection, std::uint64_t bytes) = 0;
-  /// The connection's charge has grown, and the account is exceeded.
-  virtual void onMemoryExceeded() = 0;
+  /// Asks for memory for a body. Returns whether it is available now. If it is not, the connection either waits until
+  /// ServerConnection::grantMemory() is called, or is rejected when even waiting would take too much memory.
+  virtual bool reserveMemory(ServerConnection& connection, MemoryRequest const& wanted) = 0;
+  /// Returns whether the account has room for a complete request. Incomplete ones may be shed for it.
+  virtual bool admitRequest(std::uint64_t bytes, core::HoldingSize size) = 0;
+  /// The account is exceeded: incomplete requests are shed at once. To be called from the event loop only.
+  virtual void relieveMemory() = 0;
   /// The connection is closed.
   /// @param id the request whose response was incomplete, or noRequest if there is none
   virtual void onClosed(ServerConnection& connection, std::uint64_t id) = 0;
@@ -105,14 +116,18 @@
   bool isDisconnected() const;
 
   /// Called when the memory for which the connection waits was reserved for it.
-  void grantMemory(std::uint64_t bytes);
+  void grantMemory(MemoryRequest const& granted);
+  /// Reads on in the next iteration of the event loop.
+  void resumeReading();
   bool waitsForMemory() const { return waitsForMemory_; }
-  std::uint64_t chargedBytes() const { return charge_.bytes(); }
+  /// Returns the memory that the connection holds beyond its fixed cost.
+  std::uint64_t requestBytes() const;
   /// Whether memory is released when the connection is shed: it holds an incomplete request or a response that its
   /// caller has not read.
   bool mayShed() const;
   /// Returns how many bytes were read and written since the last call.
   std::uint64_t takeMovedBytes() { return std::exchange(movedBytes_, 0); }
+  std::uint64_t movedBytes() const { return movedBytes_; }
   /// Whether the connection takes a place: it is neither closing nor closed.
   bool isOpen() const { return state_ == State::open; }
   /// Whether the connection has an incomplete request or none at all, so that it may give way to a new one.
@@ -140,20 +155,31 @@
   void onTimeout();
   void onBytesWritten(qint64 bytes);
   void accept(ParsedRequest&& parsed);
+  /// Charges a complete request if the account has room for it. Returns whether it has.
+  bool admit(Request const& request);
+  /// Sets how many bytes are read at once.
+  void setReadBuffer(std::uint64_t bytes);
+  /// Sets the buffers for what has been reserved.
+  void sizeBuffers();
+  /// Parses what has arrived until a request is complete, or the connection has to wait.
+  void readAvailable();
   /// Half-closes the connection (shuts down the sending side) when all bytes are written, so that the caller sees the
   /// end of the last response.
   void linger();
   void onResponseWritten();
   /// Parses what was read. Returns when a request is complete, more bytes are needed, or the connection is not open.
   void parseBuffer();
-  /// Asks for memory if the body in progress is longer than a small one. Returns false if the connection must wait.
-  bool ensureBodyMemory();
-  /// Returns the memory that a request with a body of this length takes while it is pending.
-  std::uint64_t pendingCost(std::uint64_t bodyBytes) const;
+  /// Asks for memory for the body in progress if it needs more than is reserved. The connection may have to wait then.
+  void ensureBodyMemory();
+  /// Returns the length of the body for which memory must be reserved before more of it is read; 0 if there is none.
+  std::uint64_t bodyBytesToReserve() const;
+  /// Returns the memory that a body of this length takes until the response to its request is complete.
+  std::uint64_t bodyCost(std::uint64_t bodyBytes) const;
   /// Charges what the connection holds now.
-  void updateCharge();
+  void charge();
   /// Releases the memory of the request in progress.
   void dropRequestBytes();
+  void releaseReservation();
   /// Returns the head fields of a response, and sets closeAnnounced_.
   ResponseHeadFields headOf(int status, HeaderList const& headers, std::int64_t bodyLength, std::string const& reason);
 
@@ -170,9 +196,10 @@
   /// Keeps the account of the charge.
   std::shared_ptr<core::MemoryAccount> memory_;
   core::MemoryCharge charge_;
-  /// Memory that is reserved for the body in progress; 0 for a small body.
+  /// Memory that is reserved for the body in progress, and the length of the body for which it is; 0 if there is none.
   std::uint64_t reservedBytes_ = 0;
-  /// Memory that the body of the pending request takes.
+  std::uint64_t reservedBodyBytes_ = 0;
+  /// Memory that the pending request takes.
   std::uint64_t pendingBytes_ = 0;
   std::uint64_t movedBytes_ = 0;
   Clock::time_point unfinishedSince_;
--- a/http/src/upstream_connection.cpp
+++ b/http/src/upstream_connection.cpp
@@ -21,7 +21,8 @@
 
 namespace {
 
-constexpr qint64 readBufferBytes = 64 << 10;
+/// Bytes of a response that are read before other connections have a turn.
+constexpr qint64 readBufferBytes = 16 << 10;
 /// Size of the operating system's receive buffer of a connection that is not read, which would grow otherwise.
 constexpr int pausedKernelBufferBytes = 64 << 10;
 /// Bytes of a request's body that wait in the socket's write buffer at most.
--- a/http/test/server_memory_test.cpp
+++ b/http/test/server_memory_test.cpp
@@ -8,6 +8,7 @@
 #include <corkward/http/server.h>
 
 #include "event_loop.h"
+#include "http/src/memory_cost.h"
 
 namespace core = corkward::core;
 namespace http = corkward::http;
@@ -70,6 +71,8 @@
   REQUIRE(waitUntil([&] { return fixture.account->used() >= megabyte; }));
   caller.send("b");
   CHECK(caller.receives("got 1048576"));
+  CHECK(waitUntil([&] { return fixture.account->used() == http::connectionBytes; }));
+  caller.socket.disconnectFromHost();
   CHECK(waitUntil([&] { return fixture.account->used() == 0; }));
 }
 
@@ -82,6 +85,8 @@
   REQUIRE(waitUntil([&] { return !fixture.pending.empty(); }));
   CHECK(fixture.account->used() >= megabyte);
   fixture.server.respond(fixture.pending.front(), 200, {}, "");
+  CHECK(waitUntil([&] { return fixture.account->used() == http::connectionBytes; }));
+  caller.socket.disconnectFromHost();
   CHECK(waitUntil([&] { return fixture.account->used() == 0; }));
 }
 
@@ -104,6 +109,8 @@
   CHECK(fixture.account->peak() <= accountLimit + megabyte);
   CHECK(fixture.server.shedForMemory() > 0);
   stalled.clear();
+  small.socket.disconnectFromHost();
+  whole.socket.disconnectFromHost();
   CHECK(waitUntil([&] { return fixture.account->used() == 0; }));
 }
 
@@ -170,3 +177,96 @@
   fixture.server.respond(fixture.pending.front(), 200, {}, "late answer");
   CHECK(pending.receives("late answer"));
 }
+
+// Guards against small bodies whose sum nobody bounds, since only long ones are reserved.
+TEST_CASE("a small body is charged as a whole when it begins") {
+  ensureApplication();
+  LimitedServer fixture;
+  Caller caller(fixture.server);
+  caller.begin(http::smallBodyBytes, 1);
+  CHECK(waitUntil([&] { return fixture.account->used() >= http::connectionBytes + http::smallBodyBytes; }));
+}
+
+TEST_CASE("small bodies that stall give way to others, and the account is not exceeded by much") {
+  ensureApplication();
+  LimitedServer fixture;
+  std::vector<std::unique_ptr<Caller>> stalled;
+  for (int i = 0; i < 60; ++i) {
+    stalled.push_back(std::make_unique<Caller>(fixture.server));
+    stalled.back()->begin(http::smallBodyBytes, http::smallBodyBytes - 1);
+  }
+  REQUIRE(waitUntil([&] { return fixture.server.shedForMemory() > 0; }));
+  Caller whole(fixture.server);
+  whole.begin(http::smallBodyBytes, http::smallBodyBytes);
+  CHECK(whole.receives("got 131072"));
+  CHECK(fixture.account->peak() <= accountLimit + megabyte);
+}
+
+// Guards against parsed fields that take many times the bytes of their text.
+TEST_CASE("fields are charged as they are parsed, and released with their request") {
+  ensureApplication();
+  LimitedServer fixture;
+  Caller caller(fixture.server);
+  std::string fields = "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n";
+  constexpr int count = 2000;
+  for (int i = 0; i < count; ++i) fields += std::to_string(i) + ":\r\n";
+  caller.send(fields);
+  CHECK(waitUntil([&] { return fixture.account->used() >= http::connectionBytes + std::uint64_t{count} * 80; }));
+  caller.send("\r\nab");
+  CHECK(caller.receives("got 2"));
+  CHECK(waitUntil([&] { return fixture.account->used() == http::connectionBytes; }));
+}
+
+// Guards against accepted requests without a bound on their sum.
+TEST_CASE("a complete request for which the account has no room gets 503 and never reaches the owner") {
+  ensureApplication();
+  LimitedServer fixture;
+  fixture.answers = false;
+  std::vector<std::unique_ptr<Caller>> callers;
+  constexpr std::size_t count = 80;
+  for (std::size_t i = 0; i < count; ++i) {
+    callers.push_back(std::make_unique<Caller>(fixture.server));
+    callers.back()->begin(100U << 10, 100U << 10);
+  }
+  std::size_t refused = 0;
+  CHECK(waitUntil([&] {
+    refused = 0;
+    for (std::unique_ptr<Caller> const& caller : callers) {
+      caller->received += caller->socket.readAll().toStdString();
+      refused += caller->received.find(" 503 ") != std::string::npos ? 1 : 0;
+    }
+    return refused > 0;
+  }));
+  CHECK(refused + fixture.pending.size() <= count);
+  CHECK(fixture.account->peak() <= accountLimit + megabyte);
+  // A tiny request still has room.
+  Caller tiny(fixture.server);
+  std::size_t const before = fixture.pending.size();
+  tiny.begin(2, 2);
+  CHECK(waitUntil([&] { return fixture.pending.size() > before; }));
+}
+
+// Guards against a read buffer that grows with each request of a connection that does not wait for its responses.
+TEST_CASE("requests that arrive at once on a connection are not read ahead") {
+  ensureApplication();
+  LimitedServer fixture;
+  Caller caller(fixture.server);
+  std::string requests;
+  constexpr int count = 5000;
+  for (int i = 0; i < count; ++i) requests += "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab";
+  requests += "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nlast";
+  caller.send(requests);
+  CHECK(caller.receives("got 4"));
+  CHECK(fixture.account->peak() < 200U << 10);
+}
+
+TEST_CASE("fewer connections have a place while the account has no room for their fixed cost") {
+  ensureApplication();
+  LimitedServer fixture;
+  constexpr std::uint64_t lowered = 1U << 20;
+  fixture.account->setLimit(lowered);
+  std::vector<std::unique_ptr<Caller>> silent;
+  for (int i = 0; i < 100; ++i) silent.push_back(std::make_unique<Caller>(fixture.server));
+  REQUIRE(waitUntil([&] { return fixture.server.malformedRequests() > 0; }));
+  CHECK(fixture.account->peak() <= lowered);
+}
--- a/programs/common/process_memory.cpp
+++ b/programs/common/process_memory.cpp
@@ -1,5 +1,6 @@
 #include "process_memory.h"
 
+#include <algorithm>
 #include <malloc.h>
 
 #include <corkward/core/log.h>
@@ -14,9 +15,17 @@
 
 /// Part of a process's memory that the account may use.
 constexpr std::uint64_t accountParts = 2;
+/// Memory of a process that is not the account's: what it takes at rest, freed memory that the allocator has not
+/// returned yet, and what one turn of the event loop takes before it is charged. A process with less than that beside
+/// half of its memory has a smaller account.
+constexpr std::uint64_t ownBytes = 48ULL << 20;
+/// The account of a process with very little memory, as a part of it.
+constexpr std::uint64_t minAccountParts = 8;
 /// Buffers from this length on have a mapping of their own, which goes back when they are freed. Without the fixed
 /// value the allocator raises its threshold when the first long buffer is freed, and keeps those that follow.
-constexpr int mappedBufferBytes = 128 << 10;
+constexpr int mappedBufferBytes = 64 << 10;
+/// Freed memory goes back to the operating system when the account has fallen by this much.
+constexpr std::uint64_t returnedBytes = 4U << 20;
 /// The account counts as calm again below this part of its limit.
 constexpr std::uint64_t calmParts = 8;
 /// Milliseconds between two lines about a busy account.
@@ -25,7 +34,9 @@
 }  // namespace
 
 std::uint64_t accountLimit(std::uint64_t processBytes) {
-  return (processBytes == 0 ? defaultProcessBytes : processBytes) / accountParts;
+  std::uint64_t const bytes = processBytes == 0 ? defaultProcessBytes : processBytes;
+  std::uint64_t const rest = bytes - std::min(bytes, ownBytes);
+  return std::max(std::min(bytes / accountParts, rest), bytes / minAccountParts);
 }
 
 std::shared_ptr<core::MemoryAccount> makeMemoryAccount(std::uint64_t processBytes) {
@@ -39,6 +50,7 @@
 }
 
 void MemoryMonitor::onTimer() {
+  if (account_->takeFall(returnedBytes) > 0) ::malloc_trim(0);
   if (account_->isBusy() && !wasBusy_) {
     wasBusy_ = true;
     ++busyTimes_;
@@ -51,7 +63,6 @@
   }
   if (!wasBusy_ || account_->used() > account_->limit() / calmParts) return;
   wasBusy_ = false;
-  ::malloc_trim(0);
 }
 
 std::string MemoryMonitor::metrics() const {
