--- a/transport/src/frame.cpp
+++ b/transport/src/frame.cpp
@@ -9,6 +9,8 @@
 
 /// Bytes of a header that are compared; the others are reserved.
 constexpr std::size_t comparedHeaderBytes = 6;
+/// Allocated memory beyond what has arrived that may be resident: what the allocator rounds, and a page.
+constexpr std::uint64_t untouchedSlackBytes = 16U << 10;
 
 }  // namespace
 
@@ -42,9 +44,17 @@
 }
 
 void FrameDecoder::reserveIncomplete() {
-  if (!hasProtocolHeader_ || incomplete_.size() < lengthBytes) return;
-  auto const length = qFromBigEndian<std::uint64_t>(incomplete_.data());
-  incomplete_.reserve(lengthBytes + length);
+  if (announcedBytes() > 0) incomplete_.reserve(announcedBytes());
+}
+
+std::uint64_t FrameDecoder::incompleteBytes() const {
+  if (incomplete_.empty()) return 0;
+  return std::min<std::uint64_t>(incomplete_.capacity(), incomplete_.size() + untouchedSlackBytes);
+}
+
+std::uint64_t FrameDecoder::announcedBytes() const {
+  if (!hasProtocolHeader_ || incomplete_.size() < lengthBytes) return 0;
+  return lengthBytes + qFromBigEndian<std::uint64_t>(incomplete_.data());
 }
 
 FrameDecoder::Result FrameDecoder::decodeMessages(std::string_view bytes, std::size_t& consumed,
--- a/transport/src/frame.h
+++ b/transport/src/frame.h
@@ -47,9 +47,12 @@
   Result decode(std::string_view bytes, MessageHandler const& onMessage);
   /// Returns whether the peer's header has arrived.
   bool hasProtocolHeader() const { return hasProtocolHeader_; }
+  /// Returns the memory that a header or message takes that has arrived only in part. What is allocated for the rest of
+  /// a long one takes none until it is written.
+  std::uint64_t incompleteBytes() const;
+  /// Returns the length of the frame that has arrived only in part, as announced; 0 if there is none.
+  std::uint64_t announcedBytes() const;
   /// Returns whether a header or message has arrived only in part.
-  /// Returns the memory that is allocated for a header or message that has arrived only in part.
-  std::uint64_t incompleteBytes() const { return incomplete_.empty() ? 0 : incomplete_.capacity(); }
   bool isIncomplete() const { return !hasProtocolHeader_ || !incomplete_.empty(); }
 
  private:
--- a/transport/src/incoming_connection.cpp
+++ b/transport/src/incoming_connection.cpp
@@ -2,6 +2,8 @@
 
 #include <QTcpSocket>
 
+#include <corkward/transport/kernel_buffers.h>
+
 #include "socket_io.h"
 
 namespace corkward::transport {
@@ -21,6 +23,7 @@
   // turn.
   socket_->setReadBufferSize(MessageListener::readBufferBytes);
   isOpen_ = socket_->setSocketDescriptor(descriptor);
+  chargeIncomplete();
   if (isOpen_) isOpen_ = writeAll(*socket_, {pullHeader.data(), pullHeader.size()});
 }
 
@@ -29,6 +32,20 @@
   socket_->abort();
 }
 
+std::uint64_t IncomingConnection::incompleteBytes() const {
+  return decoder_.incompleteBytes() + (hasLongBuffer_ ? MessageListener::longUnreadBytes : 0);
+}
+
+void IncomingConnection::chargeIncomplete() {
+  bool const isLong = decoder_.announcedBytes() > MessageListener::longMessageBytes;
+  if (isLong != hasLongBuffer_) {
+    hasLongBuffer_ = isLong;
+    setReceiveBuffer(socket_->socketDescriptor(),
+                     isLong ? MessageListener::longReceiveBufferBytes : MessageListener::receiveBufferBytes);
+  }
+  charge_.set(MessageListener::connectionBytes + incompleteBytes());
+}
+
 bool IncomingConnection::isOverdue(Clock::time_point now) const {
   auto const timeout = decoder_.isIncomplete() ? MessageListener::incompleteTimeout : MessageListener::silenceTimeout;
   return now - lastReceived_ > timeout;
--- a/transport/src/incoming_connection.h
+++ b/transport/src/incoming_connection.h
@@ -27,11 +27,11 @@
   MessageListener::ConnectionId id() const { return id_; }
   QTcpSocket& socket() { return *socket_; }
   FrameDecoder& decoder() { return decoder_; }
-  /// Memory that the message which has arrived in part takes, or will take.
-  std::uint64_t incompleteBytes() const { return charge_.bytes(); }
-  /// Charges that memory to the account.
-  void chargeIncomplete() { charge_.set(decoder_.incompleteBytes()); }
-  void releaseIncomplete() { charge_.set(0); }
+  /// Memory that the message which has arrived in part takes, and what may wait unread behind it.
+  std::uint64_t incompleteBytes() const;
+  /// Charges that memory to the account, with the fixed cost of the connection, and sizes the receive buffer for it.
+  void chargeIncomplete();
+  void releaseCharge() { charge_.set(0); }
   bool isOpen() const { return isOpen_; }
   Clock::time_point lastReceived() const { return lastReceived_; }
   void noteReceived() { lastReceived_ = Clock::now(); }
@@ -43,6 +43,8 @@
   QTcpSocket* socket_;
   FrameDecoder decoder_;
   core::MemoryCharge charge_;
+  /// The receive buffer has the size for a long message.
+  bool hasLongBuffer_ = false;
   Clock::time_point lastReceived_;
   bool isOpen_ = false;
 };
--- a/transport/src/message_listener.cpp
+++ b/transport/src/message_listener.cpp
@@ -6,6 +6,7 @@
 #include <vector>
 #include <utility>
 
+#include <corkward/transport/kernel_buffers.h>
 #include <corkward/transport/message.h>
 
 #include "incoming_connection.h"
@@ -17,8 +18,11 @@
 constexpr int listenBacklog = 512;
 /// Pause after an attempt to accept that failed for lack of descriptors or memory.
 constexpr std::chrono::milliseconds acceptRetryInterval{100};
-/// Part of the memory account that incomplete messages may take.
+/// Part of the memory account that incomplete messages may take, and that the fixed costs of connections may.
 constexpr std::uint64_t incompleteParts = 4;
+constexpr std::uint64_t connectionParts = 4;
+/// Connections that a process with little memory still has room for.
+constexpr std::uint64_t minPlaces = 64;
 /// Time between searches for connections that exceed a timeout.
 constexpr std::chrono::milliseconds sweepInterval{5000};
 
@@ -32,6 +36,7 @@
       memory_(memory ? std::move(memory) : std::make_shared<core::MemoryAccount>()) {
   setListenBacklogSize(listenBacklog);
   if (!listen(QHostAddress(QString::fromStdString(address.host)), address.port)) throwListenError(address);
+  setReceiveBuffer(socketDescriptor(), receiveBufferBytes);
   QObject::connect(this, &QTcpServer::acceptError, this, [this] { resumeAcceptingLater(); });
   QObject::connect(&sweepTimer_, &QTimer::timeout, this, [this] { closeSilent(IncomingConnection::Clock::now()); });
   sweepTimer_.start(sweepInterval);
@@ -55,7 +60,7 @@
 }
 
 void MessageListener::incomingConnection(qintptr descriptor) {
-  if (connections_.size() >= maxConnections_) closeLongestSilent();
+  if (connections_.size() >= places()) closeLongestSilent();
   ConnectionId const id = ++lastId_;
   auto* const connection = new IncomingConnection(descriptor, id, *this);
   connections_[id] = connection;
@@ -79,6 +84,11 @@
   if (connection.decoder().isIncomplete()) boundIncomplete();
 }
 
+std::size_t MessageListener::places() const {
+  std::uint64_t const bearable = std::max(memory_->limit() / connectionParts / connectionBytes, minPlaces);
+  return static_cast<std::size_t>(std::min<std::uint64_t>(maxConnections_, bearable));
+}
+
 std::uint64_t MessageListener::maxIncompleteBytes() const {
   return std::max(memory_->limit() / incompleteParts, maxFrameBytes + lengthBytes);
 }
@@ -100,7 +110,7 @@
   if (found == connections_.end()) return;
   IncomingConnection* const connection = found->second;
   connections_.erase(found);
-  connection->releaseIncomplete();
+  connection->releaseCharge();
   // Freed later, since this may be called from a signal of the connection's socket.
   connection->socket().disconnect(connection);
   connection->socket().abort();
--- a/transport/src/message_listener.h
+++ b/transport/src/message_listener.h
@@ -22,8 +22,9 @@
 
 /// Accepts connections of peers and delivers the messages that arrive on them, all on its own thread. The number of
 /// connections is bounded: beyond the bound, the connection that has been silent for longest is closed. A connection
-/// that sends no complete header, or stops in the middle of a message, is closed as well. Messages that have arrived in
-/// part are charged to a memory account; together they take a quarter of it, or one message of the largest size.
+/// that sends no complete header, or stops in the middle of a message, is closed as well. Connections, with messages
+/// that have arrived in part, are charged to a memory account: connections take a quarter of it at the most, and
+/// incomplete messages together another quarter, or one message of the largest size.
 class MessageListener final : public QTcpServer {
  public:
   /// Identifies a connection among all that the listener has accepted.
@@ -39,8 +40,18 @@
   /// Link::idleTimeout, so that a longer silence is that of a peer which is gone.
   static constexpr std::chrono::milliseconds silenceTimeout{60000};
 
+  /// Memory that a connection takes beside its incomplete message: the socket, and a buffer that it keeps.
+  static constexpr std::uint64_t connectionBytes = 24U << 10;
+
   /// Bytes that are read from one connection before the others have their turn.
-  static constexpr qint64 readBufferBytes = 64 << 10;
+  static constexpr qint64 readBufferBytes = 16 << 10;
+  /// Receive buffer in the operating system of a connection, and of one on which a long message arrives.
+  static constexpr int receiveBufferBytes = 8 << 10;
+  static constexpr int longReceiveBufferBytes = 64 << 10;
+  /// Bytes that may wait unread on a connection with a long message.
+  static constexpr std::uint64_t longUnreadBytes = 96U << 10;
+  /// Messages beyond this length are long.
+  static constexpr std::uint64_t longMessageBytes = 32U << 10;
 
   /// Listens; with port 0 the operating system chooses a free port. Throws core::ResourceBusyError if the
   /// address is in use, and TransportError if listening fails for another reason.
@@ -78,6 +89,8 @@
   void closeLongestSilent();
   /// Closes connections with the longest incomplete messages until their sum is within its bound.
   void boundIncomplete();
+  /// Returns how many connections may exist: the limit, or fewer if the account has no room for their fixed cost.
+  std::size_t places() const;
   /// Returns the most that incomplete messages may take together.
   std::uint64_t maxIncompleteBytes() const;
   /// Goes on accepting after a pause. Qt stops to accept when an attempt fails.
