--- a/http/include/corkward/http/server.h
+++ b/http/include/corkward/http/server.h
@@ -35,8 +35,8 @@
   /// Longest request line and header section.
   std::uint32_t headLimitBytes = 16U << 10;
   std::uint64_t bodyLimitBytes = 1U << 20;
-  /// Connections beyond this number receive a 503 response. Connections beyond twice this number are closed without a
-  /// response.
+  /// Connections beyond this number, or beyond what half of the account has room for, receive a 503 response. Those
+  /// beyond twice this number, or beyond five eighths of the account, are closed without a response.
   int maxConnections = 4096;
   /// Milliseconds within which a request must arrive completely, counted from its first byte. On a new connection the
   /// first byte must arrive within the same time.
@@ -55,12 +55,13 @@
 /// the sockets. Each connection processes one request at a time. A response is written either complete with respond(),
 /// or incrementally with beginResponse(), writeChunk() and finishResponse().
 ///
-/// All bytes that connections hold are charged to a memory account: what was read, the bodies of pending requests, and
-/// what callers have not read yet. A body that is longer than a small one is read on only when its whole length can be
-/// reserved; until then its connection is not read. When memory is short, requests and responses that hold much and
-/// move little give way: an incomplete request gets 503, a response that is not read is reset. While many connections
-/// are refused for want of a place, the one that has been without a complete request for longest gives way to a new
-/// one.
+/// What connections take is charged to a memory account: a fixed cost for each, header fields as they are parsed, bodies,
+/// pending requests with what their owner keeps of them, and what callers have not read yet. A body that is longer than
+/// what is read at once is read on only when its whole length can be reserved; until then its connection is not read. A
+/// complete request for which there is no room gets 503 and never reaches the owner. When memory is short, requests and
+/// responses that hold much and move little give way: an incomplete request gets 503, a response that is not read is
+/// reset. The number of connections is bounded by the limit and by the account. While many connections are refused for
+/// want of a place, the one that has been without a complete request for longest gives way to a new one.
 class Server : public QObject {
  public:
   struct Events {
--- a/http/src/memory_cost.cpp
+++ b/http/src/memory_cost.cpp
@@ -7,7 +7,9 @@
 namespace {
 
 /// Part of the account that the fixed costs of connections with a place may take.
-constexpr std::uint64_t placesParts = 3;
+constexpr std::uint64_t placesParts = 2;
+/// Connections that are about to be closed, as a part of the places.
+constexpr std::uint64_t closingParts = 4;
 /// An account without a meaningful limit still has this number of places.
 constexpr std::uint64_t minPlaces = 8;
 constexpr std::uint64_t maxPlaces = 1U << 20;
@@ -56,4 +58,9 @@
   return static_cast<std::size_t>(std::clamp(places, minPlaces, maxPlaces));
 }
 
+std::size_t connectionsWithin(std::uint64_t accountLimit) {
+  std::size_t const places = placesWithin(accountLimit);
+  return places + places / closingParts;
+}
+
 }  // namespace corkward::http
--- a/http/src/memory_cost.h
+++ b/http/src/memory_cost.h
@@ -15,10 +15,9 @@
 /// Bytes that are read from a connection before the others have a turn. The socket keeps a buffer of this size once it
 /// has read something.
 inline constexpr std::uint64_t readBufferBytes = 16U << 10;
-/// A connection without a request: its socket, timer and parser, the read buffer, and the begin of a write buffer.
-inline constexpr std::uint64_t connectionBytes = 24U << 10;
-/// A connection that is about to be closed and whose request was given up.
-inline constexpr std::uint64_t closingConnectionBytes = 16U << 10;
+/// A connection beside its request, also one that is about to be closed: its socket, timer and parser, and the blocks
+/// of 16 KiB that the socket keeps for reading and for writing.
+inline constexpr std::uint64_t connectionBytes = 40U << 10;
 /// A pending request beside its header section and its body: what its owner keeps of it, and a connection to a replica.
 inline constexpr std::uint64_t pendingRequestBytes = 40U << 10;
 /// Receive buffer in the operating system of a connection for whose request no memory is reserved.
@@ -50,8 +49,10 @@
 /// Returns the size as which a body of that length is reserved.
 core::HoldingSize sizeOfBody(std::uint64_t bytes);
 
-/// Returns how many connections an account has room for, so that the fixed costs of all, and of as many that are being
-/// closed, leave nearly half of it for what requests hold.
+/// Returns how many connections may have a place, so that their fixed costs leave half of the account.
 std::size_t placesWithin(std::uint64_t accountLimit);
 
+/// Returns how many connections may exist, those that are about to be closed included.
+std::size_t connectionsWithin(std::uint64_t accountLimit);
+
 }  // namespace corkward::http
--- a/http/src/server.cpp
+++ b/http/src/server.cpp
@@ -181,7 +181,7 @@
 
 void Server::Implementation::accept(QTcpSocket* socket, std::size_t listener) {
   int const limit = places();
-  int const most = rejectedConnectionsFactor * limit;
+  int const most = std::min(rejectedConnectionsFactor * limit, static_cast<int>(connectionsWithin(memory_->limit())));
   if (static_cast<int>(connections_.size()) >= most && !abortClosing()) {
     socket->abort();
     socket->deleteLater();
--- a/http/src/server_connection.cpp
+++ b/http/src/server_connection.cpp
@@ -109,7 +109,7 @@
 }
 
 void ServerConnection::charge() {
-  charge_.set((isOpen() ? connectionBytes : closingConnectionBytes) + requestBytes());
+  charge_.set(connectionBytes + requestBytes());
 }
 
 std::uint64_t ServerConnection::bodyCost(std::uint64_t bodyBytes) const {
--- a/transport/src/incoming_connection.cpp
+++ b/transport/src/incoming_connection.cpp
@@ -22,9 +22,10 @@
   // All of the socket's buffer is read at once, so the limit bounds what one connection reads before others have a
   // turn.
   socket_->setReadBufferSize(MessageListener::readBufferBytes);
-  isOpen_ = socket_->setSocketDescriptor(descriptor);
+  // Sent before the socket takes the descriptor, which would keep a buffer for writing.
+  bool const isSent = sendAtOnce(descriptor, {pullHeader.data(), pullHeader.size()});
+  isOpen_ = socket_->setSocketDescriptor(descriptor) && isSent;
   chargeIncomplete();
-  if (isOpen_) isOpen_ = writeAll(*socket_, {pullHeader.data(), pullHeader.size()});
 }
 
 IncomingConnection::~IncomingConnection() {
--- a/transport/src/message_listener.h
+++ b/transport/src/message_listener.h
@@ -40,7 +40,8 @@
   /// Link::idleTimeout, so that a longer silence is that of a peer which is gone.
   static constexpr std::chrono::milliseconds silenceTimeout{60000};
 
-  /// Memory that a connection takes beside its incomplete message: the socket, and a buffer that it keeps.
+  /// Memory that a connection takes beside its incomplete message: the socket, and the block of 16 KiB that it keeps
+  /// for reading.
   static constexpr std::uint64_t connectionBytes = 24U << 10;
 
   /// Bytes that are read from one connection before the others have their turn.
--- a/transport/src/socket_io.h
+++ b/transport/src/socket_io.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <QtGlobal>
 #include <string_view>
 
 class QObject;
@@ -11,6 +12,10 @@
 /// connection has ended.
 bool writeAll(QTcpSocket& socket, std::string_view bytes);
 
+/// Sends the bytes on a connected descriptor without waiting. Returns false if the operating system does not take all
+/// of them, as it does the first few of a new connection, or if the connection has ended.
+bool sendAtOnce(qintptr descriptor, std::string_view bytes);
+
 /// Closes the socket without waiting and frees it once its pending events were processed. Its signals no longer reach
 /// the receiver. Null has no effect.
 void closeLater(QTcpSocket* socket, QObject* receiver);
