--- a/http/include/corkward/http/server.h
+++ b/http/include/corkward/http/server.h
@@ -55,13 +55,13 @@
 /// the sockets. Each connection processes one request at a time. A response is written either complete with respond(),
 /// or incrementally with beginResponse(), writeChunk() and finishResponse().
 ///
-/// What connections take is charged to a memory account: a fixed cost for each, header fields as they are parsed, bodies,
-/// pending requests with what their owner keeps of them, and what callers have not read yet. A body that is longer than
-/// what is read at once is read on only when its whole length can be reserved; until then its connection is not read. A
-/// complete request for which there is no room gets 503 and never reaches the owner. When memory is short, requests and
-/// responses that hold much and move little give way: an incomplete request gets 503, a response that is not read is
-/// reset. The number of connections is bounded by the limit and by the account. While many connections are refused for
-/// want of a place, the one that has been without a complete request for longest gives way to a new one.
+/// What connections take is charged to a memory account: a fixed cost for each, header fields as they are parsed,
+/// bodies, pending requests with what their owner keeps of them, and what callers have not read yet. A body that is
+/// longer than what is read at once is read on only when its whole length can be reserved; until then its connection is
+/// not read. A complete request for which there is no room gets 503 and never reaches the owner. When memory is short,
+/// requests and responses that hold much and move little give way: an incomplete request gets 503, a response that is
+/// not read is reset. The number of connections is bounded by the limit and by the account. While many connections are
+/// refused for want of a place, the one that has been without a complete request for longest gives way to a new one.
 class Server : public QObject {
  public:
   struct Events {
