A kept connection's next body no longer waits for its sender's timer

Callers saw bodies of 20 KB and more take 0.2 to 1.7 s longer when they were not the first long ones on their connection.

A sender cuts its segments to half of the largest window that it was offered and keeps back what does not fit until its timer for closed windows ends.

The idle size is 16 KiB and the size for bodies 28 KiB now, so that an idle window takes half of the largest; the relation is asserted.

--- a/http/src/memory_cost.h
+++ b/http/src/memory_cost.h
@@ -21,9 +21,10 @@
 /// A pending request beside its header section and its body: what its owner keeps of it, and a connection to a replica.
 inline constexpr std::uint64_t pendingRequestBytes = 40U << 10;
 /// Receive buffer in the operating system of a connection for whose request no memory is reserved.
-inline constexpr int idleReceiveBufferBytes = 8 << 10;
+inline constexpr int idleReceiveBufferBytes = 16 << 10;
 /// Receive buffer of a connection while a body is read for which memory is reserved.
-inline constexpr int bodyReceiveBufferBytes = 32 << 10;
+inline constexpr int bodyReceiveBufferBytes = 28 << 10;
+static_assert(idleReceiveBufferBytes * 2 > bodyReceiveBufferBytes, "senders wait for a timer, see setReceiveBuffer()");
 inline constexpr int sendBufferBytes = 32 << 10;
 /// Bytes that may wait unread in the operating system while a body is read for which memory is reserved, and as many
 /// that wait for a caller who reads slowly.
--- a/http/test/server_memory_test.cpp
+++ b/http/test/server_memory_test.cpp
@@ -1,7 +1,9 @@
 #include <catch2/catch.hpp>
 
+#include <QElapsedTimer>
 #include <QHostAddress>
 #include <QTcpSocket>
+#include <algorithm>
 #include <memory>
 #include <vector>
 
@@ -76,6 +78,29 @@
   CHECK(waitUntil([&] { return fixture.account->used() == 0; }));
 }
 
+// Guards against a receive buffer that shrinks below half of its former size: senders then keep back what does not fit
+// until their timer for closed windows ends, which takes 200 ms or more.
+TEST_CASE("bodies that follow each other on a connection do not wait for a timer of their sender") {
+  ensureApplication();
+  LimitedServer fixture;
+  Caller caller(fixture.server);
+  constexpr int rounds = 4;
+  constexpr qint64 senderTimerMs = 200;
+  for (std::uint64_t const length : {300000U, 20000U, 130000U, 15000U, 60000U, 1000000U}) {
+    qint64 fastestMs = INT64_MAX;
+    for (int i = 0; i < rounds; ++i) {
+      caller.received.clear();
+      QElapsedTimer elapsed;
+      elapsed.start();
+      caller.begin(length, length);
+      REQUIRE(caller.receives("got " + std::to_string(length)));
+      fastestMs = std::min(fastestMs, elapsed.elapsed());
+    }
+    CAPTURE(length);
+    CHECK(fastestMs < senderTimerMs);
+  }
+}
+
 TEST_CASE("the body of a pending request stays charged until its response") {
   ensureApplication();
   LimitedServer fixture;
