Upstream test: a response that goes on after a pause is not held up

The kin of the receive buffers that shrank: a paused response's buffer is set to 64 KiB after the system may have let it grow.

--- a/http/test/upstream_pool_test.cpp
+++ b/http/test/upstream_pool_test.cpp
@@ -1,9 +1,11 @@
 #include <catch2/catch.hpp>
 
+#include <QElapsedTimer>
 #include <QHostAddress>
 #include <QTcpServer>
 #include <QTcpSocket>
 #include <QTimer>
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <sys/socket.h>
@@ -517,6 +519,33 @@
   CHECK((outcome.body.size() == body.size()) == closesNormally);
 }
 
+// Guards against a receive buffer that shrinks when a response is paused: its sender then keeps back what does not fit
+// until its timer for closed windows ends, which takes 200 ms or more.
+TEST_CASE("a response that goes on after a pause does not wait for a timer of its replica") {
+  ensureApplication();
+  constexpr std::size_t part = 2U << 20;
+  constexpr std::size_t pauses = 4;
+  constexpr qint64 senderTimerMs = 200;
+  std::string const body((pauses + 2) * part, 'b');
+  PoolFixture fixture({{"HTTP/1.1 200 OK\r\n\r\n" + body, true}}, {2, 5000, 0, true});
+  PoolRequest request(fixture.upstreams, fixture.replica.address());
+  auto const hasRead = [&](std::size_t parts) { return request.outcome.body.size() >= parts * part; };
+  REQUIRE(waitUntil([&] { return hasRead(1); }));
+  qint64 fastestMs = INT64_MAX;
+  for (std::size_t i = 0; i < pauses; ++i) {
+    request.upstream->setPaused(true);
+    QElapsedTimer elapsed;
+    elapsed.start();
+    REQUIRE(waitUntil([&] { return elapsed.elapsed() > 50; }));
+    request.upstream->setPaused(false);
+    elapsed.start();
+    REQUIRE(waitUntil([&] { return hasRead(i + 2); }));
+    fastestMs = std::min(fastestMs, elapsed.elapsed());
+  }
+  CHECK(fastestMs < senderTimerMs);
+  CHECK(request.wait().body.size() == body.size());
+}
+
 TEST_CASE("a closed connection delivers no further event, not even a failure that is already queued") {
   ensureApplication();
   PoolFixture fixture({});
