A tiny request asks all holders of the account for room, messages too

Cause: a request without room let only incomplete requests of its own server give way. Messages of other processes that had arrived in part, up to 16 MB of an account of 48 MB, and incomplete requests at other ports stayed.

The holders of an account can be asked for bytes now, one after the other. The servers of a process and the listener for messages answer that; an incomplete message gives way, the longest first, and its sender's link dials again. The listener's own bound uses the same function.

Measured (aarch64): the new test of two servers fails without the change (503 for the tiny request) and passes with it.

--- a/core/include/corkward/core/memory_account.h
+++ b/core/include/corkward/core/memory_account.h
@@ -60,6 +60,25 @@
   void removeExceededHandler(void const* owner) {
     std::erase_if(exceededHandlers_, [owner](auto const& entry) { return entry.first == owner; });
   }
+  /// Releases bytes of one holder, as many as asked for or as many as it can.
+  using Reclaimer = std::function<void(std::uint64_t bytes)>;
+  /// Adds a holder that can be asked to release what it holds.
+  /// @param owner identifies the holder
+  void addReclaimer(void const* owner, Reclaimer reclaimer) { reclaimers_.emplace_back(owner, std::move(reclaimer)); }
+  void removeReclaimer(void const* owner) {
+    std::erase_if(reclaimers_, [owner](auto const& entry) { return entry.first == owner; });
+  }
+  /// Asks holders to release bytes, one after the other, until a holding of that size has room. To be called from the
+  /// event loop only, while no holder is at work. Returns whether the holding has room.
+  bool reclaim(std::uint64_t bytes, HoldingSize size) {
+    std::uint64_t const bound = boundOf(size);
+    if (bytes > bound) return false;
+    for (auto const& [owner, reclaimer] : reclaimers_) {
+      if (hasRoomFor(bytes, size)) return true;
+      reclaimer(used_ + bytes - bound);
+    }
+    return hasRoomFor(bytes, size);
+  }
   /// Returns how much less is in use than at the most since the last call that returned at least `least`; 0 if it is
   /// less than that.
   std::uint64_t takeFall(std::uint64_t least) {
@@ -90,6 +109,7 @@
   std::uint64_t peak_ = 0;
   std::uint64_t recentPeak_ = 0;
   std::vector<std::pair<void const*, std::function<void()>>> exceededHandlers_;
+  std::vector<std::pair<void const*, Reclaimer>> reclaimers_;
 };
 
 /// The bytes that one holder has charged to an account. They are released when the charge is destroyed, so that the
--- a/core/test/memory_account_test.cpp
+++ b/core/test/memory_account_test.cpp
@@ -77,3 +77,29 @@
   charge.set(440);
   CHECK(account.takeFall(100) == 110);
 }
+
+TEST_CASE("holders are asked one after the other, until there is room") {
+  core::MemoryAccount account(800);
+  core::MemoryCharge first(account);
+  core::MemoryCharge second(account);
+  first.set(100);
+  second.set(700);
+  std::vector<std::uint64_t> asked;
+  account.addReclaimer(&first, [&](std::uint64_t bytes) {
+    asked.push_back(bytes);
+    first.set(0);
+  });
+  account.addReclaimer(&second, [&](std::uint64_t bytes) {
+    asked.push_back(bytes);
+    second.set(700 - bytes);
+  });
+  CHECK(account.reclaim(50, core::HoldingSize::tiny));
+  CHECK(asked == std::vector<std::uint64_t>{50});
+  CHECK(account.reclaim(50, core::HoldingSize::small));
+  CHECK(asked == std::vector<std::uint64_t>{50, 50, 50});
+  CHECK_FALSE(account.reclaim(801, core::HoldingSize::tiny));
+  account.removeReclaimer(&first);
+  account.removeReclaimer(&second);
+  CHECK_FALSE(account.reclaim(400, core::HoldingSize::tiny));
+  CHECK(asked.size() == 3);
+}
--- a/http/src/memory_arbiter.cpp
+++ b/http/src/memory_arbiter.cpp
@@ -19,9 +19,11 @@
   QObject::connect(&timer_, &QTimer::timeout, context, [this] { onTimer(); });
   QObject::connect(&reliefTimer_, &QTimer::timeout, context, [this] { relieve(); });
   account_.addExceededHandler(this, [this] { onExceeded(); });
+  account_.addReclaimer(this, [this](std::uint64_t bytes) { shedIncomplete(bytes); });
 }
 
 MemoryArbiter::~MemoryArbiter() {
+  account_.removeReclaimer(this);
   account_.removeExceededHandler(this);
 }
 
@@ -43,7 +45,7 @@
   if (account_.hasRoomFor(bytes, size)) return true;
   std::uint64_t const bound = account_.boundOf(size);
   if (bytes <= bound) shedIncomplete(account_.used() + bytes - bound);
-  bool const admitted = account_.hasRoomFor(bytes, size);
+  bool const admitted = account_.reclaim(bytes, size);
   if (!admitted) ++shedCount_;
   return admitted;
 }
@@ -51,6 +53,7 @@
 void MemoryArbiter::relieve() {
   if (!account_.isExceeded()) return;
   shedIncomplete(account_.used() - account_.boundOf(core::HoldingSize::small));
+  account_.reclaim(0, core::HoldingSize::small);
   if (account_.isExceeded() && !timer_.isActive()) timer_.start(0);
 }
 
--- a/http/src/memory_arbiter.h
+++ b/http/src/memory_arbiter.h
@@ -32,9 +32,10 @@
 
   /// Asks for memory for a connection; see ConnectionHost::reserveMemory.
   bool reserve(ServerConnection& connection, MemoryRequest const& wanted);
-  /// Returns whether the account has room for a complete request; sheds incomplete ones for it.
+  /// Returns whether the account has room for a complete request. Incomplete ones are shed for it, those of this server
+  /// first, and what others that share the account can release.
   bool admit(std::uint64_t bytes, core::HoldingSize size);
-  /// Sheds incomplete requests until the account is well below its limit.
+  /// Sheds incomplete requests, and asks others that share the account, until it is well below its limit.
   void relieve();
   std::uint64_t shedCount() const { return shedCount_; }
 
--- a/http/test/server_memory_test.cpp
+++ b/http/test/server_memory_test.cpp
@@ -45,8 +45,10 @@
 
 /// A server that answers each request with the length of its body.
 struct LimitedServer {
-  explicit LimitedServer(http::ServerLimits limits = {.bodyLimitBytes = 4 * megabyte})
-      : server("127.0.0.1:0", limits, events(), nullptr, account) {}
+  explicit LimitedServer(http::ServerLimits limits = {.bodyLimitBytes = 4 * megabyte},
+                         std::shared_ptr<core::MemoryAccount> shared = nullptr)
+      : account(shared ? shared : std::make_shared<core::MemoryAccount>(accountLimit)),
+        server("127.0.0.1:0", limits, events(), nullptr, account) {}
   http::Server::Events events() {
     http::Server::Events out;
     out.request = [this](http::Request const& request) {
@@ -57,7 +59,7 @@
     };
     return out;
   }
-  std::shared_ptr<core::MemoryAccount> account = std::make_shared<core::MemoryAccount>(accountLimit);
+  std::shared_ptr<core::MemoryAccount> account;
   bool answers = true;
   std::vector<std::uint64_t> pending;
   http::Server server;
@@ -271,6 +273,28 @@
   CHECK(waitUntil([&] { return fixture.pending.size() > before; }));
 }
 
+// Guards against callers who are refused since a crowd at another port of the process holds the memory.
+TEST_CASE("a tiny request has room beside incomplete ones at another server with the same account") {
+  ensureApplication();
+  LimitedServer crowded;
+  LimitedServer ordinary({}, crowded.account);
+  std::vector<std::unique_ptr<Caller>> stalled;
+  constexpr std::uint64_t count = 15;
+  for (std::uint64_t i = 0; i < count; ++i) {
+    stalled.push_back(std::make_unique<Caller>(crowded.server));
+    stalled.back()->begin(http::smallBodyBytes, http::smallBodyBytes - 1);
+  }
+  std::uint64_t const least = count * (http::smallBodyBytes + http::connectionBytes);
+  REQUIRE(waitUntil([&] { return crowded.account->used() >= least; }));
+  // Something that cannot be shed leaves room for a connection, but for no request.
+  core::MemoryCharge other(*crowded.account);
+  REQUIRE(crowded.account->used() + 2 * http::connectionBytes < accountLimit);
+  other.set(accountLimit - crowded.account->used() - http::connectionBytes - http::connectionBytes / 2);
+  Caller tiny(ordinary.server);
+  tiny.begin(2, 2);
+  CHECK(tiny.receives("got 2"));
+}
+
 // Guards against a read buffer that grows with each request of a connection that does not wait for its responses.
 TEST_CASE("requests that arrive at once on a connection are not read ahead") {
   ensureApplication();
--- a/transport/src/message_listener.cpp
+++ b/transport/src/message_listener.cpp
@@ -37,6 +37,7 @@
   setListenBacklogSize(listenBacklog);
   if (!listen(QHostAddress(QString::fromStdString(address.host)), address.port)) throwListenError(address);
   setReceiveBuffer(socketDescriptor(), receiveBufferBytes);
+  memory_->addReclaimer(this, [this](std::uint64_t bytes) { closeIncomplete(bytes); });
   QObject::connect(this, &QTcpServer::acceptError, this, [this] { resumeAcceptingLater(); });
   QObject::connect(&sweepTimer_, &QTimer::timeout, this, [this] { closeSilent(IncomingConnection::Clock::now()); });
   sweepTimer_.start(sweepInterval);
@@ -50,6 +51,7 @@
 }
 
 MessageListener::~MessageListener() {
+  memory_->removeReclaimer(this);
   QTcpServer::close();
   for (auto const& [id, connection] : std::exchange(connections_, {})) delete connection;
 }
@@ -96,11 +98,17 @@
 void MessageListener::boundIncomplete() {
   std::uint64_t sum = 0;
   for (auto const& [id, connection] : connections_) sum += connection->incompleteBytes();
-  while (sum > maxIncompleteBytes()) {
+  if (sum > maxIncompleteBytes()) closeIncomplete(sum - maxIncompleteBytes());
+}
+
+void MessageListener::closeIncomplete(std::uint64_t bytes) {
+  std::uint64_t released = 0;
+  while (released < bytes) {
     auto const longest = std::max_element(connections_.begin(), connections_.end(), [](auto const& a, auto const& b) {
       return a.second->incompleteBytes() < b.second->incompleteBytes();
     });
-    sum -= longest->second->incompleteBytes();
+    if (longest == connections_.end() || longest->second->incompleteBytes() == 0) return;
+    released += longest->second->incompleteBytes();
     close(longest->first);
   }
 }
--- a/transport/src/message_listener.h
+++ b/transport/src/message_listener.h
@@ -24,7 +24,8 @@
 /// connections is bounded: beyond the bound, the connection that has been silent for longest is closed. A connection
 /// that sends no complete header, or stops in the middle of a message, is closed as well. Connections, with messages
 /// that have arrived in part, are charged to a memory account: connections take a quarter of it at the most, and
-/// incomplete messages together another quarter, or one message of the largest size.
+/// incomplete messages together another quarter, or one message of the largest size. Incomplete messages give way when
+/// others that share the account ask for memory.
 class MessageListener final : public QTcpServer {
  public:
   /// Identifies a connection among all that the listener has accepted.
@@ -90,6 +91,8 @@
   void closeLongestSilent();
   /// Closes connections with the longest incomplete messages until their sum is within its bound.
   void boundIncomplete();
+  /// Closes connections with the longest incomplete messages until that much memory is released, or none is left.
+  void closeIncomplete(std::uint64_t bytes);
   /// Returns how many connections may exist: the limit, or fewer if the account has no room for their fixed cost.
   std::size_t places() const;
   /// Returns the most that incomplete messages may take together.
--- a/transport/test/link_limits_test.cpp
+++ b/transport/test/link_limits_test.cpp
@@ -309,6 +309,33 @@
   CHECK(listener.connectionCount() == 3);
 }
 
+TEST_CASE("incomplete messages give way when memory is asked for, the longest first") {
+  Application const application;
+  auto const account = std::make_shared<core::MemoryAccount>(64U << 20);
+  transport::MessageListener::Events events;
+  events.message = [](std::uint32_t, std::string_view) {};
+  events.invalidBytes = [] {};
+  transport::MessageListener listener({"127.0.0.1", 0}, 16, events, nullptr, account);
+  std::string const address = "127.0.0.1:" + std::to_string(listener.serverPort());
+  RawSender idle(address);
+  RawSender shorter(address);
+  RawSender longer(address);
+  constexpr std::size_t shortBytes = 1U << 20;
+  constexpr std::size_t longBytes = 4U << 20;
+  idle.write(text(transport::pushHeader) + transport::frameOf("x"));
+  shorter.write(text(transport::pushHeader) +
+                transport::frameOf(std::string(shortBytes + 1, 'x')).substr(0, shortBytes));
+  longer.write(text(transport::pushHeader) + transport::frameOf(std::string(longBytes + 1, 'x')).substr(0, longBytes));
+  REQUIRE(waitUntil([&] { return account->used() >= shortBytes + longBytes; }));
+  account->setLimit(account->used());
+  CHECK(account->reclaim(longBytes, core::HoldingSize::tiny));
+  CHECK(waitUntil([&] { return !longer.isOpen(); }));
+  CHECK(shorter.isOpen());
+  CHECK(account->reclaim(longBytes + shortBytes, core::HoldingSize::tiny));
+  CHECK(waitUntil([&] { return !shorter.isOpen(); }));
+  CHECK(idle.isOpen());
+}
+
 TEST_CASE("connections without a header, in the middle of a message or silent for long are closed") {
   Application const application;
   int received = 0;
