A connection has one request handled in a turn of the event loop

Cause: a connection had all requests handled that were read at once, some 300 of 16 KiB, whenever they are answered at once, as by a pool that is full. With 540 connections a turn took seconds (the stacks of the hanging router show it in parseBuffer, at its 855,370th request), and an ordinary request needs several turns.

One request of a connection is handled each time that it is read, and the next one in a turn of its own; only one such turn is ever due.

--- a/http/src/server_connection.cpp
+++ b/http/src/server_connection.cpp
@@ -149,8 +149,13 @@
 }
 
 void ServerConnection::resumeReading() {
+  if (isToResume_) return;
+  isToResume_ = true;
   QTimer::singleShot(0, context_, [weak = weak_from_this()] {
-    if (auto const connection = weak.lock()) connection->readRequests();
+    auto const connection = weak.lock();
+    if (!connection) return;
+    connection->isToResume_ = false;
+    connection->readRequests();
   });
 }
 
@@ -182,8 +187,11 @@
 
 void ServerConnection::readAvailable() {
   // Further requests that arrived with the last one come first, so that the buffer does not grow by each.
-  if (!parser_.inProgress()) parseBuffer();
-  if (hasRequest() || waitsForMemory_ || state_ != State::open) return;
+  if (!parser_.inProgress() && !buffer_.isEmpty()) {
+    parseBuffer();
+    if (!parser_.inProgress()) return;
+  }
+  if (waitsForMemory_) return;
   QByteArray const received = socket_->readAll();
   movedBytes_ += static_cast<std::uint64_t>(received.size());
   if (buffer_.isEmpty())
@@ -194,30 +202,30 @@
 }
 
 void ServerConnection::parseBuffer() {
-  while (!buffer_.isEmpty() && !hasRequest() && !waitsForMemory_ && state_ == State::open) {
-    if (!parser_.inProgress()) {
-      parser_.begin(host_.limits());
-      unfinishedSince_ = Clock::now();
-      timer_->start(host_.limits().headTimeoutMs);
-    }
-    ParseResult result = parser_.parse(buffer_);
-    if (result.expectsContinue) write(*socket_, continueResponse);
-    if (!parser_.inProgress()) timer_->stop();
-    if (auto const* const error = std::get_if<RequestError>(&result.outcome)) {
-      rejectMalformed(error->status, error->reason);
-      return;
-    }
-    auto* const parsed = std::get_if<ParsedRequest>(&result.outcome);
-    if (parsed == nullptr) {
-      ensureBodyMemory();
-      break;
-    }
-    accept(std::move(*parsed));
-  }
+  if (!buffer_.isEmpty() && !hasRequest() && !waitsForMemory_ && state_ == State::open) parseRequest();
   // Its capacity would stay with an idle connection.
   if (buffer_.isEmpty()) buffer_ = QByteArray();
 }
 
+void ServerConnection::parseRequest() {
+  if (!parser_.inProgress()) {
+    parser_.begin(host_.limits());
+    unfinishedSince_ = Clock::now();
+    timer_->start(host_.limits().headTimeoutMs);
+  }
+  ParseResult result = parser_.parse(buffer_);
+  if (result.expectsContinue) write(*socket_, continueResponse);
+  if (!parser_.inProgress()) timer_->stop();
+  if (auto const* const error = std::get_if<RequestError>(&result.outcome)) {
+    rejectMalformed(error->status, error->reason);
+    return;
+  }
+  if (auto* const parsed = std::get_if<ParsedRequest>(&result.outcome))
+    accept(std::move(*parsed));
+  else
+    ensureBodyMemory();
+}
+
 bool ServerConnection::admit(Request const& request) {
   bool const wasReserved = reservedBytes_ > 0;
   std::uint64_t const bytes = pendingBytesWithoutBody(request) + bodyCost(request.body.capacity());
--- a/http/src/server_connection.h
+++ b/http/src/server_connection.h
@@ -167,8 +167,10 @@
   /// end of the last response.
   void linger();
   void onResponseWritten();
-  /// Parses what was read. Returns when a request is complete, more bytes are needed, or the connection is not open.
+  /// Parses what was read, up to the end of one request, so that other connections have a turn before the next one.
   void parseBuffer();
+  /// Parses the request in progress or the next one.
+  void parseRequest();
   /// Asks for memory for the body in progress if it needs more than is reserved. The connection may have to wait then.
   void ensureBodyMemory();
   /// Returns the length of the body for which memory must be reserved before more of it is read; 0 if there is none.
@@ -204,6 +206,8 @@
   std::uint64_t movedBytes_ = 0;
   Clock::time_point unfinishedSince_;
   bool waitsForMemory_ = false;
+  /// resumeReading() was called, and its iteration of the event loop has not come yet.
+  bool isToResume_ = false;
   State state_ = State::open;
   /// Id of the request whose response is incomplete, or noRequest if there is none.
   std::uint64_t requestId_ = noRequest;
--- a/http/test/server_memory_test.cpp
+++ b/http/test/server_memory_test.cpp
@@ -52,6 +52,7 @@
   http::Server::Events events() {
     http::Server::Events out;
     out.request = [this](http::Request const& request) {
+      ++handled;
       if (answers)
         server.respond(request.id, 200, {}, "got " + std::to_string(request.body.size()));
       else
@@ -61,6 +62,7 @@
   }
   std::shared_ptr<core::MemoryAccount> account;
   bool answers = true;
+  int handled = 0;
   std::vector<std::uint64_t> pending;
   http::Server server;
 };
@@ -309,6 +311,29 @@
   CHECK(fixture.account->peak() < 256U << 10);
 }
 
+// Guards against a turn of the event loop that takes seconds, since each of many connections has all of its requests
+// handled that were read at once.
+TEST_CASE("requests that arrive at once on a connection are handled in separate turns of the event loop") {
+  ensureApplication();
+  LimitedServer fixture;
+  Caller caller(fixture.server);
+  std::string requests;
+  constexpr int count = 1000;
+  for (int i = 0; i < count; ++i) requests += "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab";
+  caller.send(requests);
+  int mostInTurn = 0;
+  QElapsedTimer elapsed;
+  elapsed.start();
+  while (fixture.handled < count && elapsed.elapsed() < 10000) {
+    int const before = fixture.handled;
+    QCoreApplication::processEvents();
+    mostInTurn = std::max(mostInTurn, fixture.handled - before);
+  }
+  CHECK(fixture.handled == count);
+  // One when bytes arrive, and one when the response before it is written.
+  CHECK(mostInTurn <= 3);
+}
+
 TEST_CASE("fewer connections have a place while the account has no room for their fixed cost") {
   ensureApplication();
   LimitedServer fixture;
