A listener for messages accepts 16 connections in a turn of the event loop

Qt goes on accepting for as long as peers go on dialling, since none of the accepted connections counts as pending. A crowd at an internal port that dials again when it is closed could hold a turn of the loop for as long as it liked, while operators and leases waited.

After 16 connections the listener pauses until the next iteration, as the HTTP server does.

--- a/transport/src/message_listener.cpp
+++ b/transport/src/message_listener.cpp
@@ -16,6 +16,8 @@
 namespace {
 
 constexpr int listenBacklog = 512;
+/// Largest number of connections accepted in one iteration of the event loop.
+constexpr int acceptsPerIteration = 16;
 /// Pause after an attempt to accept that failed for lack of descriptors or memory.
 constexpr std::chrono::milliseconds acceptRetryInterval{100};
 /// Part of the memory account that incomplete messages may take, and that the fixed costs of connections may.
@@ -61,7 +63,19 @@
   QTimer::singleShot(acceptRetryInterval, this, [this] { resumeAccepting(); });
 }
 
+void MessageListener::boundAccepts() {
+  if (++acceptsInIteration_ < acceptsPerIteration) return;
+  // Qt goes on accepting until as many connections are pending as it allows, and here none ever is.
+  setMaxPendingConnections(0);
+  QTimer::singleShot(0, this, [this] {
+    acceptsInIteration_ = 0;
+    setMaxPendingConnections(acceptsPerIteration);
+    resumeAccepting();
+  });
+}
+
 void MessageListener::incomingConnection(qintptr descriptor) {
+  boundAccepts();
   if (connections_.size() >= places()) closeLongestSilent();
   ConnectionId const id = ++lastId_;
   auto* const connection = new IncomingConnection(descriptor, id, *this);
--- a/transport/src/message_listener.h
+++ b/transport/src/message_listener.h
@@ -85,6 +85,8 @@
 
   /// Throws the error of a failed listen().
   [[noreturn]] void throwListenError(SocketAddress const& address) const;
+  /// Pauses accepting until the next iteration of the event loop after a number of connections.
+  void boundAccepts();
   /// Reads what has arrived on a connection and delivers its messages.
   void read(IncomingConnection& connection);
   void close(ConnectionId id);
@@ -106,6 +108,7 @@
   Connections connections_;
   ConnectionId lastId_ = 0;
   std::uint64_t failedAccepts_ = 0;
+  int acceptsInIteration_ = 0;
   QTimer sweepTimer_;
 };
 
--- a/transport/test/link_limits_test.cpp
+++ b/transport/test/link_limits_test.cpp
@@ -309,6 +309,36 @@
   CHECK(listener.connectionCount() == 3);
 }
 
+// Guards against a turn of the event loop that takes as long as peers go on dialling.
+TEST_CASE("connections that arrive at once are accepted in several turns of the event loop") {
+  Application const application;
+  transport::MessageListener::Events events;
+  events.message = [](std::uint32_t, std::string_view) {};
+  events.invalidBytes = [] {};
+  transport::MessageListener listener({"127.0.0.1", 0}, 256, events);
+  constexpr std::size_t count = 100;
+  constexpr std::size_t mostInTurn = 20;
+  std::vector<std::unique_ptr<QTcpSocket>> peers;
+  for (std::size_t i = 0; i < count; ++i) {
+    peers.push_back(std::make_unique<QTcpSocket>());
+    peers.back()->connectToHost(QHostAddress(QHostAddress::LocalHost), listener.serverPort());
+    REQUIRE(peers.back()->waitForConnected());
+  }
+  std::size_t turns = 0;
+  std::size_t most = 0;
+  QElapsedTimer elapsed;
+  elapsed.start();
+  while (listener.connectionCount() < count && elapsed.elapsed() < waitLimitMs) {
+    std::size_t const before = listener.connectionCount();
+    QCoreApplication::processEvents();
+    most = std::max(most, listener.connectionCount() - before);
+    ++turns;
+  }
+  CHECK(listener.connectionCount() == count);
+  CHECK(most <= mostInTurn);
+  CHECK(turns >= count / mostInTurn);
+}
+
 TEST_CASE("incomplete messages give way when memory is asked for, the longest first") {
   Application const application;
   auto const account = std::make_shared<core::MemoryAccount>(64U << 20);
