--- a/http/test/server_memory_test.cpp
+++ b/http/test/server_memory_test.cpp
@@ -56,6 +56,13 @@
   return refused;
 }
 
+/// Returns requests that follow each other, with bodies of two bytes.
+std::string smallRequests(int count) {
+  std::string out;
+  for (int i = 0; i < count; ++i) out += "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab";
+  return out;
+}
+
 /// A server that answers each request with the length of its body.
 struct LimitedServer {
   explicit LimitedServer(http::ServerLimits limits = {.bodyLimitBytes = 4 * megabyte},
@@ -304,9 +311,8 @@
   ensureApplication();
   LimitedServer fixture;
   Caller caller(fixture.server);
-  std::string requests;
   constexpr int count = 20000;
-  for (int i = 0; i < count; ++i) requests += "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab";
+  std::string requests = smallRequests(count);
   requests += "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nlast";
   caller.send(requests);
   CHECK(caller.receives("got 4"));
@@ -319,10 +325,8 @@
   ensureApplication();
   LimitedServer fixture;
   Caller caller(fixture.server);
-  std::string requests;
   constexpr int count = 1000;
-  for (int i = 0; i < count; ++i) requests += "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab";
-  caller.send(requests);
+  caller.send(smallRequests(count));
   int mostInTurn = 0;
   QElapsedTimer elapsed;
   elapsed.start();
