A listener without free descriptors pauses and says so, in place of spinning

What callers saw: a process whose descriptors are used up takes a whole core and, with every router filled, answers nobody.

Cause: Qt's socket engine keeps the first error that ever occurred on a socket. Once an empty queue was seen (EAGAIN), EMFILE is taken for one: QTcpServer neither reports it nor pauses, and the listening socket stays ready. Where EMFILE came first, every later empty queue is taken for it, and each connection is followed by a pause of 100 ms. The class: a level-triggered readiness that nobody consumes.

Change: transport::Acceptor accepts by itself and tells a lack of room, a connection that failed and an empty queue apart; the HTTP server and the listener for messages share it, with its bound for a turn of the event loop, which stood in both. accept-failed is a line of the log.

--- a/http/src/server.cpp
+++ b/http/src/server.cpp
@@ -1,14 +1,14 @@
 #include <corkward/http/server.h>
 
 #include <QElapsedTimer>
-#include <QHostAddress>
-#include <QTcpServer>
 #include <QTcpSocket>
-#include <QTimer>
+#include <unistd.h>
 #include <unordered_map>
 #include <utility>
 
+#include <corkward/transport/acceptor.h>
 #include <corkward/transport/kernel_buffers.h>
+#include <corkward/transport/message.h>
 
 #include "memory_arbiter.h"
 #include "memory_cost.h"
@@ -18,11 +18,6 @@
 
 namespace {
 
-constexpr int listenBacklog = 512;
-/// Largest number of connections accepted in one iteration of the event loop.
-constexpr int acceptsPerIteration = 16;
-/// Milliseconds between an accept that failed for lack of file descriptors or memory and the next attempt.
-constexpr int acceptRetryMs = 100;
 /// Connections beyond ServerLimits::maxConnections receive a response up to this multiple of the limit; further ones
 /// are closed without a response.
 constexpr int rejectedConnectionsFactor = 2;
@@ -33,13 +28,6 @@
 constexpr int toleratedRefusals = 8;
 constexpr qint64 refusalPeriodMs = 1000;
 
-/// Throws the error of a failed listen().
-[[noreturn]] void throwListenError(QTcpServer const& listener, std::string const& address) {
-  std::string const text = "cannot listen at " + address + ": " + listener.errorString().toStdString();
-  if (listener.serverError() == QAbstractSocket::AddressInUseError) throw core::ResourceBusyError(text);
-  throw HttpError(text);
-}
-
 }  // namespace
 
 /// Owns the listening sockets, the connections and the pending requests of a server.
@@ -76,7 +64,7 @@
   std::string const& address(std::size_t listener) const { return addresses_.at(listener); }
   std::size_t connectionCount() const { return connections_.size(); }
   std::uint64_t malformedRequests() const { return malformedRequests_; }
-  std::uint64_t failedAccepts() const { return failedAccepts_; }
+  std::uint64_t failedAccepts() const;
   std::uint64_t shedForMemory() const { return arbiter_.shedCount(); }
   std::uint64_t displacedConnections() const { return displacedConnections_; }
   /// Returns the number of connections that satisfy the predicate.
@@ -92,13 +80,9 @@
   /// Returns how many connections may be open: the limit, or fewer if the account has no room for their fixed cost.
   int places() const;
   void listen(std::string const& address);
-  /// Accepts up to acceptsPerIteration pending connections of a listener.
-  void acceptPending(std::size_t listener);
-  /// Resumes accepting after acceptRetryMs. Qt pauses a listening socket after a failed accept.
-  void resumeLater(QTcpServer* listener);
-  void accept(QTcpSocket* socket, std::size_t listener);
-  /// Accepts all pending connections of a listener. Returns false if there were none.
-  bool acceptAllPending(std::size_t listener);
+  /// Takes the descriptor of a connection that a listener has accepted.
+  void onAccepted(qintptr descriptor, std::size_t listener);
+  void addConnection(QTcpSocket* socket, std::size_t listener);
   /// Whether more connections were refused lately than a short burst explains.
   bool refusesMany();
   void countRefusal();
@@ -111,7 +95,7 @@
   QObject* context_;
   std::vector<std::string> addresses_;
   /// Listening sockets in the order of addresses_; owned by context_.
-  std::vector<QTcpServer*> listeners_;
+  std::vector<transport::Acceptor*> listeners_;
   ServerLimits limits_;
   Events events_;
   std::shared_ptr<core::MemoryAccount> memory_;
@@ -122,7 +106,6 @@
   bool draining_ = false;
   std::uint64_t nextRequestId_ = 1;
   std::uint64_t malformedRequests_ = 0;
-  std::uint64_t failedAccepts_ = 0;
   MemoryArbiter::Connections connections_;
   /// Connections with a pending response, by the id of their request.
   std::unordered_map<std::uint64_t, std::shared_ptr<ServerConnection>> byRequest_;
@@ -146,40 +129,40 @@
 
 void Server::Implementation::listen(std::string const& address) {
   std::size_t const index = listeners_.size();
-  auto const [host, port] = parseSocketAddress(address);
-  auto* const listener = new QTcpServer(context_);
-  listeners_.push_back(listener);
-  listener->setListenBacklogSize(listenBacklog);
-  listener->setMaxPendingConnections(acceptsPerIteration);
-  if (!listener->listen(QHostAddress(QString::fromStdString(host)), port)) throwListenError(*listener, address);
-  transport::setReceiveBuffer(listener->socketDescriptor(), idleReceiveBufferBytes);
-  transport::setSendBuffer(listener->socketDescriptor(), sendBufferBytes);
-  addresses_.push_back(host + ":" + std::to_string(listener->serverPort()));
-  QObject::connect(
-      listener, &QTcpServer::newConnection, context_, [this, index] { acceptPending(index); }, Qt::QueuedConnection);
-  QObject::connect(listener, &QTcpServer::acceptError, context_, [this, listener] { resumeLater(listener); });
-}
-
-void Server::Implementation::resumeLater(QTcpServer* listener) {
-  ++failedAccepts_;
-  QTimer::singleShot(acceptRetryMs, listener, [listener] {
-    if (listener->isListening()) listener->resumeAccepting();
-  });
-}
-
-void Server::Implementation::acceptPending(std::size_t listener) {
-  for (int i = 0; i < acceptsPerIteration; ++i) {
-    QTcpSocket* const socket = listeners_[listener]->nextPendingConnection();
-    if (socket == nullptr) return;
-    accept(socket, listener);
+  SocketAddress const at = parseSocketAddress(address);
+  try {
+    listeners_.push_back(new transport::Acceptor(
+        at, [this, index](qintptr descriptor) { onAccepted(descriptor, index); }, context_));
+  } catch (transport::TransportError const& error) {
+    throw HttpError(error.what());
+  }
+  transport::Acceptor const& listener = *listeners_.back();
+  transport::setReceiveBuffer(listener.descriptor(), idleReceiveBufferBytes);
+  transport::setSendBuffer(listener.descriptor(), sendBufferBytes);
+  addresses_.push_back(at.host + ":" + std::to_string(listener.port()));
+}
+
+void Server::Implementation::onAccepted(qintptr descriptor, std::size_t listener) {
+  auto* const socket = new QTcpSocket(context_);
+  if (socket->setSocketDescriptor(descriptor)) {
+    addConnection(socket, listener);
+    return;
   }
+  ::close(static_cast<int>(descriptor));
+  socket->deleteLater();
+}
+
+std::uint64_t Server::Implementation::failedAccepts() const {
+  std::uint64_t failed = 0;
+  for (transport::Acceptor const* const listener : listeners_) failed += listener->failedAccepts();
+  return failed;
 }
 
 int Server::Implementation::places() const {
   return std::min(limits_.maxConnections, static_cast<int>(placesWithin(memory_->limit())));
 }
 
-void Server::Implementation::accept(QTcpSocket* socket, std::size_t listener) {
+void Server::Implementation::addConnection(QTcpSocket* socket, std::size_t listener) {
   int const limit = places();
   int const most = std::min(rejectedConnectionsFactor * limit, static_cast<int>(connectionsWithin(memory_->limit())));
   if (static_cast<int>(connections_.size()) >= most && !abortClosing()) {
@@ -238,22 +221,10 @@
 }
 
 void Server::Implementation::closeListeners() {
-  for (std::size_t listener = 0; listener < listeners_.size(); ++listener) {
-    bool const listening = listeners_[listener]->isListening();
-    while (listening && acceptAllPending(listener)) {
-    }
-    listeners_[listener]->close();
-  }
-}
-
-bool Server::Implementation::acceptAllPending(std::size_t listener) {
-  bool accepted = false;
-  listeners_[listener]->waitForNewConnection(0);
-  while (QTcpSocket* const socket = listeners_[listener]->nextPendingConnection()) {
-    accept(socket, listener);
-    accepted = true;
+  for (transport::Acceptor* const listener : listeners_) {
+    listener->acceptAll();
+    listener->close();
   }
-  return accepted;
 }
 
 std::uint64_t Server::Implementation::addRequest(std::shared_ptr<ServerConnection> const& connection) {
--- a/transport/src/incoming_connection.cpp
+++ b/transport/src/incoming_connection.cpp
@@ -1,6 +1,7 @@
 #include "incoming_connection.h"
 
 #include <QTcpSocket>
+#include <unistd.h>
 
 #include <corkward/transport/kernel_buffers.h>
 
@@ -24,7 +25,9 @@
   socket_->setReadBufferSize(MessageListener::readBufferBytes);
   // Sent before the socket takes the descriptor, which would keep a buffer for writing.
   bool const isSent = sendAtOnce(descriptor, {pullHeader.data(), pullHeader.size()});
-  isOpen_ = socket_->setSocketDescriptor(descriptor) && isSent;
+  bool const isTaken = socket_->setSocketDescriptor(descriptor);
+  if (!isTaken) ::close(static_cast<int>(descriptor));
+  isOpen_ = isTaken && isSent;
   chargeIncomplete();
 }
 
--- a/transport/src/message_listener.cpp
+++ b/transport/src/message_listener.cpp
@@ -1,6 +1,5 @@
 #include "message_listener.h"
 
-#include <QHostAddress>
 #include <QTcpSocket>
 #include <algorithm>
 #include <vector>
@@ -15,11 +14,6 @@
 
 namespace {
 
-constexpr int listenBacklog = 512;
-/// Largest number of connections accepted in one iteration of the event loop.
-constexpr int acceptsPerIteration = 16;
-/// Pause after an attempt to accept that failed for lack of descriptors or memory.
-constexpr std::chrono::milliseconds acceptRetryInterval{100};
 /// Part of the memory account that incomplete messages may take, and that the fixed costs of connections may.
 constexpr std::uint64_t incompleteParts = 4;
 constexpr std::uint64_t connectionParts = 4;
@@ -32,50 +26,24 @@
 
 MessageListener::MessageListener(SocketAddress const& address, std::size_t maxConnections, Events events,
                                  QObject* parent, std::shared_ptr<core::MemoryAccount> memory)
-    : QTcpServer(parent),
+    : QObject(parent),
       maxConnections_(maxConnections),
       events_(std::move(events)),
-      memory_(memory ? std::move(memory) : std::make_shared<core::MemoryAccount>()) {
-  setListenBacklogSize(listenBacklog);
-  if (!listen(QHostAddress(QString::fromStdString(address.host)), address.port)) throwListenError(address);
-  setReceiveBuffer(socketDescriptor(), receiveBufferBytes);
+      memory_(memory ? std::move(memory) : std::make_shared<core::MemoryAccount>()),
+      acceptor_(address, [this](qintptr descriptor) { onAccepted(descriptor); }) {
+  setReceiveBuffer(acceptor_.descriptor(), receiveBufferBytes);
   memory_->addReclaimer(this, [this](std::uint64_t bytes) { closeIncomplete(bytes); });
-  QObject::connect(this, &QTcpServer::acceptError, this, [this] { resumeAcceptingLater(); });
   QObject::connect(&sweepTimer_, &QTimer::timeout, this, [this] { closeSilent(IncomingConnection::Clock::now()); });
   sweepTimer_.start(sweepInterval);
 }
 
-void MessageListener::throwListenError(SocketAddress const& address) const {
-  std::string const text =
-      "cannot listen at " + address.host + ":" + std::to_string(address.port) + ": " + errorString().toStdString();
-  if (serverError() == QAbstractSocket::AddressInUseError) throw core::ResourceBusyError(text);
-  throw TransportError(text);
-}
-
 MessageListener::~MessageListener() {
   memory_->removeReclaimer(this);
-  QTcpServer::close();
+  acceptor_.close();
   for (auto const& [id, connection] : std::exchange(connections_, {})) delete connection;
 }
 
-void MessageListener::resumeAcceptingLater() {
-  ++failedAccepts_;
-  QTimer::singleShot(acceptRetryInterval, this, [this] { resumeAccepting(); });
-}
-
-void MessageListener::boundAccepts() {
-  if (++acceptsInIteration_ < acceptsPerIteration) return;
-  // Qt goes on accepting until as many connections are pending as it allows, and here none ever is.
-  setMaxPendingConnections(0);
-  QTimer::singleShot(0, this, [this] {
-    acceptsInIteration_ = 0;
-    setMaxPendingConnections(acceptsPerIteration);
-    resumeAccepting();
-  });
-}
-
-void MessageListener::incomingConnection(qintptr descriptor) {
-  boundAccepts();
+void MessageListener::onAccepted(qintptr descriptor) {
   if (connections_.size() >= places()) closeLongestSilent();
   ConnectionId const id = ++lastId_;
   auto* const connection = new IncomingConnection(descriptor, id, *this);
--- a/transport/src/message_listener.h
+++ b/transport/src/message_listener.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <QTcpServer>
+#include <QObject>
 #include <QTimer>
 #include <chrono>
 #include <cstddef>
@@ -12,6 +12,7 @@
 #include <string_view>
 
 #include <corkward/core/memory_account.h>
+#include <corkward/transport/acceptor.h>
 #include <corkward/transport/socket_address.h>
 
 class QTcpSocket;
@@ -26,7 +27,7 @@
 /// that have arrived in part, are charged to a memory account: connections take a quarter of it at the most, and
 /// incomplete messages together another quarter, or one message of the largest size. Incomplete messages give way when
 /// others that share the account ask for memory.
-class MessageListener final : public QTcpServer {
+class MessageListener final : public QObject {
  public:
   /// Identifies a connection among all that the listener has accepted.
   using ConnectionId = std::uint32_t;
@@ -71,22 +72,18 @@
   core::MemoryAccount& memory() const { return *memory_; }
   std::size_t connectionCount() const { return connections_.size(); }
   /// Number of attempts to accept a connection that failed, for instance for lack of descriptors.
-  std::uint64_t failedAccepts() const { return failedAccepts_; }
+  std::uint64_t failedAccepts() const { return acceptor_.failedAccepts(); }
+  quint16 serverPort() const { return acceptor_.port(); }
   /// Closes the connections that exceed one of the timeouts.
   /// @param now time at which the timeouts are judged
   void closeSilent(std::chrono::steady_clock::time_point now);
 
- protected:
-  void incomingConnection(qintptr descriptor) override;
-
  private:
   friend class IncomingConnection;
   using Connections = std::map<ConnectionId, IncomingConnection*>;
 
-  /// Throws the error of a failed listen().
-  [[noreturn]] void throwListenError(SocketAddress const& address) const;
-  /// Pauses accepting until the next iteration of the event loop after a number of connections.
-  void boundAccepts();
+  /// Takes the descriptor of a connection that was accepted.
+  void onAccepted(qintptr descriptor);
   /// Reads what has arrived on a connection and delivers its messages.
   void read(IncomingConnection& connection);
   void close(ConnectionId id);
@@ -99,17 +96,14 @@
   std::size_t places() const;
   /// Returns the most that incomplete messages may take together.
   std::uint64_t maxIncompleteBytes() const;
-  /// Goes on accepting after a pause. Qt stops to accept when an attempt fails.
-  void resumeAcceptingLater();
 
   std::size_t maxConnections_;
   Events events_;
   std::shared_ptr<core::MemoryAccount> memory_;
   Connections connections_;
   ConnectionId lastId_ = 0;
-  std::uint64_t failedAccepts_ = 0;
-  int acceptsInIteration_ = 0;
   QTimer sweepTimer_;
+  Acceptor acceptor_;
 };
 
 }  // namespace corkward::transport
--- a/transport/test/link_limits_test.cpp
+++ b/transport/test/link_limits_test.cpp
@@ -6,7 +6,9 @@
 #include <QHostAddress>
 #include <QTcpServer>
 #include <QTcpSocket>
+#include <QTimer>
 #include <algorithm>
+#include <ctime>
 #include <functional>
 #include <memory>
 #include <sys/resource.h>
@@ -419,3 +421,44 @@
   }));
   REQUIRE(::setrlimit(RLIMIT_NOFILE, &limit) == 0);
 }
+
+/// Guards against a listener that tries again and again, without a pause, to accept a connection for which it has no
+/// descriptor, if it has accepted others before.
+TEST_CASE("a listener that has accepted connections does not spin while its descriptors are used up") {
+  Application const application;
+  int received = 0;
+  transport::MessageListener::Events events;
+  events.message = [&](transport::MessageListener::ConnectionId, std::string_view) { ++received; };
+  events.invalidBytes = [] {};
+  transport::MessageListener listener(*transport::socketAddressOf("127.0.0.1:0"), 16, events);
+  QTcpSocket before;
+  before.connectToHost(QHostAddress(QHostAddress::LocalHost), listener.serverPort());
+  before.write(text(transport::pushHeader).c_str(), static_cast<qint64>(transport::pushHeader.size()));
+  REQUIRE(waitUntil([&] { return listener.connectionCount() == 1 && before.bytesAvailable() > 0; }));
+  QTcpSocket waiting;
+  waiting.bind(QHostAddress(QHostAddress::LocalHost), 0);
+  rlimit limit{};
+  REQUIRE(::getrlimit(RLIMIT_NOFILE, &limit) == 0);
+  int const lowestFree = ::dup(STDERR_FILENO);
+  ::close(lowestFree);
+  rlimit const exhausted{static_cast<rlim_t>(lowestFree), limit.rlim_max};
+  REQUIRE(::setrlimit(RLIMIT_NOFILE, &exhausted) == 0);
+  waiting.connectToHost(QHostAddress(QHostAddress::LocalHost), listener.serverPort());
+  waitUntil([&] { return waiting.state() == QAbstractSocket::ConnectedState; });
+  constexpr int exhaustedMs = 500;
+  // Processor time in microseconds of a process that takes half a core for that long.
+  constexpr std::clock_t maxProcessorTime = exhaustedMs * 500;
+  std::clock_t const began = std::clock();
+  bool isOver = false;
+  QTimer::singleShot(exhaustedMs, [&isOver] { isOver = true; });
+  // Sleeps between events, which waitUntil() does not.
+  while (!isOver) QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents);
+  std::clock_t const taken = std::clock() - began;
+  std::uint64_t const failed = listener.failedAccepts();
+  REQUIRE(::setrlimit(RLIMIT_NOFILE, &limit) == 0);
+  CHECK(waiting.state() == QAbstractSocket::ConnectedState);
+  CHECK(taken < maxProcessorTime);
+  CHECK(failed > 0);
+  CHECK(failed <= 10);
+  CHECK(waitUntil([&] { return listener.connectionCount() == 2; }));
+}
