A log that nobody reads no longer stops a process

What callers saw: nothing is served. A fleet whose output goes to a pipe that is full and that nobody reads does not start; a running process stands still, with all its connections, at the first line of its log that does not fit.

Cause: the log is written on the thread of the event loop, and a write to a pipe or a terminal without room waits until someone reads. The class: a full resource that is waited for without a bound.

Change: standard output and error get a mode of their own, in which writes do not wait, where they are pipes or terminals; lines go through a writer that writes only as much as there is room for. A line that does not fit is dropped and counted, as on a full disk, and the count is kept until it could be written.

--- a/core/src/log.cpp
+++ b/core/src/log.cpp
@@ -2,6 +2,7 @@
 
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/fileappender.h>
+#include <log4cxx/helpers/loglog.h>
 #include <log4cxx/level.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/logmanager.h>
@@ -13,6 +14,7 @@
 #include <string_view>
 
 #include "events.h"
+#include "log_writer.h"
 
 namespace corkward::core {
 
@@ -26,6 +28,12 @@
   return it;
 }
 
+log4cxx::AppenderPtr standardErrorAppender(log4cxx::LayoutPtr const& layout) {
+  auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
+  appender->setWriter(std::make_shared<StandardErrorWriter>());
+  return appender;
+}
+
 std::string quoted(std::string const& text) {
   bool plain = !text.empty();
   for (char const c : text) plain = plain && c > ' ' && c != '"' && c != '=' && c != 0x7f;
@@ -51,18 +59,29 @@
   LOG4CXX_LOG(logger(), level, line);
 }
 
-/// Writes the event. A line that cannot be written, as on a full disk, is dropped and counted, since a process must not
-/// fail for its log.
+/// Writes the number of lines that were dropped, if there are any.
+void reportDropped() {
+  std::uint64_t const dropped = droppedLines;
+  if (dropped == 0) return;
+  append(log4cxx::Level::getWarn(), lineOf(LogEvent{events::logLinesDropped, {{"count", std::to_string(dropped)}}}));
+  droppedLines -= dropped;
+}
+
+/// Writes the event. A line that cannot be written, as on a full disk or to a full pipe, is dropped and counted, since
+/// a process must not fail for its log.
 void write(log4cxx::LevelPtr const& level, LogEvent const& logEvent) {
   if (!logger()->isEnabledFor(level)) return;
   try {
     append(level, lineOf(logEvent));
-    std::uint64_t const dropped = droppedLines.exchange(0);
-    if (dropped > 0)
-      append(log4cxx::Level::getWarn(),
-             lineOf(LogEvent{events::logLinesDropped, {{"count", std::to_string(dropped)}}}));
   } catch (std::exception const&) {
     ++droppedLines;
+    return;
+  }
+  try {
+    reportDropped();
+  } catch (std::exception const&) {
+    // Reported after a later line.
+    return;
   }
 }
 
@@ -91,13 +110,12 @@
 }
 
 void startLog(std::string const& node, std::string const& file, LogLevel level) {
+  // The library would write its own errors to standard error, and wait for room there.
+  log4cxx::helpers::LogLog::setQuietMode(true);
   log4cxx::LayoutPtr const layout(
       new log4cxx::PatternLayout("time=%d{yyyy-MM-ddTHH:mm:ss.SSSZ} level=%p node=" + node + " %m%n"));
-  log4cxx::AppenderPtr appender;
-  if (file.empty())
-    appender = log4cxx::AppenderPtr(new log4cxx::ConsoleAppender(layout, log4cxx::ConsoleAppender::getSystemErr()));
-  else
-    appender = log4cxx::AppenderPtr(new log4cxx::FileAppender(layout, file, true));
+  log4cxx::AppenderPtr const appender =
+      file.empty() ? standardErrorAppender(layout) : std::make_shared<log4cxx::FileAppender>(layout, file, true);
   logger()->removeAllAppenders();
   logger()->setAdditivity(false);
   logger()->addAppender(appender);
--- a/programs/common/process.h
+++ b/programs/common/process.h
@@ -4,6 +4,7 @@
 #include <optional>
 
 #include <corkward/core/log.h>
+#include <corkward/core/standard_streams.h>
 #include <corkward/transport/message.h>
 
 #include "process_memory.h"
@@ -33,6 +34,7 @@
 template <class Daemon>
 int runDaemon(char const* program, Role role, int argc, char** argv) {
   holdSignals();
+  core::makeStandardStreamsNonBlocking();
   returnFreedBuffers();
   selectQtEventLoop();
   DaemonApplication application(argc, argv);
