Descriptors: the limit in force is raised, asked of the system, and keeps a reserve

What callers saw: a process whose soft limit is below what its settings state runs out of descriptors with a third of its places taken.

Cause: the HTTP server's places followed limits.fileLimit, the links followed getrlimit once, at the start, and nothing brought the two together or raised the soft limit, which needs no privilege. The class: a limit believed from a file and not asked of the system.

Places of clients and of peers are derived from what is in force whenever a connection comes, so that a limit that is lowered later counts too. Listeners leave the last descriptors to the disk, the settings and the connections to replicas: a connection whose descriptor is one of them takes the place of one that is closing, silent or unfinished, or is closed.

--- a/http/src/server.cpp
+++ b/http/src/server.cpp
@@ -6,6 +6,8 @@
 #include <unordered_map>
 #include <utility>
 
+#include <corkward/core/descriptor_limit.h>
+#include <corkward/http/descriptor_places.h>
 #include <corkward/transport/acceptor.h>
 #include <corkward/transport/kernel_buffers.h>
 #include <corkward/transport/message.h>
@@ -77,7 +79,8 @@
   }
 
  private:
-  /// Returns how many connections may be open: the limit, or fewer if the account has no room for their fixed cost.
+  /// Returns how many connections may be open: the limit, or fewer if the account has no room for their fixed cost or
+  /// the process has too few descriptors.
   int places() const;
   void listen(std::string const& address);
   /// Takes the descriptor of a connection that a listener has accepted.
@@ -159,13 +162,18 @@
 }
 
 int Server::Implementation::places() const {
-  return std::min(limits_.maxConnections, static_cast<int>(placesWithin(memory_->limit())));
+  int const withinMemory = std::min(limits_.maxConnections, static_cast<int>(placesWithin(memory_->limit())));
+  return std::min(withinMemory, clientPlaces(core::descriptorLimits().inForce, withinMemory));
 }
 
 void Server::Implementation::addConnection(QTcpSocket* socket, std::size_t listener) {
   int const limit = places();
   int const most = std::min(rejectedConnectionsFactor * limit, static_cast<int>(connectionsWithin(memory_->limit())));
-  if (static_cast<int>(connections_.size()) >= most && !abortClosing()) {
+  bool const isShort = core::isInDescriptorReserve(socket->socketDescriptor());
+  bool const isFull = isShort || static_cast<int>(connections_.size()) >= most;
+  if (isFull && !abortClosing()) {
+    // The next connection gets the place of one that is closing.
+    if (isShort) displaceUnfinished();
     socket->abort();
     socket->deleteLater();
     return;
--- a/http/test/descriptors_test.cpp
+++ b/http/test/descriptors_test.cpp
@@ -10,11 +10,15 @@
 #include <unistd.h>
 #include <vector>
 
+#include <corkward/core/descriptor_limit.h>
+#include <corkward/core/file_descriptor.h>
+#include <corkward/http/descriptor_places.h>
 #include <corkward/http/server.h>
 
 #include "event_loop.h"
 
 namespace http = corkward::http;
+using corkward::core::FileDescriptor;
 using corkward::http::test::ensureApplication;
 using corkward::http::test::waitUntil;
 
@@ -155,3 +159,43 @@
   }
   CHECK(server.failedAccepts() == failedAccepts);
 }
+
+/// Guards against clients that leave no descriptor to the process's disk, settings and connections to replicas.
+TEST_CASE("a server leaves the last descriptors to the rest of its process", "[descriptors]") {
+  ensureApplication();
+  http::Server::Events events;
+  events.request = [](http::Request const&) {};
+  http::Server server("127.0.0.1:0", http::ServerLimits{}, events);
+  std::vector<std::unique_ptr<PreopenedClient>> clients;
+  constexpr int connections = 40;
+  for (int i = 0; i < connections; ++i) clients.push_back(std::make_unique<PreopenedClient>());
+  rlimit previous{};
+  REQUIRE(::getrlimit(RLIMIT_NOFILE, &previous) == 0);
+  constexpr rlim_t limit = 600;
+  rlimit const low{limit, previous.rlim_max};
+  REQUIRE(::setrlimit(RLIMIT_NOFILE, &low) == 0);
+  std::uint64_t const reserve = corkward::core::descriptorReserve(limit);
+  // The rest of the process holds all descriptors but the reserve and ten.
+  std::vector<FileDescriptor> held;
+  while (held.empty() || held.back().get() < static_cast<int>(limit - reserve) - 10)
+    held.emplace_back(::dup(STDERR_FILENO));
+  for (std::unique_ptr<PreopenedClient> const& client : clients) client->sendRequest(server.address());
+  QDeadlineTimer const deadline(exhaustedMs);
+  waitUntil([&] { return deadline.hasExpired(); });
+  std::vector<FileDescriptor> free;
+  for (FileDescriptor next(::dup(STDERR_FILENO)); next.isOpen(); next = FileDescriptor(::dup(STDERR_FILENO)))
+    free.push_back(std::move(next));
+  REQUIRE(::setrlimit(RLIMIT_NOFILE, &previous) == 0);
+  CHECK(free.size() >= reserve);
+  CHECK(server.connectionCount() > 0);
+  CHECK(server.failedAccepts() == 0);
+}
+
+/// Guards against places that are derived from a limit that is not in force.
+TEST_CASE("a server has as many places as the limit of descriptors in force allows", "[descriptors]") {
+  CHECK(http::clientPlaces(4100, 4096) == 1300);
+  CHECK(http::clientPlaces(1024, 1300) == 274);
+  CHECK(http::clientPlaces(256, 1300) == 18);
+  CHECK(http::clientPlaces(64, 1300) == 16);
+  CHECK(http::clientPlaces(1000000, 4096) == 4096);
+}
--- a/programs/common/events.h
+++ b/programs/common/events.h
@@ -32,6 +32,10 @@
 /// The address for the process's own metrics could not be bound. Field: `error`.
 inline constexpr core::EventName metricsUnavailable{"metrics-unavailable"};
 
+/// The limit of open descriptors was set. Fields: `stated` by the settings, 0 if they state none; `before`; `in-force`;
+/// `highest`, the hard limit. A warning if less is in force than stated.
+inline constexpr core::EventName descriptorLimit{"descriptor-limit"};
+
 /// More than half of the memory for clients, operators and peers is in use. Fields: `used`, `limit`, in bytes.
 inline constexpr core::EventName memoryBusy{"memory-busy"};
 
--- a/programs/common/process.h
+++ b/programs/common/process.h
@@ -7,6 +7,7 @@
 #include <corkward/core/standard_streams.h>
 #include <corkward/transport/message.h>
 
+#include "process_descriptors.h"
 #include "process_memory.h"
 #include "settings.h"
 #include "signals.h"
@@ -42,6 +43,7 @@
     std::optional<Settings> const settings = readSettings(argc, argv, role);
     if (!settings) return static_cast<int>(DaemonExit::ok);
     core::startLog(settings->link, settings->logFile, settings->logLevel);
+    setProcessDescriptors(0);
     return runNode<Daemon>(application, settings->drainLimitMs, *settings);
   } catch (...) {
     return reportError(program);
--- /dev/null
+++ b/programs/common/process_descriptors.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace corkward::programs {
+
+/// Sets the limit of open descriptors to what the settings state, or else as high as the system allows, and logs what
+/// is in force. Everything in the process that depends on the limit asks the system for it.
+/// @param stated number of descriptors that the settings state; 0 if they state none
+void setProcessDescriptors(std::uint64_t stated);
+
+/// Returns the limit in the Prometheus text format.
+std::string descriptorMetrics();
+
+}  // namespace corkward::programs
--- a/transport/include/corkward/transport/link.h
+++ b/transport/include/corkward/transport/link.h
@@ -82,8 +82,6 @@
   std::function<void(Envelope)> onMessage_;
   /// Random number that identifies this run of the process.
   std::uint64_t run_ = 0;
-  /// Connections that may exist at the same time in each direction.
-  std::size_t maxConnections_;
   Connections connections_;
   Clock::time_point lastIdleSweep_;
   std::uint64_t redials_ = 0;
--- a/transport/src/link.cpp
+++ b/transport/src/link.cpp
@@ -4,9 +4,9 @@
 #include <algorithm>
 #include <exception>
 #include <optional>
-#include <sys/resource.h>
 #include <utility>
 
+#include "connection_limit.h"
 #include "frame.h"
 #include "message_listener.h"
 #include "outgoing_connection.h"
@@ -17,24 +17,11 @@
 
 /// Time between searches for idle connections.
 constexpr std::chrono::seconds idleSweepInterval{5};
-/// Most connections in each direction, and the fewest that a process with few file descriptors may have.
-constexpr std::size_t maxConnections = 4096;
-constexpr std::size_t minConnections = 16;
-/// Share of the file descriptors that the connections of each direction may take.
-constexpr std::size_t descriptorShare = 4;
-
 core::Milliseconds clockNow() {
   std::chrono::steady_clock::duration const since = std::chrono::steady_clock::now().time_since_epoch();
   return std::chrono::duration_cast<std::chrono::milliseconds>(since).count();
 }
 
-/// Returns the number of connections in each direction that leaves descriptors for the rest of the process.
-std::size_t connectionLimit() {
-  rlimit descriptors{};
-  if (::getrlimit(RLIMIT_NOFILE, &descriptors) != 0) return minConnections;
-  return std::clamp<std::size_t>(descriptors.rlim_cur / descriptorShare, minConnections, maxConnections);
-}
-
 SocketAddress addressOf(std::string const& text) {
   std::optional<SocketAddress> address = socketAddressOf(text);
   if (!address) throw TransportError("not an ip:port address: " + text);
@@ -48,14 +35,13 @@
     : address_(name),
       onMessage_(std::move(onMessage)),
       run_(QRandomGenerator::system()->generate()),
-      maxConnections_(connectionLimit()),
       lastIdleSweep_(Clock::now()) {
   MessageListener::Events events;
   events.message = [this](std::uint32_t pipe, std::string_view bytes) { onFrame(pipe, bytes); };
   events.invalidBytes = [this] { ++malformedFrames_; };
   SocketAddress const address = addressOf(listen.empty() ? name : listen);
   listener_ =
-      std::make_unique<MessageListener>(address, maxConnections_, std::move(events), nullptr, std::move(memory));
+      std::make_unique<MessageListener>(address, mostConnections, std::move(events), nullptr, std::move(memory));
   if (listen.empty()) address_ = address.host + ":" + std::to_string(listener_->serverPort());
 }
 
@@ -82,7 +68,7 @@
   if (found != connections_.end()) return found;
   std::optional<SocketAddress> const address = socketAddressOf(to);
   if (!address) return connections_.end();
-  if (connections_.size() >= maxConnections_) closeLeastRecentlyUsed();
+  if (connections_.size() >= connectionsWithinDescriptors()) closeLeastRecentlyUsed();
   Connection connection;
   connection.socket = std::make_unique<OutgoingConnection>(*address);
   connection.health.dialled(clockNow());
--- a/transport/src/message_listener.cpp
+++ b/transport/src/message_listener.cpp
@@ -5,9 +5,11 @@
 #include <vector>
 #include <utility>
 
+#include <corkward/core/descriptor_limit.h>
 #include <corkward/transport/kernel_buffers.h>
 #include <corkward/transport/message.h>
 
+#include "connection_limit.h"
 #include "incoming_connection.h"
 
 namespace corkward::transport {
@@ -44,7 +46,7 @@
 }
 
 void MessageListener::onAccepted(qintptr descriptor) {
-  if (connections_.size() >= places()) closeLongestSilent();
+  if (connections_.size() >= places() || core::isInDescriptorReserve(descriptor)) closeLongestSilent();
   ConnectionId const id = ++lastId_;
   auto* const connection = new IncomingConnection(descriptor, id, *this);
   connections_[id] = connection;
@@ -70,7 +72,8 @@
 
 std::size_t MessageListener::places() const {
   std::uint64_t const bearable = std::max(memory_->limit() / connectionParts / connectionBytes, minPlaces);
-  return static_cast<std::size_t>(std::min<std::uint64_t>(maxConnections_, bearable));
+  std::uint64_t const withinMemory = std::min<std::uint64_t>(maxConnections_, bearable);
+  return std::min(static_cast<std::size_t>(withinMemory), connectionsWithinDescriptors());
 }
 
 std::uint64_t MessageListener::maxIncompleteBytes() const {
--- a/transport/src/message_listener.h
+++ b/transport/src/message_listener.h
@@ -92,7 +92,8 @@
   void boundIncomplete();
   /// Closes connections with the longest incomplete messages until that much memory is released, or none is left.
   void closeIncomplete(std::uint64_t bytes);
-  /// Returns how many connections may exist: the limit, or fewer if the account has no room for their fixed cost.
+  /// Returns how many connections may exist: the limit, or fewer if the account has no room for their fixed cost or the
+  /// process has too few descriptors.
   std::size_t places() const;
   /// Returns the most that incomplete messages may take together.
   std::uint64_t maxIncompleteBytes() const;
