The account of memory is sized by what the system allows, not only by the settings

What callers saw: a controller whose address space is limited to the memory that its settings state starts anew within itself again and again under a crowd (std::bad_alloc), and after five times in a minute ends by itself; meanwhile it serves nothing.

Cause: half of limits.memoryMb was taken for the account whatever the system allowed, and libraries, thread stacks and 64 MB for the second arena of the allocator count towards the address space without being resident: 134 MB of a controller at rest. The class: a limit believed from a file and not asked of the system.

Change: the memory of a process is the least of what is stated, the control group's limit, and what the address space and the data segment leave for resident memory (memory-limit); one arena for all threads.

--- a/programs/common/events.h
+++ b/programs/common/events.h
@@ -36,6 +36,10 @@
 /// `highest`, the hard limit. A warning if less is in force than stated.
 inline constexpr core::EventName descriptorLimit{"descriptor-limit"};
 
+/// The memory of the process was determined. Fields, in bytes: `stated` by the settings or by default; `in-force`, less
+/// where the system allows less; `account`. A warning if less is in force than the settings state.
+inline constexpr core::EventName memoryLimit{"memory-limit"};
+
 /// More than half of the memory for clients, operators and peers is in use. Fields: `used`, `limit`, in bytes.
 inline constexpr core::EventName memoryBusy{"memory-busy"};
 
--- a/programs/common/process_memory.cpp
+++ b/programs/common/process_memory.cpp
@@ -7,12 +7,15 @@
 
 #include "clock.h"
 #include "events.h"
+#include "memory_limit.h"
 #include "metrics_text.h"
 
 namespace corkward::programs {
 
 namespace {
 
+/// Memory for which an account is sized where the operating system allows even less.
+constexpr std::uint64_t leastProcessBytes = 32ULL << 20;
 /// Part of a process's memory that the account may use.
 constexpr std::uint64_t accountParts = 2;
 /// Memory of a process that is not the account's: what it takes at rest, freed memory that the allocator has not
@@ -39,14 +42,30 @@
   return std::max(std::min(bytes / accountParts, rest), bytes / minAccountParts);
 }
 
+std::uint64_t accountLimitInForce(std::uint64_t statedBytes) {
+  std::uint64_t const stated = statedBytes == 0 ? defaultProcessBytes : statedBytes;
+  std::uint64_t const inForce = memoryWithin(stated, memoryLimits(), memoryUse());
+  std::uint64_t const limit = accountLimit(std::max(inForce, leastProcessBytes));
+  core::LogEvent const event{
+      events::memoryLimit,
+      {{"stated", std::to_string(stated)}, {"in-force", std::to_string(inForce)}, {"account", std::to_string(limit)}}};
+  if (inForce < stated && statedBytes > 0)
+    core::writeWarning(event);
+  else
+    core::writeLog(event);
+  return limit;
+}
+
 std::shared_ptr<core::MemoryAccount> makeMemoryAccount(std::uint64_t processBytes) {
-  return std::make_shared<core::MemoryAccount>(accountLimit(processBytes));
+  return std::make_shared<core::MemoryAccount>(accountLimitInForce(processBytes));
 }
 
 void returnFreedBuffers() {
   // No other thread runs yet.
   ::mallopt(M_MMAP_THRESHOLD, mappedBufferBytes);  // NOLINT(concurrency-mt-unsafe)
   ::mallopt(M_TRIM_THRESHOLD, mappedBufferBytes);  // NOLINT(concurrency-mt-unsafe)
+  // Each further arena would reserve 64 MB of address space, and keep freed memory of its own.
+  ::mallopt(M_ARENA_MAX, 1);  // NOLINT(concurrency-mt-unsafe)
 }
 
 void MemoryMonitor::onTimer() {
--- a/programs/common/process_memory.h
+++ b/programs/common/process_memory.h
@@ -17,7 +17,12 @@
 /// @param processBytes memory of the process; 0 for defaultProcessBytes
 std::uint64_t accountLimit(std::uint64_t processBytes);
 
-/// Returns a new account for a process with that memory.
+/// Returns accountLimit() of the memory that the process may take: what is stated, or less where the operating system
+/// allows less. Logs both.
+/// @param statedBytes memory that the settings state; 0 for defaultProcessBytes
+std::uint64_t accountLimitInForce(std::uint64_t statedBytes);
+
+/// Returns a new account for a process with that memory, as far as the operating system allows it.
 std::shared_ptr<core::MemoryAccount> makeMemoryAccount(std::uint64_t processBytes);
 
 /// Makes the allocator return long buffers to the operating system as soon as they are freed. Called once at the start.
--- a/programs/router/router_daemon.h
+++ b/programs/router/router_daemon.h
@@ -79,7 +79,7 @@
   /// Replaces the tuning parameters and the seeds.
   void retune(dataplane::RouterTuning const& tuning, std::vector<std::string> const& seeds);
   /// Replaces the memory that the process may take, in bytes; 0 for a default.
-  void setProcessMemory(std::uint64_t bytes) { memory_->setLimit(accountLimit(bytes)); }
+  void setProcessMemory(std::uint64_t bytes) { memory_->setLimit(accountLimitInForce(bytes)); }
   /// Returns the figures of the memory that is held for callers and peers, in the Prometheus text format.
   std::string memoryMetrics() const;
   /// Starts a graceful shutdown, as SIGTERM does.
