A start for which the system has no thread waits, in place of ending

What callers saw: a controller ends at its start with code 1, "Resource temporarily unavailable".

Cause: the thread for the disk could not be created at that moment, and the error ended the start, unlike that of an address or a directory which another process holds. The class: a full resource that is fatal.

Change: WorkerPool reports it as a busy resource, for which a start waits with its bound; threads that were created before are joined. WorkerPool moves from core.cpp to a module of its own.

--- a/core/include/corkward/core/workers.h
+++ b/core/include/corkward/core/workers.h
@@ -13,6 +13,7 @@
 /// No job runs and no other lock is acquired while it is held.
 class WorkerPool {
  public:
+  /// Throws ResourceBusyError if the system creates no further thread at this moment.
   /// @param count number of threads
   explicit WorkerPool(unsigned count);
   /// Runs the queued jobs and waits for them.
@@ -26,6 +27,8 @@
 
  private:
   void runJobs();
+  /// Lets the threads run the queued jobs, and waits for them.
+  void stop();
   std::mutex mutex_;
   std::condition_variable changed_;
   std::deque<std::function<void()>> jobs_;
--- a/core/src/core.cpp
+++ b/core/src/core.cpp
@@ -1,7 +1,6 @@
 #include <corkward/core/error.h>
 #include <corkward/core/journal.h>
 #include <corkward/core/types.h>
-#include <corkward/core/workers.h>
 
 namespace corkward::core {
 
@@ -61,39 +60,4 @@
   if (entries_.size() > maxEntries_) entries_.pop_front();
 }
 
-WorkerPool::WorkerPool(unsigned count) {
-  for (unsigned i = 0; i < count; ++i) threads_.emplace_back([this] { runJobs(); });
-}
-
-WorkerPool::~WorkerPool() {
-  {
-    std::lock_guard<std::mutex> const lock(mutex_);
-    stopping_ = true;
-  }
-  changed_.notify_all();
-  for (std::thread& t : threads_) t.join();
-}
-
-void WorkerPool::run(std::function<void()> job) {
-  {
-    std::lock_guard<std::mutex> const lock(mutex_);
-    jobs_.push_back(std::move(job));
-  }
-  changed_.notify_one();
-}
-
-void WorkerPool::runJobs() {
-  for (;;) {
-    std::function<void()> job;
-    {
-      std::unique_lock<std::mutex> lock(mutex_);
-      changed_.wait(lock, [this] { return stopping_ || !jobs_.empty(); });
-      if (jobs_.empty()) return;
-      job = std::move(jobs_.front());
-      jobs_.pop_front();
-    }
-    job();
-  }
-}
-
 }  // namespace corkward::core
