--- a/core/src/log.cpp
+++ b/core/src/log.cpp
@@ -14,7 +14,7 @@
 #include <string_view>
 
 #include "events.h"
-#include "log_writer.h"
+#include "standard_error_writer.h"
 
 namespace corkward::core {
 
--- a/core/src/log_writer.cpp
+++ b/core/src/standard_error_writer.cpp
@@ -1,4 +1,4 @@
-#include "log_writer.h"
+#include "standard_error_writer.h"
 
 #include <log4cxx/helpers/exception.h>
 #include <log4cxx/helpers/transcoder.h>
--- a/http/test/descriptors_test.cpp
+++ b/http/test/descriptors_test.cpp
@@ -66,6 +66,17 @@
   return (threadSeconds() - before) * millisPerSecond / exhaustedMs;
 }
 
+/// A server that answers every request.
+struct AnsweringServer {
+  http::Server::Events events() {
+    ensureApplication();
+    http::Server::Events events;
+    events.request = [this](http::Request const& request) { server.respond(request.id, 200, {}, "ok"); };
+    return events;
+  }
+  http::Server server{"127.0.0.1:0", http::ServerLimits{}, events()};
+};
+
 /// A client whose socket is opened before the descriptors are exhausted, and connected by sendRequest().
 struct PreopenedClient {
   PreopenedClient() : socket(new QTcpSocket()) { socket->bind(QHostAddress(QHostAddress::LocalHost), 0); }
@@ -89,12 +100,8 @@
 
 TEST_CASE("a server that ran out of file descriptors accepts connections again when descriptors are available",
           "[descriptors]") {
-  ensureApplication();
-  http::Server* serverPointer = nullptr;
-  http::Server::Events events;
-  events.request = [&](http::Request const& r) { serverPointer->respond(r.id, 200, {}, "ok"); };
-  http::Server server("127.0.0.1:0", http::ServerLimits{}, events);
-  serverPointer = &server;
+  AnsweringServer answering;
+  http::Server& server = answering.server;
   PreopenedClient first;
   PreopenedClient second;
   {
@@ -113,12 +120,8 @@
 /// Guards against a server that tries again and again, without a pause, to accept a connection for which it has no
 /// descriptor, if it has accepted others before.
 TEST_CASE("a server that has accepted connections does not spin while its descriptors are used up", "[descriptors]") {
-  ensureApplication();
-  http::Server* serverPointer = nullptr;
-  http::Server::Events events;
-  events.request = [&](http::Request const& r) { serverPointer->respond(r.id, 200, {}, "ok"); };
-  http::Server server("127.0.0.1:0", http::ServerLimits{}, events);
-  serverPointer = &server;
+  AnsweringServer answering;
+  http::Server& server = answering.server;
   PreopenedClient before;
   before.sendRequest(server.address());
   REQUIRE(before.receivesResponse());
@@ -136,12 +139,8 @@
 
 /// Guards against a server that pauses after every connection, once an attempt to accept has failed.
 TEST_CASE("a server accepts without pauses after its descriptors were used up", "[descriptors]") {
-  ensureApplication();
-  http::Server* serverPointer = nullptr;
-  http::Server::Events events;
-  events.request = [&](http::Request const& r) { serverPointer->respond(r.id, 200, {}, "ok"); };
-  http::Server server("127.0.0.1:0", http::ServerLimits{}, events);
-  serverPointer = &server;
+  AnsweringServer answering;
+  http::Server& server = answering.server;
   PreopenedClient first;
   {
     DescriptorExhaustion const exhaustion;
