Listeners that close accept what is pending, and no more than the queue holds

Cause: by reading. A server that closes its listeners accepted until none was pending, which clients that go on connecting could put off; and since the listeners accept by themselves, a connection that had ended in the queue ended the loop early, so that those behind it were reset.

Change: as many attempts as the queue has places, and one that failed for its connection is passed over.

Measured: http_test 81 and transport_test 41 cases, hosted_listeners and hosted_doors pass.

--- a/transport/include/corkward/transport/acceptor.h
+++ b/transport/include/corkward/transport/acceptor.h
@@ -52,7 +52,7 @@
   quint16 port() const { return server_.serverPort(); }
   /// Returns the listening socket; -1 after close().
   qintptr descriptor() const { return server_.socketDescriptor(); }
-  /// Accepts all pending connections, as far as there is room for them.
+  /// Accepts the connections that are pending now, as far as there is room for them. To be called before close().
   void acceptAll();
   /// Stops listening. Connections that are pending are reset.
   void close();
--- a/transport/src/acceptor.cpp
+++ b/transport/src/acceptor.cpp
@@ -93,8 +93,11 @@
 }
 
 void Acceptor::acceptAll() {
-  AcceptOutcome outcome = AcceptOutcome::accepted;
-  while (server_.isListening() && outcome == AcceptOutcome::accepted) outcome = acceptOne();
+  // No more than the queue holds, since clients may go on connecting.
+  for (int i = 0; i <= listenBacklog && server_.isListening(); ++i) {
+    AcceptOutcome const outcome = acceptOne();
+    if (outcome == AcceptOutcome::nonePending || outcome == AcceptOutcome::noRoom) return;
+  }
 }
 
 void Acceptor::pause() {
