A replica's framing is bounded: heads, interim responses, sizes, trailers

Callers saw routers run out of memory or stand still after a faulty replica had sent bytes without end; their requests ended with the process. Safe requests to a pool with one such replica waited until their deadline.

Cause: Beast's header limit holds for the head only. While the parser says that it needs more bytes, UpstreamConnection appended what was read, so that a chunk's size line, its extension and the trailers were held without a bound, outside the account, and parsed from their begin each time. Interim responses were skipped without end, each beginning a new limit. Short header lines took twenty times their length once parsed.

Now the parser gives up at 16 KiB each (head, all interim responses together, size line with extension, trailers) and at 256 fields, as proxies of this field limit heads. Such a response is incomplete, so that the router retries what may be repeated and trusts the replica less. What is read after release() counts with its framing. Parsed fields are dropped once the head was handed over.

--- a/http/include/corkward/http/upstream_connection.h
+++ b/http/include/corkward/http/upstream_connection.h
@@ -37,7 +37,7 @@
 /// A connection to a replica that carries one request of its owner. Before the owner calls send() no byte of the
 /// request is written, and the connection never sends a request a second time on its own; so the owner always knows
 /// whether the replica may have received the request. Events are delivered from the event loop, never from within a
-/// member function.
+/// member function. What a replica may send beside a body is bounded; see ResponseParser::maxFramingBytes.
 class UpstreamConnection : public QObject {
  public:
   struct Events {
@@ -109,6 +109,8 @@
   void writeBodySlice();
   void failConnect();
   void readResponse();
+  /// Reads further bytes of the response into the buffer. Returns false if there are none.
+  bool readMore();
   /// Handles a complete response head. Returns false if the response must not be read further.
   bool onHead();
   /// Delivers bytes of the body to the owner, or discards them after release(). Clears the given text.
--- a/http/include/corkward/http/upstream_pool.h
+++ b/http/include/corkward/http/upstream_pool.h
@@ -54,6 +54,8 @@
   std::uint64_t openedCount() const { return openedCount_; }
   /// Number of requests that reused an idle connection.
   std::uint64_t reusedCount() const { return reusedCount_; }
+  /// Number of responses that were given up because their head, interim responses or framing were too long.
+  std::uint64_t framingTooLongCount() const { return framingTooLongCount_; }
 
  private:
   friend class UpstreamConnection;
@@ -67,6 +69,7 @@
   };
   void countOpened() { ++openedCount_; }
   void countReused() { ++reusedCount_; }
+  void countFramingTooLong() { ++framingTooLongCount_; }
   /// Adds a connection that has become idle.
   void put(std::string const& address, QTcpSocket* socket, core::Milliseconds keepAliveTimeout);
   /// Removes and returns the usable connection that became idle last. The returned socket is null if there is none.
@@ -83,6 +86,7 @@
   std::size_t idleCount_ = 0;
   std::uint64_t openedCount_ = 0;
   std::uint64_t reusedCount_ = 0;
+  std::uint64_t framingTooLongCount_ = 0;
   /// Calls closeExpired() periodically while there are idle connections.
   QTimer expiryTimer_;
 };
--- a/http/src/response_parser.cpp
+++ b/http/src/response_parser.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 
 #include <corkward/core/http_status.h>
 #include <corkward/http/headers.h>
@@ -12,7 +13,6 @@
 
 namespace {
 
-constexpr std::uint32_t maxHeadBytes = 16U << 10;
 /// Largest number of body bytes that one call of parse() consumes.
 constexpr std::size_t bodyStepBytes = 32768;
 /// HTTP/1.1 in Beast's representation of versions.
@@ -38,12 +38,17 @@
 
 void ResponseParser::begin(bool isHeadRequest) {
   isHeadRequest_ = isHeadRequest;
+  headBytes_ = 0;
+  beginHead();
+}
+
+void ResponseParser::beginHead() {
   hasHead_ = false;
   parser_.emplace();
   parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
-  parser_->header_limit(maxHeadBytes);
+  parser_->header_limit(maxFramingBytes);
   parser_->eager(false);
-  parser_->skip(isHeadRequest);
+  parser_->skip(isHeadRequest_);
 }
 
 ResponseParser::Outcome ResponseParser::parse(QByteArray& buffer, std::string& body) {
@@ -57,16 +62,22 @@
   std::size_t const used =
       parser_->put(boost::asio::buffer(buffer.constData(), static_cast<std::size_t>(buffer.size())), error);
   buffer.remove(0, static_cast<qsizetype>(used));
-  if (hadHead) body.append(step.data(), step.size() - parser_->get().body().size);
+  if (hadHead)
+    body.append(step.data(), step.size() - parser_->get().body().size);
+  else
+    headBytes_ += used;
   bool const needsMore = error == beast::http::error::need_more;
+  if (error == beast::http::error::header_limit || hasTooManyFields()) return Outcome::framingTooLong;
   if (error && !needsMore && error != beast::http::error::need_buffer) return Outcome::failed;
   if (!hadHead && parser_->is_header_done()) return onHead();
-  return used == 0 && needsMore ? Outcome::needsMoreBytes : Outcome::progress;
+  if (used > 0 || !needsMore) return Outcome::progress;
+  return buffer.size() > static_cast<qsizetype>(maxFramingBytes) ? Outcome::framingTooLong : Outcome::needsMoreBytes;
 }
 
 ResponseParser::Outcome ResponseParser::onHead() {
   if (isInterim(status())) {
-    begin(isHeadRequest_);
+    if (headBytes_ > maxFramingBytes) return Outcome::framingTooLong;
+    beginHead();
     return Outcome::interimResponse;
   }
   hasHead_ = true;
@@ -92,6 +103,11 @@
   return out;
 }
 
+bool ResponseParser::hasTooManyFields() const {
+  auto const& fields = parser_->get();
+  return std::distance(fields.begin(), fields.end()) > maxFields;
+}
+
 bool ResponseParser::hasNoBody() const {
   return isHeadRequest_ || status() == core::code(core::HttpStatus::noContent) ||
          status() == core::code(core::HttpStatus::notModified);
--- a/http/src/response_parser.h
+++ b/http/src/response_parser.h
@@ -2,6 +2,7 @@
 
 #include <QByteArray>
 #include <boost/beast/http.hpp>
+#include <cstddef>
 #include <limits>
 #include <optional>
 #include <string>
@@ -25,8 +26,16 @@
     headComplete,
     /// The bytes are no valid response.
     failed,
+    /// What belongs to no body is longer than maxFramingBytes, or has more than maxFields header fields.
+    framingTooLong,
   };
 
+  /// Longest header section, longest size line of a chunk with its extension, longest trailer section, and the most
+  /// that all interim responses before a response may take.
+  static constexpr std::uint32_t maxFramingBytes = 16U << 10;
+  /// Most fields of a header section or a trailer section. A parsed field takes many times the memory of a short line.
+  static constexpr std::ptrdiff_t maxFields = 256;
+
   /// Value of keepAliveTimeout() for a response that announces no timeout.
   static constexpr core::Milliseconds noTimeout = std::numeric_limits<core::Milliseconds>::max();
 
@@ -42,6 +51,9 @@
   bool isComplete() const { return hasHead_ && parser_->is_done(); }
   /// Returns the status line and header fields. The header section must be complete.
   ReplicaHead head() const;
+  /// Releases the memory of the header fields. Afterwards head(), isUnusable(), keepAliveTimeout() and header() see
+  /// none.
+  void dropFields() { parser_->get().clear(); }
   /// Whether the response cannot be forwarded: it switches the protocol (101), or it is successful and has a content
   /// coding, which requests to replicas do not ask for.
   bool isUnusable() const;
@@ -61,13 +73,18 @@
  private:
   using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
+  /// Prepares to parse a header section, of an interim response or of the final one.
+  void beginHead();
   Outcome onHead();
   int status() const { return static_cast<int>(parser_->get().result_int()); }
   bool hasNoBody() const;
+  bool hasTooManyFields() const;
 
   std::optional<Parser> parser_;
   bool isHeadRequest_ = false;
   bool hasHead_ = false;
+  /// Bytes of the header sections so far, with those of interim responses.
+  std::size_t headBytes_ = 0;
 };
 
 }  // namespace corkward::http
--- a/http/src/upstream_connection.cpp
+++ b/http/src/upstream_connection.cpp
@@ -27,7 +27,7 @@
 constexpr int pausedKernelBufferBytes = 64 << 10;
 /// Bytes of a request's body that wait in the socket's write buffer at most.
 constexpr std::size_t bodySliceBytes = 64U << 10;
-/// After release(), the connection is closed if the rest of the response is longer than this.
+/// After release(), the connection is closed if the rest of the response, with its framing, is longer than this.
 constexpr std::size_t maxDiscardedBytes = 16U << 10;
 /// After release(), the connection is closed if the rest of the response takes longer than this, in milliseconds.
 constexpr int discardTimeoutMs = 500;
@@ -39,9 +39,14 @@
 /// next request on the connection would wait unread behind it.
 constexpr std::size_t maxReusableBodyBytes = 64U << 10;
 
-/// Returns how the body ended after the parser's last outcome, which is a complete or a malformed response.
+/// Whether the parser cannot go on after this outcome.
+bool isFailure(ResponseParser::Outcome outcome) {
+  return outcome == ResponseParser::Outcome::failed || outcome == ResponseParser::Outcome::framingTooLong;
+}
+
+/// Returns how the body ended after the parser's last outcome, which is a complete response or a failure.
 core::BodyEnd bodyEndAfter(ResponseParser::Outcome outcome) {
-  return outcome == ResponseParser::Outcome::failed ? core::BodyEnd::incomplete : core::BodyEnd::framed;
+  return isFailure(outcome) ? core::BodyEnd::incomplete : core::BodyEnd::framed;
 }
 
 /// Whether the connection is established, has no bytes to read and was not closed by the peer.
@@ -88,6 +93,7 @@
   bool released = false;
   /// close() was called: no event is delivered.
   bool closed = false;
+  /// Bytes that were read after release().
   std::size_t discardedBytes = 0;
   /// Body of the request, and the number of its bytes that were written. Null once it is written completely, or is no
   /// longer to be written.
@@ -95,6 +101,10 @@
   std::size_t bodyWritten = 0;
 
   bool isFinished() const { return phase == Phase::finished; }
+  /// Counts a response that was given up at a limit.
+  void countLimit(ResponseParser::Outcome outcome) {
+    if (outcome == ResponseParser::Outcome::framingTooLong && pool) pool->countFramingTooLong();
+  }
   bool poolKeepsConnections() const { return pool && pool->policy().maxIdlePerReplica > 0; }
 };
 
@@ -371,12 +381,17 @@
 void UpstreamConnection::deliver(std::string& bytes) {
   if (bytes.empty()) return;
   std::string chunk = std::exchange(bytes, {});
-  if (!state_->released) {
-    events_.chunk(std::move(chunk));
-    return;
-  }
-  state_->discardedBytes += chunk.size();
-  if (state_->discardedBytes > maxDiscardedBytes) finish(core::BodyEnd::incomplete);
+  if (!state_->released) events_.chunk(std::move(chunk));
+}
+
+bool UpstreamConnection::readMore() {
+  QByteArray const more = socket_->read(readBufferBytes);
+  if (state_->buffer.isEmpty())
+    state_->buffer = more;
+  else
+    state_->buffer += more;
+  if (state_->released) state_->discardedBytes += static_cast<std::size_t>(more.size());
+  return !more.isEmpty();
 }
 
 bool UpstreamConnection::onHead() {
@@ -388,7 +403,9 @@
   bool const closeMayEndBody = state_->pool && state_->pool->policy().closeMayEndBody;
   if (closeMayEndBody && state_->parser.bodyEndsWithConnection()) state_->closeObserver.observe(*socket_);
   QPointer<UpstreamConnection> const alive(this);
-  events_.head(state_->parser.head());
+  ReplicaHead head = state_->parser.head();
+  state_->parser.dropFields();
+  events_.head(std::move(head));
   return alive && !state_->isFinished();
 }
 
@@ -399,27 +416,28 @@
   // Bytes of the body that were parsed and not delivered yet.
   std::string body;
   while (alive && !state_->isFinished() && !state_->paused) {
-    if (state_->buffer.isEmpty()) state_->buffer = socket_->read(readBufferBytes);
-    if (state_->buffer.isEmpty()) {
+    if (state_->buffer.isEmpty() && !readMore()) {
       deliver(body);
       return;
     }
+    if (state_->discardedBytes > maxDiscardedBytes) {
+      finish(core::BodyEnd::incomplete);
+      return;
+    }
     Outcome const outcome = state_->parser.parse(state_->buffer, body);
-    bool const ends = outcome == Outcome::failed || state_->parser.isComplete();
+    bool const ends = isFailure(outcome) || state_->parser.isComplete();
     if (outcome == Outcome::interimResponse) continue;
     if (outcome == Outcome::headComplete && !onHead()) return;
     if (ends) {
       deliver(body);
-      if (alive) finish(bodyEndAfter(outcome));
+      if (!alive) return;
+      state_->countLimit(outcome);
+      finish(bodyEndAfter(outcome));
       return;
     }
-    if (outcome == Outcome::needsMoreBytes) {
-      QByteArray const more = socket_->read(readBufferBytes);
-      if (more.isEmpty()) {
-        deliver(body);
-        return;
-      }
-      state_->buffer += more;
+    if (outcome == Outcome::needsMoreBytes && !readMore()) {
+      deliver(body);
+      return;
     }
     if (body.size() >= static_cast<std::size_t>(readBufferBytes)) deliver(body);
   }
--- a/http/test/http_test.cpp
+++ b/http/test/http_test.cpp
@@ -92,6 +92,61 @@
   CHECK(sendRequest("127.0.0.1:1").connectFailed);
 }
 
+/// Guards against a connection that keeps what a replica sends without end as framing, of which no byte belongs to a
+/// body, and that waits for its end.
+TEST_CASE("a response whose framing goes on without end is given up while the replica goes on sending") {
+  ensureApplication();
+  constexpr std::size_t length = 256U << 10;
+  auto const repeated = [](std::string const& piece) {
+    std::string out;
+    while (out.size() < length) out += piece;
+    return out;
+  };
+  std::string const chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  std::string manyFields;
+  for (int i = 0; i < 300; ++i) manyFields += "x: y\r\n";
+  manyFields += "\r\n";
+  struct Row {
+    char const* name;
+    std::string bytes;
+  };
+  std::vector<Row> const rows = {{"a header line", "HTTP/1.1 200 OK\r\nx: " + repeated("h")},
+                                 {"header lines", "HTTP/1.1 200 OK\r\n" + repeated("x: y\r\n")},
+                                 {"junk as the size of a chunk", chunked + repeated("z")},
+                                 {"digits of the size of a chunk", chunked + repeated("0")},
+                                 {"the extension of a chunk", chunked + "5;" + repeated("e")},
+                                 {"the extension of a second chunk", chunked + "5\r\nhello\r\n5;" + repeated("e")},
+                                 {"a trailer line", chunked + "0\r\nx: " + repeated("t")},
+                                 {"trailer lines", chunked + "0\r\n" + repeated("x: y\r\n")},
+                                 {"many fields", "HTTP/1.1 200 OK\r\n" + manyFields},
+                                 {"many fields of a trailer", chunked + "0\r\n" + manyFields},
+                                 {"100 Continue", repeated("HTTP/1.1 100 Continue\r\n\r\n")},
+                                 {"103 Early Hints", repeated("HTTP/1.1 103 Early Hints\r\nlink: <a>\r\n\r\n")}};
+  for (Row const& row : rows) {
+    INFO(row.name);
+    FixedReplica const replica(row.bytes, false);
+    CHECK(sendRequest(replica.address()).ended == 0);
+  }
+}
+
+TEST_CASE("a response with long framing of a legal size is complete") {
+  ensureApplication();
+  std::string const text(8000, 'x');
+  std::string fields;
+  for (int i = 0; i < 100; ++i) fields += "x: y\r\n";
+  std::string interim;
+  for (int i = 0; i < 100; ++i) interim += "HTTP/1.1 102 Processing\r\n\r\n";
+  std::string chunks;
+  for (int i = 0; i < 100; ++i) chunks += "1;" + std::string(1000, 'e') + "\r\nc\r\n";
+  FixedReplica const replica(interim + "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + fields +
+                                 "x-long: " + text + "\r\n\r\n5;" + text + "\r\nhello\r\n" + chunks +
+                                 "0\r\nx-trailer: " + text + "\r\n\r\n",
+                             false);
+  Received const received = sendRequest(replica.address());
+  CHECK(received.ended == 1);
+  CHECK(received.body == "hello" + std::string(100, 'c'));
+}
+
 TEST_CASE("a paused connection stops reading, so that a slow caller applies backpressure to its replica") {
   ensureApplication();
   std::string const body(8 << 20, 'x');
