What a router holds of responses is charged, and bounded by a part of the account

Callers saw a router pass the memory of its machine while replicas streamed pieces that complete no event, or large events, to many callers.

Cause: ResponseStream keeps up to 1 MB of an event that is not complete, in a buffer of up to twice that, for each request and outside the account; its memory stayed with the stream after the event was forwarded. The head of an event stream is held until the first event, and stayed afterwards.

Now both are charged to the account, the buffer shrinks after an event, and HeldResponses bounds all of them together by a quarter of the account. Beyond that the response that has held more than 16 KiB for longest is given up as broken: a replica that completes its events begins new ones all the time, so that healthy streams are the last to go.

Counted as corkward_replica_responses_given_up_total, and framing beyond its limit as corkward_replica_framing_exceeded_total.

--- a/dataplane/include/corkward/dataplane/response_stream.h
+++ b/dataplane/include/corkward/dataplane/response_stream.h
@@ -89,6 +89,10 @@
   /// The response ended. A body whose framing marks its end is complete, also if its last event lacks the blank line.
   /// An event stream that ends with the connection is complete only after a complete event; see docs/design.md.
   StreamSteps onEnd(core::BodyEnd end);
+  /// Ends the response of the connection and drops what is held of it, as if the replica had ended the connection.
+  StreamSteps giveUp();
+  /// Bytes of memory that are held for what cannot be forwarded yet: the head, and an event that is not complete.
+  std::size_t heldBytes() const { return headBytes_ + buffer_.capacity(); }
   /// Whether the head was forwarded to the caller.
   bool begun() const { return begun_; }
 
@@ -102,6 +106,8 @@
   StreamSteps endUpstream(UpstreamResult result);
   void endUpstream(StreamSteps& out, UpstreamResult result);
   void beginResponse(StreamSteps& out);
+  void dropIncompleteEvent();
+  void dropHead();
   StreamSteps onEventChunk(std::string const& bytes);
   /// Forwards the event that begins at `start` of the buffer. Returns false if it cannot follow the last forwarded one.
   bool forwardEvent(StreamSteps& out, std::size_t start);
@@ -116,7 +122,10 @@
   /// Whether the last received bytes end an event, and no further event is known to follow.
   bool isBetweenEvents() const;
   void parseLine(std::size_t from, std::size_t to);
+  /// Without its fields once it was forwarded.
   ResponseHead head_;
+  /// Memory that the fields of head_ take.
+  std::size_t headBytes_ = 0;
   std::string run_;
   /// Number of body bytes received since the response started. After an event stream was resumed, only those received
   /// on this connection count.
--- a/dataplane/src/response_stream.cpp
+++ b/dataplane/src/response_stream.cpp
@@ -11,6 +11,9 @@
 /// Maximum size of an event in bytes.
 constexpr std::size_t maxEventBytes = 1U << 20;
 
+/// Memory that the buffer of events may keep beyond what it holds.
+constexpr std::size_t maxUnusedBytes = 16U << 10;
+
 /// Whether the id consists of decimal digits only.
 bool isNumber(std::string const& id) {
   return !id.empty() && std::all_of(id.begin(), id.end(), [](char c) { return c >= '0' && c <= '9'; });
@@ -24,6 +27,17 @@
   return id.compare(idStart, std::string::npos, last, lastStart, std::string::npos) > 0;
 }
 
+/// Returns the memory that a text takes beyond its object.
+std::size_t textBytes(std::string const& text) {
+  return text.capacity() <= std::string().capacity() ? 0 : text.capacity();
+}
+
+std::size_t memoryOf(HeaderList const& fields) {
+  std::size_t bytes = fields.capacity() * sizeof(HeaderList::value_type);
+  for (auto const& [name, value] : fields) bytes += textBytes(name) + textBytes(value);
+  return bytes;
+}
+
 }  // namespace
 
 void ResponseStream::expectEvents(std::string lastEventId) {
@@ -36,18 +50,34 @@
   resuming_ = resume && begun_;
   headReceived_ = false;
   ended_ = false;
+  dropIncompleteEvent();
+  if (begun_) return;
+  dropHead();
+  run_.clear();
+  offset_ = 0;
+  isEventStream_ = false;
+}
+
+void ResponseStream::dropIncompleteEvent() {
   eventOutstanding_ = eventOutstanding_ || !buffer_.empty();
-  buffer_.clear();
+  std::string().swap(buffer_);
   scanPosition_ = 0;
   lineStart_ = 0;
   lineEndedWithCrLf_ = false;
   endsWithCr_ = false;
   event_ = Event{};
-  if (begun_) return;
+}
+
+void ResponseStream::dropHead() {
   head_ = ResponseHead{};
-  run_.clear();
-  offset_ = 0;
-  isEventStream_ = false;
+  headBytes_ = 0;
+}
+
+StreamSteps ResponseStream::giveUp() {
+  if (ended_) return {};
+  dropIncompleteEvent();
+  if (!begun_) dropHead();
+  return endUpstream(UpstreamResult::connectionLost);
 }
 
 Resume ResponseStream::resume() const {
@@ -93,6 +123,7 @@
   if (head.status < 200 || head.status > 599) return endUpstream(UpstreamResult::connectionLost);
   run_ = head.run;
   head_ = head;
+  headBytes_ = memoryOf(head_.fields);
   isEventStream_ = eventsExpected_ && head.events && head.status < 300 && !head.bodiless;
   StreamSteps out;
   out.failed = head.failed;
@@ -102,7 +133,10 @@
 void ResponseStream::beginResponse(StreamSteps& out) {
   if (begun_) return;
   begun_ = true;
+  HeaderList fields = std::exchange(head_.fields, {});
+  headBytes_ = 0;
   out.begin = head_;
+  out.begin->fields = std::move(fields);
   if (isEventStream_) out.begin->length = -1;
   out.firstByte = isEventStream_ ? !hasUnnumberedEvent_ : !run_.empty();
 }
@@ -148,7 +182,11 @@
   buffer_.erase(0, start);
   scanPosition_ -= start;
   lineStart_ -= start;
-  if (buffer_.size() > maxEventBytes) endUpstream(out, UpstreamResult::connectionLost);
+  if (start > 0 && buffer_.capacity() - buffer_.size() > maxUnusedBytes) buffer_.shrink_to_fit();
+  if (buffer_.size() > maxEventBytes) {
+    dropIncompleteEvent();
+    endUpstream(out, UpstreamResult::connectionLost);
+  }
   return out;
 }
 
--- a/dataplane/test/response_stream_test.cpp
+++ b/dataplane/test/response_stream_test.cpp
@@ -233,6 +233,33 @@
   CHECK(c.heads == 0);
 }
 
+TEST_CASE("a stream holds the memory of an incomplete event only, and none once it is given up") {
+  constexpr std::size_t shortBytes = 32U << 10;
+  dataplane::ResponseStream s;
+  Caller c;
+  s.expectEvents("");
+  s.onConnecting(false);
+  s.onHead(eventStreamHead());
+  std::string const text(500000, 'x');
+  c.apply(s.onChunk("id: 1\ndata: " + text));
+  CHECK(s.heldBytes() >= text.size());
+  c.apply(s.onChunk("\n\n"));
+  CHECK(s.heldBytes() < shortBytes);
+  c.apply(s.onChunk("id: 2\ndata: " + text));
+  CHECK(s.heldBytes() >= text.size());
+  c.apply(s.giveUp());
+  CHECK(c.end == dataplane::UpstreamResult::connectionLost);
+  CHECK(s.heldBytes() < shortBytes);
+  CHECK(s.onChunk("\n\n").chunk.empty());
+  s.onConnecting(true);
+  CHECK(s.resume().lastEvent == "1");
+  s.onHead(eventStreamHead());
+  c.apply(s.onChunk("id: 2\ndata: y\n\n"));
+  c.apply(s.onEnd(core::BodyEnd::framed));
+  CHECK(c.received == "id: 1\ndata: " + text + "\n\nid: 2\ndata: y\n\n");
+  CHECK(c.finished == 1);
+}
+
 TEST_CASE("a response to another request breaks the call before a byte is forwarded") {
   dataplane::ResponseStream s;
   bool const asEvents = GENERATE(false, true);
--- a/programs/router/request_relay.cpp
+++ b/programs/router/request_relay.cpp
@@ -31,7 +31,8 @@
       upstreams_(upstreams),
       mapping_(mapping),
       recorder_(recorder),
-      events_(std::move(events)) {}
+      events_(std::move(events)),
+      heldResponses_(server.memory()) {}
 
 RequestRelay::ActiveRequest* RequestRelay::find(std::uint64_t id) {
   auto const found = requests_.find(id);
@@ -69,6 +70,7 @@
   if (command.events && !active->everConnected) active->stream.expectEvents(std::move(active->lastEventId));
   active->everConnected = true;
   active->stream.onConnecting(command.resume);
+  chargeHeld(command.call);
   http::UpstreamConnection::Events events = upstreamEvents(command.call);
   active->upstream =
       command.incarnation.empty()
@@ -115,13 +117,13 @@
 
 void RequestRelay::execute(dataplane::Reject const& command) {
   closeUpstream(command.call);
-  requests_.erase(command.call);
+  remove(command.call);
   server_.respond(command.call, command.status, mapping_.rejectionHeaders(command), mapping_.rejectionBody(command));
 }
 
 void RequestRelay::execute(dataplane::ResetDownstream const& command) {
   closeUpstream(command.call);
-  requests_.erase(command.call);
+  remove(command.call);
   server_.abort(command.call);
 }
 
@@ -139,17 +141,47 @@
 
 void RequestRelay::onHead(std::uint64_t id, http::ReplicaHead const& head) {
   ActiveRequest* const active = find(id);
-  if (active != nullptr) apply(id, active->stream.onHead(mapping_.responseHead(head, active->request)));
+  if (active == nullptr) return;
+  apply(id, active->stream.onHead(mapping_.responseHead(head, active->request)));
+  chargeHeld(id);
+  limitHeldResponses();
 }
 
 void RequestRelay::onChunk(std::uint64_t id, std::string bytes) {
   ActiveRequest* const active = find(id);
   if (active == nullptr) return;
   apply(id, active->stream.onChunk(std::move(bytes)));
+  chargeHeld(id);
+  limitHeldResponses();
   reportProgress(id);
   applyBackpressure(id);
 }
 
+void RequestRelay::chargeHeld(std::uint64_t id) {
+  ActiveRequest* const active = find(id);
+  if (active == nullptr) return;
+  std::uint64_t const bytes = active->stream.heldBytes();
+  active->heldBytes.set(bytes);
+  heldResponses_.update(id, bytes, now());
+}
+
+void RequestRelay::limitHeldResponses() {
+  while (std::optional<std::uint64_t> const id = heldResponses_.excess()) {
+    heldResponses_.remove(*id);
+    ActiveRequest* const active = find(*id);
+    if (active == nullptr) continue;
+    ++responsesGivenUp_;
+    dataplane::StreamSteps steps = active->stream.giveUp();
+    active->heldBytes.set(active->stream.heldBytes());
+    apply(*id, std::move(steps));
+  }
+}
+
+void RequestRelay::remove(std::uint64_t id) {
+  heldResponses_.remove(id);
+  requests_.erase(id);
+}
+
 void RequestRelay::onEnded(std::uint64_t id, core::BodyEnd end) {
   ActiveRequest* const active = find(id);
   if (active == nullptr) return;
@@ -171,7 +203,7 @@
     closeUpstream(id, reusable ? CloseMode::drainAndReuse : CloseMode::close);
   }
   if (steps.finish) {
-    requests_.erase(id);
+    remove(id);
     server_.finishResponse(id);
   }
   if (steps.ended) events_.finished(id, *steps.ended);
@@ -224,7 +256,7 @@
 void RequestRelay::onCallerDisconnected(std::uint64_t id) {
   events_.callerDisconnected(id);
   closeUpstream(id);
-  requests_.erase(id);
+  remove(id);
 }
 
 }  // namespace corkward::programs
--- a/programs/router/request_relay.h
+++ b/programs/router/request_relay.h
@@ -15,6 +15,7 @@
 #include <corkward/http/upstream_pool.h>
 
 #include "audit_recorder.h"
+#include "held_responses.h"
 
 namespace corkward::programs {
 
@@ -67,10 +68,12 @@
   void onCallerDisconnected(std::uint64_t id);
   /// Disconnects callers that have read nothing for too long.
   void onTimer();
+  /// Number of responses that were given up because those that cannot be forwarded yet took too much memory.
+  std::uint64_t responsesGivenUp() const { return responsesGivenUp_; }
 
  private:
   struct ActiveRequest {
-    explicit ActiveRequest(core::MemoryAccount& memory) : pausedBytes(memory) {}
+    explicit ActiveRequest(core::MemoryAccount& memory) : heldBytes(memory), pausedBytes(memory) {}
     /// Null while the request has no connection. Owned by its QObject parent, the relay's owner.
     http::UpstreamConnection* upstream = nullptr;
     /// The request without its body.
@@ -80,6 +83,8 @@
     /// Path of the request at the replica, from the reducer's newest Connect command.
     std::string path;
     dataplane::ResponseStream stream;
+    /// Memory of what is held of the response.
+    core::MemoryCharge heldBytes;
     /// Id of the last event that the caller has received, from its request. Only for a path whose responses are event
     /// streams.
     std::string lastEventId;
@@ -98,6 +103,11 @@
 
   http::UpstreamConnection::Events upstreamEvents(std::uint64_t id);
   ActiveRequest* find(std::uint64_t id);
+  void remove(std::uint64_t id);
+  /// Charges what the request holds of a response that cannot be forwarded yet.
+  void chargeHeld(std::uint64_t id);
+  /// Gives up responses that cannot be forwarded yet while all of them take too much memory.
+  void limitHeldResponses();
   void closeUpstream(std::uint64_t id, CloseMode mode = CloseMode::close);
   void onConnectFailed(std::uint64_t id);
   void onHead(std::uint64_t id, http::ReplicaHead const& head);
@@ -118,6 +128,8 @@
   Events events_;
   /// Keyed by the id of the caller's request.
   std::unordered_map<std::uint64_t, ActiveRequest> requests_;
+  HeldResponses heldResponses_;
+  std::uint64_t responsesGivenUp_ = 0;
   core::Milliseconds nextStallCheckAt_ = 0;
 };
 
--- a/programs/router/router_daemon.cpp
+++ b/programs/router/router_daemon.cpp
@@ -105,7 +105,9 @@
 std::string RouterDaemon::memoryMetrics() const {
   using enum MetricType;
   return memoryMonitor_.metrics() + metricText("corkward_memory_shed_total", counter, server_.shedForMemory()) +
-         metricText("corkward_displaced_connections_total", counter, server_.displacedConnections());
+         metricText("corkward_displaced_connections_total", counter, server_.displacedConnections()) +
+         metricText("corkward_replica_framing_exceeded_total", counter, upstreams_.framingTooLongCount()) +
+         metricText("corkward_replica_responses_given_up_total", counter, relay_.responsesGivenUp());
 }
 
 bool RouterDaemon::serveNativeEndpoint(http::Request const& request) {
