--- a/programs/control/control_daemon.h
+++ b/programs/control/control_daemon.h
@@ -58,6 +58,7 @@
   void updateSeeds(std::vector<std::string> const& seeds);
   /// Replaces the memory that the process may take, in bytes; 0 for a default.
   void setProcessMemory(std::uint64_t bytes) { memory_->setLimit(accountLimitInForce(bytes)); }
+  core::MemoryAccount& memory() const { return *memory_; }
   /// Returns the figures of the memory that is held for operators and peers, in the Prometheus text format.
   std::string memoryMetrics() const;
   /// Starts a graceful shutdown, as SIGTERM does.
