Fuzzer: replicas whose framing does not end, and an oracle for it

Cause: the fuzzer's replicas sent wrong framing, but always ended it, so that a router which keeps what they send broke no rule.

A replica sends 256 KiB of a head, interim responses, a chunk's size, its extension or trailers, never ends it and holds the connection; the oracle `framing` reports a connection that the router has not closed 0.7 s after the request was read. The mutation keepFraming shows that the oracle can fail.

--- a/testing/fuzz/mutation.cpp
+++ b/testing/fuzz/mutation.cpp
@@ -17,6 +17,7 @@
       {"moreTries", "tries", Tampering::extraAttempts},
       {"moreTime", "time-left", Tampering::none, MappingFault::extendRemainingTime},
       {"holdLonger", "held", Tampering::none, MappingFault::extendDeadline},
+      {"keepFraming", "framing", Tampering::hideClosedConnections},
       {"otherStatus", "status", Tampering::none, MappingFault::changeStatus},
   };
   return all;
--- a/testing/fuzz/mutation.h
+++ b/testing/fuzz/mutation.h
@@ -24,6 +24,8 @@
   ignoreDisconnects,
   /// Lets the router use more attempts than the oracle allows.
   extraAttempts,
+  /// Records no end of the replicas' connections.
+  hideClosedConnections,
 };
 
 struct Mutation {
--- a/testing/fuzz/oracles.cpp
+++ b/testing/fuzz/oracles.cpp
@@ -14,6 +14,9 @@
 namespace {
 
 constexpr core::Milliseconds disconnectGraceMs = 500;
+/// Time after a request was read in which a replica has written framing without end, and the router has closed the
+/// connection.
+constexpr core::Milliseconds framingGraceMs = 700;
 constexpr core::Milliseconds timeSlackMs = 100;
 constexpr core::Milliseconds responseGraceMs = 250;
 constexpr std::array<int, 4> notRunStatuses{408, 421, 429, 503};
@@ -156,6 +159,7 @@
     if (d.bodyComplete && d.body != observation.body)
       violation("as-sent", describe(observation) + " has another body: " + difference(d.body, observation.body));
     checkTimeLeft(observation, d);
+    checkFraming(observation, d);
     if (observation.disconnectedAt == 0) return;
     core::Milliseconds const last = d.slow ? d.at : std::max(d.at, d.lastByteAt);
     if (last > observation.disconnectedAt + disconnectGraceMs + lag_(observation.disconnectedAt, last))
@@ -167,6 +171,15 @@
       violation("gone", describe(observation) + " was still processed after its caller disconnected: " + name(d.fault));
   }
 
+  void checkFraming(CallerObservation const& observation, Dispatch const& d) {
+    bool const slowCaller = observation.request.behaviour == CallerBehaviour::slowRead;
+    if (d.fault != Fault::endlessFraming || !d.bodyComplete || slowCaller) return;
+    core::Milliseconds const closed = d.closedAt == 0 ? record_.endedAt : d.closedAt;
+    if (closed > d.lastByteAt + framingGraceMs + lag_(d.lastByteAt, closed))
+      violation("framing", describe(observation) + " kept a connection " + std::to_string(closed - d.lastByteAt) +
+                               " ms whose replica sends framing without end");
+  }
+
   void checkTimeLeft(CallerObservation const& observation, Dispatch const& d) {
     if (observation.connectionFreeAt == 0) return;
     core::Milliseconds const since = std::max(observation.startedAt, observation.connectionFreeAt);
--- a/testing/fuzz/oracles.h
+++ b/testing/fuzz/oracles.h
@@ -10,7 +10,7 @@
 namespace corkward::fuzz {
 
 struct Violation {
-  /// Name of the oracle: own-answer, as-sent, once, promise, tries, gone, time-left, held or status.
+  /// Name of the oracle: own-answer, as-sent, once, promise, tries, gone, time-left, held, framing or status.
   std::string oracle;
   std::string what;
 };
--- a/testing/fuzz/plan.cpp
+++ b/testing/fuzz/plan.cpp
@@ -14,7 +14,7 @@
     "well",       "interim",   "early",           "surplus",       "surplus-late",  "two-answers",
     "other-id",   "bad-chunk", "truncated-event", "cut-answer",    "cut-reading",   "silence",
     "slow-write", "slow-read", "not-run",         "not-run-early", "false-promise", "failure",
-    "unsealed",   "garbage",   "encoded",         "short-body",    "odd-head"};
+    "unsealed",   "garbage",   "encoded",         "short-body",    "odd-head",      "endless-framing"};
 constexpr std::array<char const*, callerBehaviourCount> behaviourNames{
     "stay", "leave", "leave-by-reset", "half-close", "pipeline", "again", "slow-send", "slow-read", "leave-sending"};
 constexpr std::array<char const*, 4> routeNames{"safe", "once", "row", "tell"};
@@ -27,6 +27,11 @@
 constexpr std::uint64_t largestBodyBytes = 700000;
 constexpr std::uint64_t maxResponseBytes = 600000;
 
+/// Faults that drawResponse() draws; the others are drawn apart, so that a seed keeps its other draws.
+constexpr std::uint64_t drawnFaults = 23;
+/// Share of the responses whose framing does not end.
+constexpr double endlessShare = 0.04;
+
 bool isEventStream(Route route) {
   return route == Route::resumableEvents || route == Route::nonResumableEvents;
 }
@@ -46,7 +51,7 @@
 
 ScriptedResponse drawResponse(core::RandomGenerator& rng, Route route) {
   ScriptedResponse out;
-  out.fault = rng.chance(0.35) ? Fault::none : static_cast<Fault>(rng.below(faultCount));
+  out.fault = rng.chance(0.35) ? Fault::none : static_cast<Fault>(rng.below(drawnFaults));
   out.framing = static_cast<Framing>(rng.below(3));
   out.size = isEventStream(route) ? static_cast<std::uint32_t>(1 + rng.below(12)) : sizeOf(rng, maxResponseBytes);
   out.at = static_cast<std::uint32_t>(rng.below(4) == 0 ? rng.below(2) * 1000 : rng.below(1001));
@@ -56,6 +61,13 @@
   return out;
 }
 
+void drawEndlessFraming(Plan& plan) {
+  core::RandomGenerator rng(core::stableHash("endless " + std::to_string(plan.seed)));
+  for (CallerRequest& request : plan.requests)
+    for (ScriptedResponse& response : request.responses)
+      if (rng.chance(endlessShare)) response.fault = Fault::endlessFraming;
+}
+
 template <std::size_t size>
 std::size_t indexOf(std::array<char const*, size> const& names, std::string const& text, char const* what) {
   for (std::size_t i = 0; i < size; ++i)
@@ -165,6 +177,7 @@
     for (std::uint64_t a = 0; a < responses; ++a) request.responses.push_back(drawResponse(rng, request.route));
     out.requests.push_back(std::move(request));
   }
+  drawEndlessFraming(out);
   return out;
 }
 
--- a/testing/fuzz/plan.h
+++ b/testing/fuzz/plan.h
@@ -46,8 +46,9 @@
   encoded,
   shortBody,
   invalidHead,
+  endlessFraming,
 };
-constexpr int faultCount = 23;
+constexpr int faultCount = 24;
 
 /// How the end of a response's body is marked.
 enum class Framing { length, chunks, tillEnd };
--- a/testing/fuzz/scenario.cpp
+++ b/testing/fuzz/scenario.cpp
@@ -243,6 +243,8 @@
   if (finished_ || (open_ > 0 && limit_.isActive())) return;
   finished_ = true;
   record_.endedAt = programs::now();
+  if (tampers(Tampering::hideClosedConnections))
+    for (Dispatch& dispatch : record_.dispatches) dispatch.closedAt = 0;
   limit_.stop();
   onFinished_();
 }
--- a/testing/fuzz/scripted_exchange.cpp
+++ b/testing/fuzz/scripted_exchange.cpp
@@ -38,6 +38,14 @@
   return size + crlf + bytes + crlf;
 }
 
+/// Repeats a text far beyond what a response may take beside its body.
+std::string repeated(std::string const& piece) {
+  constexpr std::size_t length = 256U << 10;
+  std::string out;
+  while (out.size() < length) out += piece;
+  return out;
+}
+
 std::vector<std::string> cut(std::string const& body, std::size_t parts) {
   std::vector<std::string> out;
   std::size_t const each = std::max<std::size_t>(1, (body.size() + parts - 1) / std::max<std::size_t>(parts, 1));
@@ -227,6 +235,9 @@
       case Fault::invalidHead:
         invalidHead();
         break;
+      case Fault::endlessFraming:
+        endlessFraming();
+        break;
     }
     out_.steps.push_back(Step{Step::Kind::done});
   }
@@ -417,6 +428,39 @@
     }
   }
 
+  /// Sends far more framing than any response needs, and never ends it: a head, interim responses, or after the body
+  /// the size of a chunk, its extension, or trailers.
+  void endlessFraming() {
+    response_.framing = Framing::chunks;
+    markIncomplete();
+    Message m = ownResponse();
+    switch (response_.variant % 6) {
+      case 0:
+        write("HTTP/1.1 200 OK\r\n" + fields(request_.attempt, request_.seal) + "X-Long: " + repeated("h"));
+        break;
+      case 1:
+        write(repeated("HTTP/1.1 100 Continue\r\n\r\n"));
+        break;
+      case 2:
+        m.last = repeated("z");
+        write(m.bytes());
+        break;
+      case 3:
+        m.last = "5;" + repeated("e");
+        write(m.bytes());
+        break;
+      case 4:
+        m.last = "0\r\nX-Long: " + repeated("t");
+        write(m.bytes());
+        break;
+      default:
+        m.last = "0\r\n" + repeated("X-Short: t\r\n");
+        write(m.bytes());
+        break;
+    }
+    hold();
+  }
+
   ScriptedResponse response_;
   ReceivedRequest const& request_;
   std::vector<std::string> bodyParts_;
