An operator's command gives up a reply that has no end

Cause: the client of the command line and of the runbook's metrics took a reply whole, and its time began anew with each byte: 256 MB, what the test's server sends at most, were taken as a reply with status 200, and a byte each 50 ms held a command until the server closed. Change: the body is taken out of Qt's buffer of 64 KiB as it arrives, 16 MiB at most, and the time limit holds for the reply as a whole. Such a controller counts as one that did not respond, so that the next one is called, with the same change id.

--- a/programs/common/operator_client.h
+++ b/programs/common/operator_client.h
@@ -40,7 +40,7 @@
   QJsonObject body;
   /// Revision from the ETag header.
   std::string revision;
-  /// Description of the transport error if no controller responded.
+  /// Description of the error if no controller responded in time, completely, and within the longest reply (16 MiB).
   std::string error;
   /// Address of the controller that responded, or of the last one that was called.
   std::string controller;
@@ -59,7 +59,7 @@
 
 /// Sends the call to one controller after the other until one responds. Change ids prevent a retry from applying a
 /// change twice. Throws UsageError when an address is not ip:port.
-/// @param timeoutSeconds time limit of the request to each controller
+/// @param timeoutSeconds time limit of the request to each controller, up to the last byte of its reply
 OperatorReply callOperator(std::vector<std::string> const& controllers, OperatorCall const& call, int timeoutSeconds);
 
 /// Retries a change with the same change id until all routers have applied it, it is rejected, or the time limit ends.
