Simulator: a list that a controller reads counts once a router can be told

All 8 routers are cut off from the 3 controllers from 41.0 s on, a controller reads at 43.0 s that a replica leaves, and no process can tell a router; the oracle counted its 3 s from the reading. Change: where controllers read the lists, the time begins at the last inspection at which no running router was connected with a running controller. One connected pair is enough, so that routers which are cut off by themselves stay under the former check.

--- a/testing/sim/contact_oracles.cpp
+++ b/testing/sim/contact_oracles.cpp
@@ -76,6 +76,27 @@
          plan_.bounds.applied;
 }
 
+bool SimulatedCluster::isAnyRouterConnected() const {
+  for (auto const& [routerLink, router] : nodes_) {
+    if (!router.data || !isRunning(router)) continue;
+    for (auto const& [controllerLink, controller] : nodes_)
+      if (controller.control && isRunning(controller) && isConnected(routerLink, controllerLink)) return true;
+  }
+  return false;
+}
+
+void SimulatedCluster::watchRouterContact() {
+  after(inspectionInterval, [this] { watchRouterContact(); });
+  if (!isAnyRouterConnected()) routersCutOffAt_ = now_;
+}
+
+Milliseconds SimulatedCluster::removalEffectiveFrom(Node const& n, Milliseconds listedAt) const {
+  if (listedAt < 0) return -1;
+  Milliseconds const effective = effectiveFrom(n, listedAt);
+  if (!plan_.listReader || effective < 0) return effective;
+  return std::max(effective, routersCutOffAt_);
+}
+
 void SimulatedCluster::checkContactRules() {
   if (now_ > trafficFrom - 10000 + plan_.length + recoveryPeriod + 15000) return;
   after(inspectionInterval, [this] { checkContactRules(); });
--- a/testing/sim/simulated_cluster.cpp
+++ b/testing/sim/simulated_cluster.cpp
@@ -403,7 +403,10 @@
   core::GuaranteeCounts::ofThread().takeNewViolations();
   for (auto& [link, node] : nodes_) boot(node);
   at(3500, [this] { publishEndpointLists(); });
-  if (plan_.listReader) at(1000, [this] { readEndpointLists(); });
+  if (plan_.listReader) {
+    at(1000, [this] { readEndpointLists(); });
+    watchRouterContact();
+  }
   if (plan_.regimes)
     at(4000, [this] {
       watchIncarnations();
--- a/testing/sim/simulated_cluster.h
+++ b/testing/sim/simulated_cluster.h
@@ -401,6 +401,12 @@
   /// `Bounds::inContact` after the last fault of the process and after the last change of the core. Returns -1 if the
   /// process is not in contact.
   Milliseconds effectiveFrom(Node const& n, Milliseconds since) const;
+  /// Returns the time from which a router must know that a replica is listed as leaving, or -1 if it need not. A list
+  /// that a controller reads by itself reaches a router only once any router is connected with a controller.
+  Milliseconds removalEffectiveFrom(Node const& n, Milliseconds listedAt) const;
+  bool isAnyRouterConnected() const;
+  /// Notes, from now on, when no router is connected with a controller.
+  void watchRouterContact();
   // Faults of the control scenarios: control_faults.cpp.
   void injectControlFault(Fault f);
   void partitionMember(Fault f);
@@ -510,6 +516,8 @@
   std::string coreState_;
   /// Time of the last change of the state or the links of a controller.
   Milliseconds coreChangedAt_ = 0;
+  /// Last inspection at which no router was connected with a controller.
+  Milliseconds routersCutOffAt_ = -1;
   /// Time of the last fault of any link, disk or process.
   Milliseconds lastFaultAt_ = 0;
   /// Time of the last fault that concerns a controller.
--- a/testing/test/sim_test.cpp
+++ b/testing/test/sim_test.cpp
@@ -468,6 +468,8 @@
                                                              {6, {Fault::killMany}}})
     checkPlan(testing::only(k.seed, k.faults));
   for (std::uint64_t const seed : {89, 107, 126, 1534}) checkPlan(testing::chaos(seed, false));
+  // All routers are cut off from the controllers while one of these reads that a replica is leaving.
+  checkPlan(testing::chaos(3113));
   for (std::uint64_t const seed : {541, 913}) {
     testing::Plan plan = testing::chaos(seed);
     // As these seeds were when they found their failures.
@@ -484,6 +486,7 @@
     char const* says;
     corkward::core::Milliseconds faultInterval = 3000;
     double demand = 40;
+    bool listReader = false;
   };
   std::vector<Case> const cases{
       {Mutation::noFencing, {Fault::isolateRouter, Fault::freezeRouter}, "older configuration served"},
@@ -495,6 +498,12 @@
        "after it was listed as leaving",
        1200,
        80},
+      {Mutation::noFencingOnRemoval,
+       {Fault::isolateRouter, Fault::rollReplicas},
+       "after it was listed as leaving",
+       1200,
+       80,
+       true},
       {Mutation::noFencingOnRemoval, {Fault::isolateRouter, Fault::evacuate}, "after its evacuation was acknowledged"},
       {Mutation::zeroAges, {Fault::partitionZone}, "older configuration served"},
       {Mutation::dropRemovalHints,
@@ -525,6 +534,7 @@
       testing::Plan plan = testing::only(seed, testCase.faults);
       plan.mutation = testCase.mutation;
       plan.fractionalLimits = testCase.mutation == Mutation::noProbes;
+      plan.listReader = testCase.listReader;
       plan.faultInterval = testCase.faultInterval;
       plan.demand = testCase.demand;
       std::vector<std::string> violations;
