A limit lowered below the open descriptors no longer stops a process

Change: DescriptorLimitGuard looks at the limit each 500 ms, by a timer, which the loop still serves; where it was lowered below the open descriptors, it is raised to 32 above them, as far as the hard limit allows (core::raiseDescriptorLimitAboveUse). A limit above them stays as it is, so that full processes are still tested. Event descriptor-limit-lowered. Where the hard limit is below them too, the loop still spins until connections have closed.

--- a/core/include/corkward/core/descriptor_limit.h
+++ b/core/include/corkward/core/descriptor_limit.h
@@ -30,4 +30,13 @@
 /// @param stated number of descriptors that the settings state; 0 if they state none
 DescriptorLimits applyDescriptorLimit(std::uint64_t stated);
 
+/// Returns how many descriptors with numbers below the given one are open.
+std::uint64_t openDescriptorsBelow(std::uint64_t number);
+
+/// Raises the limit in force above the number of open descriptors, as far as the hard limit allows, if another process
+/// lowered it below that number. poll(2) fails with EINVAL for more descriptors than the limit, so that an event loop
+/// would spin and see no event. Returns the limits that are in force afterwards.
+/// @param former limit that was in force before it was lowered: all open descriptors have lower numbers
+DescriptorLimits raiseDescriptorLimitAboveUse(std::uint64_t former);
+
 }  // namespace corkward::core
--- a/core/test/descriptor_limit_test.cpp
+++ b/core/test/descriptor_limit_test.cpp
@@ -57,6 +57,20 @@
   CHECK(core::applyDescriptorLimit(10).inForce >= 256);
 }
 
+/// Guards against an event loop that spins, since its descriptors are more than the limit.
+TEST_CASE("a limit that was lowered below the open descriptors is raised above them") {
+  std::uint64_t const former = core::descriptorLimits().inForce;
+  std::uint64_t const open = core::openDescriptorsBelow(former);
+  REQUIRE(open >= 3);
+  SoftLimit const soft(open - 1);
+  CHECK(core::raiseDescriptorLimitAboveUse(former).inForce == open + 32);
+}
+
+TEST_CASE("a limit that was lowered and is above the open descriptors stays") {
+  SoftLimit const soft(softLimit);
+  CHECK(core::raiseDescriptorLimitAboveUse(softLimit).inForce == softLimit);
+}
+
 TEST_CASE("the last descriptors of a process are its reserve") {
   SoftLimit const soft(1024);
   CHECK(core::descriptorReserve(1024) == 64);
--- a/programs/common/daemon_application.h
+++ b/programs/common/daemon_application.h
@@ -3,6 +3,8 @@
 #include <QCoreApplication>
 #include <exception>
 
+#include "process_descriptors.h"
+
 namespace corkward::programs {
 
 /// The application object of a daemon. An exception that an event handler throws ends the event loop, and no further
@@ -20,6 +22,7 @@
  private:
   /// Exception of the event handler that ended the event loop.
   std::exception_ptr fault_;
+  DescriptorLimitGuard descriptorLimitGuard_;
 };
 
 }  // namespace corkward::programs
--- a/programs/common/events.h
+++ b/programs/common/events.h
@@ -35,6 +35,7 @@
 /// The limit of open descriptors was set. Fields: `stated` by the settings, 0 if they state none; `before`; `in-force`;
 /// `highest`, the hard limit. A warning if less is in force than stated.
 inline constexpr core::EventName descriptorLimit{"descriptor-limit"};
+inline constexpr core::EventName descriptorLimitLowered{"descriptor-limit-lowered"};
 
 /// The memory of the process was determined. Fields, in bytes: `stated` by the settings or by default; `in-force`, less
 /// where the system allows less; `account`. A warning if less is in force than the settings state.
